Set down the workspace, the core types and the wire format

Cause: the repository was empty; several people will work side by side. Change: design page, workspace of seven packages, decision types (catalogue, endpoint records, rendezvous routing, dispatch events and actions), packet header, connection ID and control datagrams with authentication, settings.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,4 @@
+//! The agent, the process beside an upstream, which holds the callers' connections and runs their requests.
+
+pub mod settings;
+pub mod shared;
--- /dev/null
+++ b/crates/core/tests/route.rs
@@ -0,0 +1,65 @@
+//! Routing of first packets.
+
+use quetzalhill_core::ids::id_of;
+use quetzalhill_core::route::ServiceRoute;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn route(endpoints: std::ops::Range<u16>) -> ServiceRoute {
+    let ready = endpoints
+        .map(|port| id_of(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7000 + port)))
+        .collect();
+    ServiceRoute {
+        ready,
+        ..ServiceRoute::default()
+    }
+}
+
+/// Guards against a table whose result depends on the order in which endpoints were learned.
+#[test]
+fn order_of_endpoints_does_not_matter() {
+    let forward = route(0..7);
+    let mut backward = forward.clone();
+    backward.ready.reverse();
+    for flow in 0..1_000_u32 {
+        let key = flow.to_le_bytes();
+        assert_eq!(forward.candidates(&key), backward.candidates(&key));
+    }
+}
+
+/// Guards against moving flows of endpoints that stay when one leaves.
+#[test]
+fn leaving_endpoint_moves_only_its_own_flows_to_their_second_candidate() {
+    let before = route(0..7);
+    let after = route(0..6);
+    for flow in 0..1_000_u32 {
+        let key = flow.to_le_bytes();
+        let old = before.candidates(&key).expect("seven endpoints");
+        let new = after.candidates(&key).expect("six endpoints");
+        match old.first.port() == 7006 {
+            true => assert_eq!(Some(new.first), old.second),
+            false => assert_eq!(new.first, old.first),
+        }
+    }
+}
+
+/// Guards against a hash that favours one endpoint.
+#[test]
+fn flows_are_spread_evenly() {
+    let table = route(0..7);
+    let mut counts = [0_u32; 7];
+    for flow in 0..70_000_u32 {
+        let pair = table
+            .candidates(&flow.to_le_bytes())
+            .expect("seven endpoints");
+        counts[usize::from(pair.first.port() - 7000)] += 1;
+    }
+    for count in counts {
+        assert!((9_500..10_500).contains(&count), "{counts:?}");
+    }
+}
+
+/// Guards against choosing an endpoint of a service that has none.
+#[test]
+fn no_endpoint_gives_no_candidate() {
+    assert_eq!(route(0..0).candidates(b"flow"), None);
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,4 @@
+//! The entry instance, which forwards packets between callers and agents, and the operators' commands.
+
+pub mod settings;
+pub mod shared;
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,29 @@
+//! What the control thread of an entry publishes for its traffic threads.
+
+use arc_swap::ArcSwap;
+use quetzalhill_core::route::RouteTable;
+use quetzalhill_wire::key::KeyRing;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+/// Snapshots that traffic threads read; the control thread replaces them whole.
+#[derive(Debug)]
+pub struct SharedState {
+    /// Services and ready endpoints.
+    pub routes: ArcSwap<RouteTable>,
+    /// Valid control keys.
+    pub ring: ArcSwap<KeyRing>,
+    /// Set when the traffic threads have to end.
+    pub stop: AtomicBool,
+}
+
+impl SharedState {
+    /// Makes the state of an entry that knows no service yet.
+    pub fn new(ring: KeyRing) -> Arc<Self> {
+        Arc::new(Self {
+            routes: ArcSwap::from_pointee(RouteTable::default()),
+            ring: ArcSwap::from_pointee(ring),
+            stop: AtomicBool::new(false),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,76 @@
+//! Numbered log events.
+//!
+//! Operators search and alert on the number, which never changes its meaning. docs/events.md lists every event
+//! with what to do about it.
+
+use log::Level;
+use std::fmt::{Display, Write};
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $variant:ident = $number:literal, $level:ident, $name:literal;)*) => {
+        /// All events; numbers 1000 belong to entries, 2000 to agents, 3000 to membership, 4000 to catalogue and
+        /// store, 5000 to what both binaries share.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum EventCode { $($(#[$doc])* $variant,)* }
+
+        impl EventCode {
+            /// All events, in the order of their numbers.
+            pub const ALL: &'static [EventCode] = &[$(EventCode::$variant,)*];
+
+            /// Returns the number, which never changes its meaning.
+            pub fn number(self) -> u16 {
+                match self { $(EventCode::$variant => $number,)* }
+            }
+
+            /// Returns the name in the log line.
+            pub fn name(self) -> &'static str {
+                match self { $(EventCode::$variant => $name,)* }
+            }
+
+            /// Returns the level at which the event is logged.
+            pub fn level(self) -> Level {
+                match self { $(EventCode::$variant => Level::$level,)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// An entry takes packets.
+    EntryStarted = 1001, Info, "entry-started";
+    /// An entry stopped after a graceful shutdown.
+    EntryStopped = 1002, Info, "entry-stopped";
+    /// An agent takes flows.
+    AgentStarted = 2001, Info, "agent-started";
+    /// An agent began to drain.
+    AgentDraining = 2002, Info, "agent-draining";
+    /// An agent stopped after a graceful shutdown.
+    AgentStopped = 2003, Info, "agent-stopped";
+    /// An agent reached the limit on its shutdown with work in progress.
+    AgentStopLimit = 2004, Warn, "agent-stop-limit";
+    /// An endpoint became known or changed its state.
+    EndpointChanged = 3001, Info, "endpoint-changed";
+    /// A catalogue revision came into force.
+    CatalogueInForce = 4001, Info, "catalogue-in-force";
+    /// A catalogue that failed validation was ignored; the one in force stays.
+    CatalogueInvalid = 4002, Error, "catalogue-invalid";
+    /// The store could not be reached.
+    StoreUnavailable = 4003, Warn, "store-unavailable";
+    /// A task or thread ended with an error.
+    TaskFailed = 5001, Error, "task-failed";
+}
+
+/// Logs one event with its fields, as `QH1001 entry-started address=127.0.0.1:7100`.
+pub fn emit(code: EventCode, fields: &[(&str, &dyn Display)]) {
+    let mut line = format!("QH{} {}", code.number(), code.name());
+    for (name, value) in fields {
+        let text = value.to_string();
+        let quoted = text.contains([' ', '"', '=', '\n']);
+        // Writing to a String cannot fail.
+        let _ = match quoted {
+            true => write!(line, " {name}={text:?}"),
+            false => write!(line, " {name}={text}"),
+        };
+    }
+    log::log!(target: "event", code.level(), "{line}");
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,5 @@
+//! What both binaries share: settings, events, keys.
+
+pub mod event;
+pub mod keys;
+pub mod settings;
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,101 @@
+//! Settings files in TOML.
+//!
+//! Every value is checked before anything starts; an error names the file, the key, the value seen and what is
+//! allowed.
+
+use anyhow::{anyhow, Context, Result};
+use quetzalhill_core::ids::ZoneName;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::fs;
+use std::net::SocketAddrV4;
+
+/// Settings of every process, section `[node]`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Availability zone of the instance.
+    pub zone: ZoneName,
+    /// Where the control thread receives control datagrams (UDP) and catalogue fetches (TCP).
+    pub control: SocketAddrV4,
+    /// Where metrics, health and status are served over HTTP.
+    pub admin: SocketAddrV4,
+    /// File of the control key that makes messages.
+    pub control_key: String,
+    /// File of a second control key that is also accepted.
+    pub previous_key: Option<String>,
+}
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// One readable line for each event.
+    #[default]
+    Plain,
+    /// One JSON object for each event.
+    Json,
+}
+
+/// Settings of the log, section `[log]`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+    /// Least severe level that is logged: error, warn, info, debug or trace.
+    pub level: String,
+    /// How lines look.
+    pub format: LogFormat,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: "info".into(),
+            format: LogFormat::Plain,
+        }
+    }
+}
+
+/// A value that is not allowed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SettingError {
+    /// Key with its section, such as `agent.slots`.
+    pub key: String,
+    /// Value seen.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl SettingError {
+    /// Describes a value that is not allowed.
+    pub fn new(key: &str, value: impl ToString, allowed: &str) -> Self {
+        Self {
+            key: key.into(),
+            value: value.to_string(),
+            allowed: allowed.into(),
+        }
+    }
+}
+
+/// Reads a settings file and checks its values.
+///
+/// # Errors
+///
+/// Names the file and, as far as known, the line, the key, the value and what is allowed.
+pub fn read<T: DeserializeOwned>(
+    path: &str,
+    check: fn(&T) -> Result<(), SettingError>,
+) -> Result<T> {
+    let text = fs::read_to_string(path).with_context(|| format!("settings file {path}"))?;
+    let settings: T = toml::from_str(&text).with_context(|| format!("settings file {path}"))?;
+    check(&settings).map_err(|error| {
+        anyhow!(
+            "settings file {path}: {} is {}; allowed: {}",
+            error.key,
+            error.value,
+            error.allowed
+        )
+    })?;
+    Ok(settings)
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for callers, fabric, upstreams and the platform, for tests and measurements only.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value service.
--- /dev/null
+++ b/crates/wire/src/control.rs
@@ -0,0 +1,99 @@
+//! Control datagrams: announcements, gossip and load.
+
+use crate::key::{KeyRing, TAG_BYTES};
+use crate::packet::{DropReason, DATAGRAM_MAX, KIND_CONTROL, PREFIX_BYTES, WIRE_VERSION};
+use quetzalhill_core::dispatch::LoadReport;
+use quetzalhill_core::ids::{EndpointId, RevisionNumber};
+use quetzalhill_core::member::{EndpointRecord, EntryRecord};
+use serde::{Deserialize, Serialize};
+
+/// Digest of a catalogue or of a set of records.
+pub type DigestValue = u64;
+
+/// Everything that control sockets receive.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ControlMessage {
+    /// An agent tells an entry of its endpoint.
+    Announce {
+        /// The endpoint.
+        record: EndpointRecord,
+        /// Counts the announcements of this incarnation, so that late copies are dropped.
+        beat: u64,
+        /// Catalogue revision that the agent has in force.
+        revision: RevisionNumber,
+    },
+    /// An entry answers an announcement.
+    AnnounceAck {
+        /// Announcement that is answered.
+        beat: u64,
+        /// Catalogue revision that the entry has in force.
+        revision: RevisionNumber,
+        /// Digest of that catalogue.
+        digest: DigestValue,
+        /// Some live entries.
+        entries: Vec<EntryRecord>,
+        /// Endpoints of the agent's service, as many as fit.
+        peers: Vec<EndpointRecord>,
+    },
+    /// An agent tells a peer of its load.
+    Load {
+        /// The endpoint that reports.
+        from: EndpointId,
+        /// Counts the reports, so that late copies are dropped.
+        beat: u64,
+        /// The load.
+        report: LoadReport,
+    },
+    /// An agent with a free slot asks a peer for waiting work.
+    Pull {
+        /// The endpoint that asks.
+        from: EndpointId,
+        /// Counts the requests, so that late copies are dropped.
+        beat: u64,
+    },
+}
+
+impl ControlMessage {
+    /// Returns the datagram for this message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DropReason::Long`] if the message does not fit a datagram.
+    pub fn seal(&self, ring: &KeyRing) -> Result<Vec<u8>, DropReason> {
+        let key = ring.current();
+        let head = vec![WIRE_VERSION, KIND_CONTROL, key.number()];
+        let mut datagram = postcard::to_extend(self, head).map_err(|_| DropReason::Body)?;
+        let tag = key.tag(&[&datagram]);
+        datagram.extend_from_slice(&tag);
+        if datagram.len() > DATAGRAM_MAX {
+            return Err(DropReason::Long);
+        }
+        Ok(datagram)
+    }
+
+    /// Checks and decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the datagram has to be dropped.
+    pub fn open(ring: &KeyRing, datagram: &[u8]) -> Result<Self, DropReason> {
+        if datagram.len() < PREFIX_BYTES + TAG_BYTES {
+            return Err(DropReason::Short);
+        }
+        if datagram.len() > DATAGRAM_MAX {
+            return Err(DropReason::Long);
+        }
+        if datagram[0] != WIRE_VERSION {
+            return Err(DropReason::Version);
+        }
+        if datagram[1] != KIND_CONTROL {
+            return Err(DropReason::Kind);
+        }
+        let key = ring.find(datagram[2]).ok_or(DropReason::Key)?;
+        let end = datagram.len() - TAG_BYTES;
+        if key.tag(&[&datagram[..end]]) != datagram[end..] {
+            return Err(DropReason::Tag);
+        }
+        postcard::from_bytes(&datagram[PREFIX_BYTES..end]).map_err(|_| DropReason::Body)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,8 @@
+//! Messages between the processes of quetzalhill, their encoding and their authentication.
+//!
+//! Decisions live in `quetzalhill-core` and know nothing of this package. See docs/design.md, section 5.
+
+pub mod cid;
+pub mod control;
+pub mod key;
+pub mod packet;
