--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -3,153 +3,102 @@
 //! Agents of one service form one pool: a request that finds no free local slot is handed to a peer believed to
 //! have one, and an agent with a free slot pulls waiting work. See docs/design.md, decision 4.
 
-use crate::catalogue::{LimitSet, TrafficClass};
-use crate::ids::{EndpointId, OwnerName, RequestId};
+mod handover;
+mod message;
+mod peers;
+mod queue;
+mod report;
+mod work;
+
+pub use message::{
+    ActionList, DispatchAction, DispatchEvent, DispatchOptions, DispatchPolicy, LoadReport,
+    QueueOrder, RefusalReason, RequestMeta,
+};
+
+use crate::catalogue::LimitSet;
+use crate::eject::{EjectController, EjectState};
+use crate::ids::{EndpointId, RequestId};
+use handover::{OpenOffer, OpenPull};
+use peers::PeerTable;
+use queue::{WaitQueue, WaitingRequest};
 use rand::rngs::SmallRng;
-use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
-use std::collections::VecDeque;
+use report::ReportState;
+use std::collections::HashMap;
 use std::time::Instant;
+use work::WorkModel;
 
-/// Which peer runs a request; the alternatives to `Pooled` exist to be measured against it.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum DispatchPolicy {
-    /// Hand over to a free peer and pull waiting work.
-    #[default]
-    Pooled,
-    /// A peer chosen at random.
-    Random,
-    /// All peers in turn.
-    RoundRobin,
-    /// The peer with the least load in its last report.
-    LeastReported,
-    /// The agent on which the request arrived.
-    Local,
-}
-
-/// What the controller knows of one request.
-#[derive(Clone, Debug)]
-pub struct RequestMeta {
-    /// Identity, kept over a hand-over.
-    pub id: RequestId,
-    /// Class after path prefixes and the caller's priority.
-    pub class: TrafficClass,
-    /// Owner whose limits the request uses.
-    pub owner: OwnerName,
-    /// When the first agent received it.
-    pub arrived: Instant,
-    /// When its answer is of no use any more.
-    pub deadline: Instant,
-}
+/// Stands for the agent's own upstream among the endpoints; no endpoint has the address 0.0.0.0:0.
+const LOCAL_ENDPOINT: EndpointId = 0;
 
-/// Load that an agent tells its peers.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct LoadReport {
-    /// Slots that run nothing.
-    pub free_slots: u16,
-    /// Requests that run.
-    pub running: u16,
-    /// Requests in the queue.
-    pub queued: u16,
-    /// Age of the oldest request in the queue, in microseconds.
-    pub oldest_us: u32,
-    /// Whether the agent accepts requests from its peers.
-    pub accepting: bool,
-}
+/// Under [`QueueOrder::ControlledDelay`], an overloaded class keeps requests for this multiple of the mean service time.
+const DELAY_TARGET: f64 = 2.0;
 
-/// Why a request was refused; a refused request was not run.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub enum RefusalReason {
-    /// The queue of the service is full.
-    QueueFull,
-    /// The limit on requests in flight is reached.
-    InFlightLimit,
-    /// The owner's limit is reached.
-    OwnerLimit,
-    /// The request would not be answered before its deadline.
-    Deadline,
-    /// A more urgent class needs the capacity.
-    Overload,
-    /// The endpoint is draining and no peer takes the request.
-    Draining,
-}
-
-/// What happened at the agent.
-#[derive(Clone, Debug)]
-pub enum DispatchEvent {
-    /// A caller's request passed the filters before dispatch.
-    Arrived(RequestMeta),
-    /// A peer offers a request.
-    Offered(EndpointId, RequestMeta),
-    /// A peer took the request that was offered to it.
-    OfferAccepted(RequestId, EndpointId),
-    /// A peer did not take it, or could not be reached before the offer left; it was not run there.
-    OfferRejected(RequestId, EndpointId),
-    /// The caller cancelled a request, or its connection closed.
-    Cancelled(RequestId),
-    /// The upstream or the peer finished the request; `ok` is what it says of the upstream's health.
-    Finished {
-        /// The request.
-        id: RequestId,
-        /// Whether the upstream answered without failing.
-        ok: bool,
-    },
-    /// A peer reported its load.
-    PeerLoad(EndpointId, LoadReport),
-    /// A peer with a free slot asks for waiting work.
-    PullReceived(EndpointId),
-    /// The set of ready peers of the service changed.
-    PeersChanged(Vec<EndpointId>),
-    /// The catalogue changed the limits.
-    LimitsChanged(LimitSet),
-    /// This endpoint began to drain.
-    DrainStarted,
-    /// The time from `next_deadline` has come.
-    TimerFired,
+#[derive(Debug)]
+struct RunningRequest {
+    meta: RequestMeta,
+    started: Instant,
+    long: bool,
 }
 
-/// What the runtime around the controller has to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum DispatchAction {
-    /// Send the request to the local upstream.
-    Start(RequestId),
-    /// Offer the request to a peer over TCP.
-    HandOver(RequestId, EndpointId),
-    /// Tell the peer that its offer is taken; a `Start` follows at once or later.
-    AcceptOffer(RequestId),
-    /// Tell the peer that its offer is not taken.
-    RejectOffer(RequestId),
-    /// Answer the caller that the request was not run.
-    Refuse(RequestId, RefusalReason),
-    /// Ask the peer for waiting work.
-    SendPull(EndpointId),
-    /// Tell all peers this load.
-    SendLoad(LoadReport),
+#[derive(Debug)]
+struct RemoteRequest {
+    meta: RequestMeta,
+    peer: EndpointId,
 }
 
-/// Actions that one event causes.
-pub type ActionList = SmallVec<[DispatchAction; 4]>;
-
 /// Owns the queue and the slots of one agent.
 #[derive(Debug)]
 pub struct DispatchController {
     policy: DispatchPolicy,
     slots: u16,
     limits: LimitSet,
-    queue: VecDeque<RequestMeta>,
-    running: Vec<RequestId>,
+    options: DispatchOptions,
+    queue: WaitQueue,
+    running: Vec<RunningRequest>,
+    /// Requests that peers have taken.
+    remote: HashMap<RequestId, RemoteRequest>,
+    offers: Vec<OpenOffer>,
+    pulls: Vec<OpenPull>,
+    /// Seconds from a pull to the offer that answers it.
+    pull_seconds: Option<f64>,
+    peers: PeerTable,
+    work: WorkModel,
+    eject: EjectController,
+    report: ReportState,
+    next_peer: usize,
+    draining: bool,
 }
 
 impl DispatchController {
     /// Makes a controller for an upstream that runs `slots` requests at the same time.
     pub fn new(policy: DispatchPolicy, slots: u16, limits: LimitSet) -> Self {
+        Self::with_options(policy, slots, limits, DispatchOptions::default())
+    }
+
+    /// Makes a controller with some mechanisms switched off.
+    pub fn with_options(
+        policy: DispatchPolicy,
+        slots: u16,
+        limits: LimitSet,
+        options: DispatchOptions,
+    ) -> Self {
         Self {
             policy,
             slots,
             limits,
-            queue: VecDeque::new(),
+            options,
+            queue: WaitQueue::new(options.order),
             running: Vec::new(),
+            remote: HashMap::new(),
+            offers: Vec::new(),
+            pulls: Vec::new(),
+            pull_seconds: None,
+            peers: PeerTable::default(),
+            work: WorkModel::default(),
+            eject: EjectController::new(),
+            report: ReportState::default(),
+            next_peer: 0,
+            draining: false,
         }
     }
 
@@ -158,86 +107,299 @@
         self.policy
     }
 
-    /// Returns the load to report to peers.
-    pub fn load(&self, now: Instant) -> LoadReport {
-        // CAST: The queue is bounded by the catalogue's limits; larger values saturate before the cast.
-        let queued = self.queue.len().min(usize::from(u16::MAX)) as u16;
-        // CAST: At most `slots` requests run.
-        let running = self.running.len().min(usize::from(u16::MAX)) as u16;
-        let oldest = self.queue.front().map_or(0, |meta| {
-            u32::try_from(now.saturating_duration_since(meta.arrived).as_micros())
-                .unwrap_or(u32::MAX)
-        });
-        LoadReport {
-            free_slots: self.slots.saturating_sub(running),
-            running,
-            queued,
-            oldest_us: oldest,
-            accepting: true,
-        }
+    /// Returns the peers that receive the next [`DispatchAction::SendLoad`]: all of a small group, else a random
+    /// subset.
+    pub fn load_targets(&self) -> &[EndpointId] {
+        &self.peers.targets
     }
 
     /// Returns when [`DispatchEvent::TimerFired`] is due.
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.queue.iter().map(|meta| meta.deadline).min()
+        let waiting = self.queue.iter().map(|request| request.meta.deadline);
+        let offers = self.offers.iter().map(|offer| offer.answer_by);
+        let pulls = self.pulls.iter().map(|pull| pull.answer_by);
+        let rest = self.report.next_due().into_iter();
+        let ejection = self.eject.next_deadline();
+        waiting
+            .chain(offers)
+            .chain(pulls)
+            .chain(rest)
+            .chain(ejection)
+            .min()
     }
 
     /// Takes one event and returns what has to be done.
-    pub fn handle(
-        &mut self,
-        event: DispatchEvent,
-        now: Instant,
-        _rng: &mut SmallRng,
-    ) -> ActionList {
+    pub fn handle(&mut self, event: DispatchEvent, now: Instant, rng: &mut SmallRng) -> ActionList {
         let mut actions = ActionList::new();
         match event {
-            DispatchEvent::Arrived(meta) => self.arrive(meta, &mut actions),
-            DispatchEvent::Offered(_, meta) => actions.push(DispatchAction::RejectOffer(meta.id)),
-            DispatchEvent::Cancelled(id) | DispatchEvent::Finished { id, .. } => self.forget(id),
+            DispatchEvent::Arrived(meta) => self.arrive(meta, now, rng, &mut actions),
+            DispatchEvent::Offered(peer, meta) => self.offered(peer, meta, now, &mut actions),
+            DispatchEvent::OfferAccepted(id, peer) => self.offer_accepted(id, peer),
+            DispatchEvent::OfferRejected(id, peer) => self.offer_rejected(id, peer, now),
+            DispatchEvent::Cancelled(id) => self.forget(id),
+            DispatchEvent::Finished { id, ok } => self.finished(id, ok, now, rng),
+            DispatchEvent::PeerLoad(peer, report) => self.peer_load(peer, report, now),
+            DispatchEvent::PullReceived(peer) => self.pull_received(peer, now, &mut actions),
+            DispatchEvent::PeersChanged(peers) => self.peers_changed(&peers, now),
             DispatchEvent::LimitsChanged(limits) => self.limits = limits,
-            DispatchEvent::OfferAccepted(..)
-            | DispatchEvent::OfferRejected(..)
-            | DispatchEvent::PeerLoad(..)
-            | DispatchEvent::PullReceived(_)
-            | DispatchEvent::PeersChanged(_)
-            | DispatchEvent::DrainStarted
-            | DispatchEvent::TimerFired => {}
+            DispatchEvent::DrainStarted => self.draining = true,
+            DispatchEvent::TimerFired => {}
         }
+        self.learn_running(now);
+        self.update_ejections(now);
+        self.expire_offers(now, &mut actions);
         self.refuse_late(now, &mut actions);
-        self.start_waiting(&mut actions);
+        self.start_waiting(now, &mut actions);
+        if self.policy == DispatchPolicy::Pooled {
+            self.hand_over_waiting(now, rng, &mut actions);
+            self.pull_work(now, rng, &mut actions);
+        }
+        self.send_report(now, rng, &mut actions);
         actions
     }
 
-    fn arrive(&mut self, meta: RequestMeta, actions: &mut ActionList) {
-        if self.queue.len() >= usize::try_from(self.limits.queue).unwrap_or(usize::MAX) {
-            actions.push(DispatchAction::Refuse(meta.id, RefusalReason::QueueFull));
+    fn arrive(
+        &mut self,
+        meta: RequestMeta,
+        now: Instant,
+        rng: &mut SmallRng,
+        actions: &mut ActionList,
+    ) {
+        if let Some(peer) = self.peer_by_policy(&meta, now, rng) {
+            self.offer(meta, peer, now, actions);
+            return;
+        }
+        if self.options.early_refusal && self.would_be_late(&meta, now) {
+            actions.push(DispatchAction::Refuse(meta.id, RefusalReason::Deadline));
             return;
         }
-        self.queue.push_back(meta);
+        if self.queue.len() >= usize::try_from(self.limits.queue).unwrap_or(usize::MAX) {
+            let Some(victim) = self.queue.displace(meta.class) else {
+                actions.push(DispatchAction::Refuse(meta.id, RefusalReason::QueueFull));
+                return;
+            };
+            self.refuse(&victim, RefusalReason::Overload, actions);
+        }
+        self.enqueue(meta, None, now);
+    }
+
+    fn enqueue(&mut self, meta: RequestMeta, from: Option<EndpointId>, now: Instant) {
+        let long = self.options.long_share && self.work.is_long(&meta);
+        self.queue.insert(WaitingRequest { meta, from, long }, now);
+    }
+
+    /// Refuses a request towards the caller, or gives it back to the peer that offered it.
+    fn refuse(&self, request: &WaitingRequest, reason: RefusalReason, actions: &mut ActionList) {
+        let id = request.meta.id;
+        actions.push(match request.from {
+            Some(_) => DispatchAction::RejectOffer(id),
+            None => DispatchAction::Refuse(id, reason),
+        });
+    }
+
+    fn would_be_late(&self, meta: &RequestMeta, now: Instant) -> bool {
+        if self.running.len() < usize::from(self.slots) {
+            return false;
+        }
+        let newest_first = self.options.order == QueueOrder::NewestUnderOverload
+            && self.queue.is_overloaded(meta.class, now);
+        let wait = match newest_first {
+            true => 0.0,
+            false => self.queue.expected_wait(meta.class),
+        };
+        let left = meta.deadline.saturating_duration_since(now).as_secs_f64();
+        wait + self.work.expected(meta) > left
     }
 
     fn forget(&mut self, id: RequestId) {
-        self.running.retain(|&other| other != id);
-        self.queue.retain(|meta| meta.id != id);
+        self.queue.remove(id);
+        self.running.retain(|running| running.meta.id != id);
+        self.remote.remove(&id);
+        self.close_offer(id);
+    }
+
+    fn finished(&mut self, id: RequestId, ok: bool, now: Instant, rng: &mut SmallRng) {
+        let total = self.peers.views.len() + 1;
+        let local = self.running.iter().position(|run| run.meta.id == id);
+        let offered = self.close_offer(id).map(|offer| offer.peer);
+        let remote = self.remote.remove(&id).map(|remote| remote.peer);
+        let endpoint = match local {
+            Some(_) => Some(LOCAL_ENDPOINT),
+            None => remote.or(offered),
+        };
+        if let Some(at) = local {
+            let run = self.running.swap_remove(at);
+            let served = now.saturating_duration_since(run.started);
+            if ok {
+                self.work.record(run.meta.work_key, served);
+            }
+        }
+        let Some(endpoint) = endpoint else {
+            return;
+        };
+        if self.options.eject {
+            self.eject.record(endpoint, ok, total, now, rng);
+        }
+    }
+
+    /// Learns a work key whose first requests have proved long before any of them has finished.
+    fn learn_running(&mut self, now: Instant) {
+        for run in &mut self.running {
+            let elapsed = now.saturating_duration_since(run.started);
+            if !run.long && self.work.has_proved_long(elapsed) {
+                run.long = true;
+                self.work.record_first(run.meta.work_key, elapsed);
+            }
+        }
+    }
+
+    fn update_ejections(&mut self, now: Instant) {
+        for view in &mut self.peers.views {
+            view.ejected = match self.eject.state(view.id, now) {
+                EjectState::Serving => false,
+                EjectState::Ejected { .. } => true,
+                EjectState::Probing => view.open_offers > 0,
+            };
+        }
+    }
+
+    fn peers_changed(&mut self, peers: &[EndpointId], now: Instant) {
+        self.peers.replace(peers, now);
+        self.pulls.retain(|pull| peers.contains(&pull.peer));
+        self.eject
+            .retain(|endpoint| endpoint == LOCAL_ENDPOINT || peers.contains(&endpoint));
     }
 
     fn refuse_late(&mut self, now: Instant, actions: &mut ActionList) {
-        self.queue.retain(|meta| {
-            let late = meta.deadline <= now;
-            if late {
-                actions.push(DispatchAction::Refuse(meta.id, RefusalReason::Deadline));
+        let early = self.options.early_refusal;
+        let work = &self.work;
+        let late = self.queue.take_if(|request| {
+            let left = request.meta.deadline.saturating_duration_since(now);
+            left.is_zero() || (early && left.as_secs_f64() < work.expected(&request.meta))
+        });
+        for request in late {
+            self.refuse(&request, RefusalReason::Deadline, actions);
+        }
+        if self.usable_slots(now) == 0 {
+            let stranded = !self.peers.any_accepting(now);
+            for request in self.queue.take_if(|r| stranded || r.from.is_some()) {
+                self.refuse(&request, RefusalReason::Draining, actions);
             }
-            !late
+        }
+        if self.options.order == QueueOrder::ControlledDelay {
+            self.refuse_delayed(now, actions);
+        }
+    }
+
+    fn refuse_delayed(&mut self, now: Instant, actions: &mut ActionList) {
+        let target = self.work.mean() * DELAY_TARGET;
+        let overloaded =
+            crate::catalogue::TrafficClass::ALL.map(|class| self.queue.is_overloaded(class, now));
+        let delayed = self.queue.take_if(|request| {
+            let waited = now.saturating_duration_since(request.meta.arrived);
+            overloaded[request.meta.class.index()] && waited.as_secs_f64() > target
         });
+        for request in delayed {
+            self.refuse(&request, RefusalReason::Overload, actions);
+        }
     }
 
-    fn start_waiting(&mut self, actions: &mut ActionList) {
-        while self.running.len() < usize::from(self.slots) {
-            let Some(meta) = self.queue.pop_front() else {
+    /// Returns the slots on which a request may start now.
+    fn usable_slots(&mut self, now: Instant) -> u16 {
+        if self.draining {
+            return 0;
+        }
+        let peers = self.policy == DispatchPolicy::Pooled && self.peers.any_accepting(now);
+        match self.eject.state(LOCAL_ENDPOINT, now) {
+            EjectState::Ejected { .. } if peers => 0,
+            EjectState::Probing if peers => 1.min(self.slots),
+            _ => self.slots,
+        }
+    }
+
+    fn free_slots(&mut self, now: Instant) -> u16 {
+        // CAST: At most `slots` requests run.
+        let running = self.running.len().min(usize::from(u16::MAX)) as u16;
+        self.usable_slots(now).saturating_sub(running)
+    }
+
+    /// Returns the number of running requests that are bulk or long.
+    fn long_running(&self) -> u16 {
+        let long = self.running.iter().filter(|run| run.long);
+        // CAST: At most `slots` requests run.
+        long.count().min(usize::from(u16::MAX)) as u16
+    }
+
+    /// Returns whether another long request may start here under `slot_share`.
+    fn long_room(&self, now: Instant) -> bool {
+        self.long_running() < self.long_limit() && self.pool_long_room(now)
+    }
+
+    /// Returns the slots of one agent that long work may occupy.
+    fn long_limit(&self) -> u16 {
+        if !self.options.long_share {
+            return u16::MAX;
+        }
+        let limit = bounded_share(self.limits.slot_share, self.slots, f64::ceil);
+        match self.limits.slot_share < 1.0 {
+            true => limit.min(self.slots.saturating_sub(1)).max(1),
+            false => limit,
+        }
+    }
+
+    /// Returns whether long work occupies less than its share of the pool's slots, as far as reports tell.
+    fn pool_long_room(&self, now: Instant) -> bool {
+        if !self.options.long_share {
+            return true;
+        }
+        let reports = self.peers.views.iter().filter(|view| view.is_fresh(now));
+        let own = (self.slots, self.long_running());
+        let (slots, long) = reports.fold(own, |(slots, long), view| {
+            // Agents of one service have about the same number of slots.
+            (
+                slots.saturating_add(self.slots),
+                long.saturating_add(view.report.long_running),
+            )
+        });
+        long < bounded_share(self.limits.slot_share, slots, f64::floor)
+    }
+
+    /// Returns the number of waiting requests that may take a slot as soon as one is free.
+    fn startable(&self, now: Instant) -> usize {
+        let room = self.long_room(now);
+        let waiting = self.queue.iter();
+        waiting.filter(|request| room || !request.long).count()
+    }
+
+    fn is_ejected(&self, now: Instant) -> bool {
+        matches!(self.eject.peek(LOCAL_ENDPOINT), EjectState::Ejected { until } if until > now)
+    }
+
+    fn start_waiting(&mut self, now: Instant, actions: &mut ActionList) {
+        while self.free_slots(now) > 0 {
+            let room = self.long_room(now);
+            let work = &self.work;
+            let next = self.queue.pop(
+                now,
+                |request| room || !request.long,
+                |meta| work.expected(meta),
+            );
+            let Some(request) = next else {
                 break;
             };
-            self.running.push(meta.id);
-            actions.push(DispatchAction::Start(meta.id));
+            actions.push(DispatchAction::Start(request.meta.id));
+            self.running.push(RunningRequest {
+                meta: request.meta,
+                started: now,
+                long: request.long,
+            });
         }
     }
 }
+
+/// Returns the slots that are `share` of `slots`, rounded by `round`; at least 1, so that long work goes on.
+fn bounded_share(share: f64, slots: u16, round: fn(f64) -> f64) -> u16 {
+    let bounded = round(share * f64::from(slots)).clamp(1.0, f64::from(slots.max(1)));
+    // CAST: The value is clamped to the range of u16.
+    bounded as u16
+}
--- /dev/null
+++ b/crates/core/src/dispatch/handover.rs
@@ -0,0 +1,334 @@
+//! Moves requests between the agents of a service.
+
+use super::message::{ActionList, DispatchAction, DispatchPolicy, LoadReport, RequestMeta};
+use super::peers::PeerView;
+use super::{DispatchController, RemoteRequest};
+use crate::catalogue::TrafficClass;
+use crate::ids::{EndpointId, RequestId};
+use rand::rngs::SmallRng;
+use rand::Rng;
+use std::time::{Duration, Instant};
+
+/// An offer that is not answered for this long is withdrawn.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// A pull that brings nothing for this long is forgotten.
+const PULL_TIMEOUT: Duration = Duration::from_millis(10);
+
+/// Weight of a new sample in the average time that a pull takes.
+const PULL_WEIGHT: f64 = 0.1;
+
+/// Time that a pull is assumed to take until one has been answered, in seconds.
+const DEFAULT_PULL_SECONDS: f64 = 0.002;
+
+/// Utilization above the pool's mean, as a fraction of it, from which work is moved.
+const BALANCE_MARGIN: f64 = 0.02;
+
+/// A peer's work is taken ahead of the agent's own when it has waited longer by this multiple of the pull time.
+const AGE_MARGIN: f64 = 2.0;
+
+/// An offer without an answer.
+#[derive(Debug)]
+pub(super) struct OpenOffer {
+    pub(super) meta: RequestMeta,
+    pub(super) peer: EndpointId,
+    pub(super) answer_by: Instant,
+}
+
+/// A pull without an answer.
+#[derive(Debug)]
+pub(super) struct OpenPull {
+    pub(super) peer: EndpointId,
+    pub(super) sent: Instant,
+    pub(super) answer_by: Instant,
+}
+
+impl DispatchController {
+    /// Returns the peer to which an arriving request goes at once, if it is not to be queued here.
+    pub(super) fn peer_by_policy(
+        &mut self,
+        meta: &RequestMeta,
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> Option<EndpointId> {
+        let count = self.peers.views.len();
+        let index = match self.policy {
+            DispatchPolicy::Local => return None,
+            DispatchPolicy::Pooled => return self.balancing_peer(meta, now, rng),
+            DispatchPolicy::Random => rng.random_range(0..=count),
+            DispatchPolicy::RoundRobin => {
+                self.next_peer = (self.next_peer + 1) % (count + 1);
+                self.next_peer
+            }
+            DispatchPolicy::LeastReported => self.least_reported(),
+        };
+        self.peers.views.get(index).map(|view| view.id)
+    }
+
+    fn least_reported(&self) -> usize {
+        let reported = |report: LoadReport| u32::from(report.running) + u32::from(report.queued);
+        let own = self.running.len() + self.queue.len();
+        let mut least = (u32::try_from(own).unwrap_or(u32::MAX), usize::MAX);
+        for (index, view) in self.peers.views.iter().enumerate() {
+            least = least.min((reported(view.report), index));
+        }
+        least.1
+    }
+
+    /// Returns a less busy peer for some of the requests of an agent that is busier than the pool's mean.
+    fn balancing_peer(
+        &mut self,
+        meta: &RequestMeta,
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> Option<EndpointId> {
+        if !self.options.balance || self.queue.len() > 0 || self.work.is_long(meta) {
+            return None;
+        }
+        let own = f64::from(self.busy_permille());
+        let fresh = self.peers.views.iter().filter(|view| view.is_fresh(now));
+        let (sum, count) = fresh.fold((own, 1.0), |(sum, count), view| {
+            (sum + f64::from(view.report.busy_permille), count + 1.0)
+        });
+        let mean = sum / count;
+        if own <= mean * (1.0 + BALANCE_MARGIN) || !rng.random_bool(1.0 - mean / own) {
+            return None;
+        }
+        let less_busy = |view: &PeerView| f64::from(view.report.busy_permille) < mean;
+        self.peers
+            .choose_free(now, self.options.slow_start, rng, less_busy)
+    }
+
+    /// Offers a request to a peer.
+    pub(super) fn offer(
+        &mut self,
+        meta: RequestMeta,
+        peer: EndpointId,
+        now: Instant,
+        actions: &mut ActionList,
+    ) {
+        if let Some(view) = self.peers.get_mut(peer) {
+            view.open_offers += 1;
+        }
+        actions.push(DispatchAction::HandOver(meta.id, peer));
+        self.offers.push(OpenOffer {
+            meta,
+            peer,
+            answer_by: now + OFFER_TIMEOUT,
+        });
+    }
+
+    /// Ends an offer and returns it if it was open.
+    pub(super) fn close_offer(&mut self, id: RequestId) -> Option<OpenOffer> {
+        let at = self.offers.iter().position(|offer| offer.meta.id == id)?;
+        let offer = self.offers.swap_remove(at);
+        if let Some(view) = self.peers.get_mut(offer.peer) {
+            view.open_offers = view.open_offers.saturating_sub(1);
+        }
+        Some(offer)
+    }
+
+    pub(super) fn offer_accepted(&mut self, id: RequestId, peer: EndpointId) {
+        let Some(offer) = self.close_offer(id) else {
+            return;
+        };
+        let meta = offer.meta;
+        self.remote.insert(id, RemoteRequest { meta, peer });
+        if let Some(view) = self.peers.get_mut(peer) {
+            view.report.free_slots = view.report.free_slots.saturating_sub(1);
+        }
+    }
+
+    pub(super) fn offer_rejected(&mut self, id: RequestId, peer: EndpointId, now: Instant) {
+        if let Some(view) = self.peers.get_mut(peer) {
+            view.report.free_slots = 0;
+        }
+        let offered = self.close_offer(id).map(|offer| offer.meta);
+        let taken = self.remote.remove(&id).map(|remote| remote.meta);
+        if let Some(meta) = offered.or(taken) {
+            self.enqueue(meta, None, now);
+        }
+    }
+
+    /// Withdraws the offers that were not answered in time.
+    pub(super) fn expire_offers(&mut self, now: Instant, actions: &mut ActionList) {
+        for offer in &mut self.offers {
+            if offer.answer_by > now {
+                continue;
+            }
+            // The answer to the withdrawal can be lost too, so that it is repeated until one comes.
+            offer.answer_by = now + OFFER_TIMEOUT;
+            actions.push(DispatchAction::WithdrawOffer(offer.meta.id, offer.peer));
+        }
+        self.pulls.retain(|pull| pull.answer_by > now);
+    }
+
+    /// Takes or rejects a request that a peer offers.
+    pub(super) fn offered(
+        &mut self,
+        peer: EndpointId,
+        meta: RequestMeta,
+        now: Instant,
+        actions: &mut ActionList,
+    ) {
+        let pulled = self.pulls.iter().position(|pull| pull.peer == peer);
+        if let Some(at) = pulled {
+            let pull = self.pulls.swap_remove(at);
+            let sample = now.saturating_duration_since(pull.sent).as_secs_f64();
+            let known = self.pull_seconds.get_or_insert(sample);
+            *known += PULL_WEIGHT * (sample - *known);
+        }
+        let room = self.policy != DispatchPolicy::Pooled
+            || pulled.is_some()
+            || usize::from(self.free_slots(now)) + self.ahead() > self.startable(now);
+        if !room || self.usable_slots(now) == 0 {
+            actions.push(DispatchAction::RejectOffer(meta.id));
+            return;
+        }
+        actions.push(DispatchAction::AcceptOffer(meta.id));
+        self.enqueue(meta, Some(peer), now);
+    }
+
+    /// Hands waiting requests to peers believed to have a free slot.
+    pub(super) fn hand_over_waiting(
+        &mut self,
+        now: Instant,
+        rng: &mut SmallRng,
+        actions: &mut ActionList,
+    ) {
+        while self.queue.len() > 0 {
+            let slow_start = self.options.slow_start;
+            let long_limit = self.long_limit();
+            let any = self.peers.choose_free(now, slow_start, rng, |_| true);
+            let Some(any) = any else {
+                return;
+            };
+            let pool_room = self.pool_long_room(now);
+            let for_long = self.peers.choose_free(now, slow_start, rng, |view| {
+                pool_room && view.report.long_running + view.open_offers < long_limit
+            });
+            let work = &self.work;
+            let next = self.queue.pop(
+                now,
+                |request| request.from.is_none() && (!request.long || for_long.is_some()),
+                |meta| work.expected(meta),
+            );
+            let Some(request) = next else {
+                return;
+            };
+            let peer = match (request.long, for_long) {
+                (true, Some(peer)) => peer,
+                _ => any,
+            };
+            self.offer(request.meta, peer, now, actions);
+        }
+    }
+
+    /// Returns how many requests beyond its slots the agent takes, so that none idles while work is on its way.
+    pub(super) fn ahead(&self) -> usize {
+        if !self.options.prefetch {
+            return 0;
+        }
+        let pull = self.pull_seconds.unwrap_or(DEFAULT_PULL_SECONDS);
+        let freed = pull * f64::from(self.slots) / self.work.mean();
+        // CAST: The value is clamped to the range of u16.
+        usize::from(freed.round().clamp(0.0, f64::from(self.slots)) as u16)
+    }
+
+    /// Asks the peer with the longest wait for work.
+    pub(super) fn pull_work(
+        &mut self,
+        now: Instant,
+        _rng: &mut SmallRng,
+        actions: &mut ActionList,
+    ) {
+        if !self.options.pull || self.usable_slots(now) == 0 {
+            return;
+        }
+        let allowed = usize::from(self.free_slots(now)) + self.ahead();
+        let room = self.long_room(now);
+        let taken = self
+            .queue
+            .iter()
+            .filter(|request| request.from.is_some() && (room || !request.long));
+        let mut outstanding = taken.count() + self.pulls.len();
+        while outstanding < allowed {
+            let Some(peer) = self.longest_wait(now) else {
+                return;
+            };
+            outstanding += 1;
+            self.pulls.push(OpenPull {
+                peer,
+                sent: now,
+                answer_by: now + PULL_TIMEOUT,
+            });
+            actions.push(DispatchAction::SendPull(peer));
+        }
+    }
+
+    /// Returns the peer whose waiting work comes before the agent's own and is the oldest.
+    fn longest_wait(&self, now: Instant) -> Option<EndpointId> {
+        let pull = self.pull_seconds.unwrap_or(DEFAULT_PULL_SECONDS);
+        let margin = Duration::from_secs_f64(pull * AGE_MARGIN);
+        let room = self.long_room(now);
+        let eligible = self.queue.oldest(|request| room || !request.long);
+        let own = eligible.map(|request| {
+            let age = now.saturating_duration_since(request.meta.arrived);
+            (request.meta.class, age + margin)
+        });
+        let mut best: Option<(TrafficClass, Duration, EndpointId)> = None;
+        for view in &self.peers.views {
+            let Some(age) = view.oldest_age(now) else {
+                continue;
+            };
+            let class = view.report.waiting_class;
+            let pulled = self.pulls.iter().filter(|pull| pull.peer == view.id);
+            if pulled.count() >= usize::from(view.report.queued) {
+                continue;
+            }
+            if own.is_some_and(|own| {
+                (own.0, std::cmp::Reverse(own.1)) <= (class, std::cmp::Reverse(age))
+            }) {
+                continue;
+            }
+            let better = best.is_none_or(|(other, longest, _)| {
+                class < other || (class == other && age > longest)
+            });
+            if better {
+                best = Some((class, age, view.id));
+            }
+        }
+        best.map(|(_, _, id)| id)
+    }
+
+    /// Gives the peer the request that is next.
+    pub(super) fn pull_received(
+        &mut self,
+        peer: EndpointId,
+        now: Instant,
+        actions: &mut ActionList,
+    ) {
+        let long_limit = self.long_limit();
+        let pool_room = self.pool_long_room(now);
+        let Some(view) = self.peers.get_mut(peer) else {
+            return;
+        };
+        let long = pool_room && view.report.long_running < long_limit;
+        let work = &self.work;
+        let next = self.queue.pop(
+            now,
+            |request| request.from.is_none() && (long || !request.long),
+            |meta| work.expected(meta),
+        );
+        if let Some(request) = next {
+            self.offer(request.meta, peer, now, actions);
+        }
+    }
+
+    pub(super) fn peer_load(&mut self, peer: EndpointId, report: LoadReport, now: Instant) {
+        if let Some(view) = self.peers.get_mut(peer) {
+            view.report = report;
+            view.heard = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/report.rs
@@ -0,0 +1,131 @@
+//! Load reports: what they say and when they are due.
+
+use super::message::{ActionList, DispatchAction, DispatchPolicy, LoadReport};
+use super::DispatchController;
+use rand::rngs::SmallRng;
+use std::time::{Duration, Instant};
+
+/// Shortest time between two reports whose free slots differ.
+const MIN_INTERVAL: Duration = Duration::from_micros(250);
+
+/// Longest time between two reports of an agent that has work.
+const BUSY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest time between two reports of an agent that has none.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time constant of the utilization that is reported, in seconds.
+const BUSY_SECONDS: f64 = 1.0;
+
+/// The last report and the utilization.
+#[derive(Debug, Default)]
+pub(super) struct ReportState {
+    last: Option<(LoadReport, Instant)>,
+    /// When the next report is due.
+    due: Option<Instant>,
+    /// Average share of the slots in use, from 0 to 1.
+    busy: f64,
+    busy_at: Option<(Instant, f64)>,
+}
+
+impl ReportState {
+    pub(super) fn next_due(&self) -> Option<Instant> {
+        self.due
+    }
+
+    /// Accounts the share in use since the last call and takes the present one.
+    fn sample(&mut self, share: f64, now: Instant) {
+        if let Some((at, before)) = self.busy_at {
+            let elapsed = now.saturating_duration_since(at).as_secs_f64();
+            let kept = (-elapsed / BUSY_SECONDS).exp();
+            self.busy = before + (self.busy - before) * kept;
+        }
+        self.busy_at = Some((now, share));
+    }
+}
+
+impl DispatchController {
+    /// Returns the load to report to peers.
+    pub fn load(&self, now: Instant) -> LoadReport {
+        // CAST: The queue is bounded by the catalogue's limits; larger values saturate before the cast.
+        let queued = self.queue.len().min(usize::from(u16::MAX)) as u16;
+        // CAST: At most `slots` requests run.
+        let running = self.running.len().min(usize::from(u16::MAX)) as u16;
+        let room = self.pool_long_room(now);
+        let oldest = self
+            .queue
+            .oldest(|request| request.from.is_none() && (room || !request.long));
+        let startable = self.startable(now).min(usize::from(u16::MAX));
+        // CAST: The value is clamped to the range of u16.
+        let startable = startable as u16;
+        let age = oldest.map_or(0, |request| {
+            let waited = now.saturating_duration_since(request.meta.arrived);
+            u32::try_from(waited.as_micros()).unwrap_or(u32::MAX).max(1)
+        });
+        let accepting = !self.draining && !self.is_ejected(now);
+        LoadReport {
+            free_slots: match accepting {
+                true => self.slots.saturating_sub(running).saturating_sub(startable),
+                false => 0,
+            },
+            running,
+            queued,
+            waiting_class: oldest.map_or_else(Default::default, |request| request.meta.class),
+            oldest_us: age,
+            long_running: self.long_running(),
+            busy_permille: self.busy_permille(),
+            accepting,
+        }
+    }
+
+    /// Returns the average share of the slots in use, in thousandths.
+    pub(super) fn busy_permille(&self) -> u16 {
+        // CAST: The value is clamped to 1,000.
+        (self.report.busy * 1_000.0).clamp(0.0, 1_000.0) as u16
+    }
+
+    /// Reports the load if it changed or the last report is old.
+    pub(super) fn send_report(
+        &mut self,
+        now: Instant,
+        rng: &mut SmallRng,
+        actions: &mut ActionList,
+    ) {
+        // CAST: At most `slots` requests run, far below 2^52.
+        let share = self.running.len() as f64 / f64::from(self.slots.max(1));
+        self.report.sample(share, now);
+        let on_change = match self.policy {
+            DispatchPolicy::Pooled => true,
+            DispatchPolicy::LeastReported => false,
+            DispatchPolicy::Random | DispatchPolicy::RoundRobin | DispatchPolicy::Local => return,
+        };
+        if self.peers.views.is_empty() {
+            self.report.due = None;
+            return;
+        }
+        let report = self.load(now);
+        let due = match self.report.last {
+            None => now,
+            Some((last, at)) if on_change && differs(&last, &report) => at + MIN_INTERVAL,
+            Some((_, at)) if report.running + report.queued > 0 => at + BUSY_INTERVAL,
+            Some((_, at)) => at + IDLE_INTERVAL,
+        };
+        if due > now {
+            self.report.due = Some(due);
+            return;
+        }
+        self.peers.draw_targets(rng);
+        self.report.last = Some((report, now));
+        self.report.due = Some(now + BUSY_INTERVAL);
+        actions.push(DispatchAction::SendLoad(report));
+    }
+}
+
+/// Returns whether peers would decide differently.
+fn differs(last: &LoadReport, report: &LoadReport) -> bool {
+    last.free_slots != report.free_slots
+        || last.accepting != report.accepting
+        || last.waiting_class != report.waiting_class
+        || (last.oldest_us > 0) != (report.oldest_us > 0)
+        || last.long_running != report.long_running
+}
--- /dev/null
+++ b/crates/core/src/dispatch/work.rs
@@ -0,0 +1,108 @@
+//! What the controller learns of service times.
+
+use super::message::RequestMeta;
+use crate::catalogue::TrafficClass;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Work that runs longer than this multiple of the median is long.
+const LONG_MULTIPLE: f64 = 8.0;
+
+/// Weight of a new sample in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// Step of the median estimate, as a fraction of the estimate.
+const MEDIAN_STEP: f64 = 0.03;
+
+/// Bounds the memory spent on work keys.
+const MAX_KEYS: usize = 1_024;
+
+/// Assumed until the first request has finished.
+const DEFAULT_SECONDS: f64 = 0.02;
+
+/// Samples from which the first median is taken; a single early sample may be far from it.
+const FIRST_SAMPLES: usize = 15;
+
+/// Moving estimates of service times, in seconds.
+#[derive(Debug, Default)]
+pub(super) struct WorkModel {
+    mean: Option<f64>,
+    median: Option<f64>,
+    first: Vec<f64>,
+    by_key: HashMap<u64, f64>,
+}
+
+impl WorkModel {
+    /// Records the service time of a finished request.
+    pub(super) fn record(&mut self, work_key: u64, served: Duration) {
+        let sample = served.as_secs_f64();
+        self.mean = Some(average(self.mean, sample));
+        self.update_median(sample);
+        if work_key == 0 {
+            return;
+        }
+        if self.by_key.len() >= MAX_KEYS && !self.by_key.contains_key(&work_key) {
+            self.by_key.clear();
+        }
+        let known = self.by_key.get(&work_key).copied();
+        self.by_key.insert(work_key, average(known, sample));
+    }
+
+    fn update_median(&mut self, sample: f64) {
+        if let Some(median) = &mut self.median {
+            let step = match sample > *median {
+                true => 1.0 + MEDIAN_STEP,
+                false => 1.0 - MEDIAN_STEP,
+            };
+            *median *= step;
+            return;
+        }
+        self.first.push(sample);
+        if self.first.len() < FIRST_SAMPLES {
+            return;
+        }
+        self.first.sort_by(f64::total_cmp);
+        self.median = self.first.get(FIRST_SAMPLES / 2).copied();
+        self.first = Vec::new();
+    }
+
+    /// Records how long a request of an unknown key has run so far.
+    pub(super) fn record_first(&mut self, work_key: u64, elapsed: Duration) {
+        if work_key != 0 && self.by_key.len() < MAX_KEYS {
+            let known = self.by_key.entry(work_key);
+            known.or_insert(elapsed.as_secs_f64());
+        }
+    }
+
+    /// Returns the expected service time in seconds over all work.
+    pub(super) fn mean(&self) -> f64 {
+        self.mean.unwrap_or(DEFAULT_SECONDS)
+    }
+
+    /// Returns the expected service time of a request in seconds.
+    pub(super) fn expected(&self, meta: &RequestMeta) -> f64 {
+        let known = self.by_key.get(&meta.work_key).copied();
+        known.or(self.median).unwrap_or(DEFAULT_SECONDS)
+    }
+
+    /// Returns whether a request that has run for `elapsed` has proved long.
+    pub(super) fn has_proved_long(&self, elapsed: Duration) -> bool {
+        self.median
+            .is_some_and(|median| elapsed.as_secs_f64() > LONG_MULTIPLE * median)
+    }
+
+    /// Returns whether a request counts against the share of long work before it runs.
+    pub(super) fn is_long(&self, meta: &RequestMeta) -> bool {
+        if meta.class == TrafficClass::Bulk {
+            return true;
+        }
+        match (self.by_key.get(&meta.work_key), self.median) {
+            (Some(key), Some(median)) => *key > LONG_MULTIPLE * median,
+            _ => false,
+        }
+    }
+}
+
+fn average(known: Option<f64>, sample: f64) -> f64 {
+    known.map_or(sample, |old| old + SAMPLE_WEIGHT * (sample - old))
+}
--- /dev/null
+++ b/crates/core/src/eject.rs
@@ -0,0 +1,207 @@
+//! Outlier ejection by what traffic shows, and slow start.
+//!
+//! An upstream may claim health and fail every request; only the outcomes of requests tell.
+
+use crate::ids::EndpointId;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Consecutive failures that eject an endpoint.
+const CONSECUTIVE_FAILURES: u32 = 5;
+
+/// Failure rate that ejects an endpoint once `MIN_SAMPLES` outcomes are known.
+const FAILURE_RATE: f64 = 0.5;
+
+/// Outcomes needed before the failure rate counts.
+const MIN_SAMPLES: u32 = 20;
+
+/// Weight of a new outcome in the failure rate.
+const OUTCOME_WEIGHT: f64 = 0.05;
+
+/// First interval for which an endpoint stays ejected.
+const BASE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Longest interval for which an endpoint stays ejected.
+const MAX_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Largest share of the endpoints that is ejected at the same time.
+const MAX_EJECTED_SHARE: f64 = 0.5;
+
+/// Successes of a returning endpoint after which it serves as before.
+const PROBE_SUCCESSES: u32 = 3;
+
+/// Time over which the share of a new or returned endpoint rises to its full size.
+pub const SLOW_START: Duration = Duration::from_secs(10);
+
+/// Share with which a new endpoint starts.
+const SLOW_START_FLOOR: f64 = 0.1;
+
+/// Whether an endpoint receives work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EjectState {
+    /// Receives work.
+    Serving,
+    /// Receives none until the given time.
+    Ejected {
+        /// When one request may probe the endpoint.
+        until: Instant,
+    },
+    /// Receives one request at a time, to see whether it succeeds.
+    Probing,
+}
+
+#[derive(Debug)]
+struct OutcomeRecord {
+    state: EjectState,
+    consecutive: u32,
+    samples: u32,
+    rate: f64,
+    ejections: u32,
+    probe_successes: u32,
+}
+
+/// Owns what is known of the failures of endpoints.
+#[derive(Debug, Default)]
+pub struct EjectController {
+    records: HashMap<EndpointId, OutcomeRecord>,
+}
+
+impl EjectController {
+    /// Makes a controller that knows no failures.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records the outcome of a request; `total` is the number of endpoints of the service.
+    ///
+    /// Returns whether the endpoint was ejected by it.
+    pub fn record(
+        &mut self,
+        endpoint: EndpointId,
+        ok: bool,
+        total: usize,
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> bool {
+        let ejected = self.ejected(now);
+        let record = self.records.entry(endpoint).or_default();
+        record.samples = record.samples.saturating_add(1);
+        let sample = if ok { 0.0 } else { 1.0 };
+        record.rate += OUTCOME_WEIGHT * (sample - record.rate);
+        if ok {
+            record.succeed();
+            return false;
+        }
+        record.consecutive += 1;
+        let failing = match record.state {
+            EjectState::Serving => record.is_failing(),
+            EjectState::Probing => true,
+            EjectState::Ejected { .. } => false,
+        };
+        // CAST: The number of endpoints of a service is far below 2^52.
+        let allowed = total as f64 * MAX_EJECTED_SHARE;
+        // CAST: As above.
+        if !failing || (ejected + 1) as f64 > allowed.max(1.0) {
+            return false;
+        }
+        record.eject(now, rng);
+        true
+    }
+
+    /// Returns the state of an endpoint at `now`; an ejection that is over turns into probing.
+    pub fn state(&mut self, endpoint: EndpointId, now: Instant) -> EjectState {
+        let Some(record) = self.records.get_mut(&endpoint) else {
+            return EjectState::Serving;
+        };
+        if matches!(record.state, EjectState::Ejected { until } if until <= now) {
+            record.state = EjectState::Probing;
+            record.probe_successes = 0;
+        }
+        record.state
+    }
+
+    /// Returns the state of an endpoint as last recorded.
+    pub fn peek(&self, endpoint: EndpointId) -> EjectState {
+        let record = self.records.get(&endpoint);
+        record.map_or(EjectState::Serving, |record| record.state)
+    }
+
+    /// Returns the number of endpoints that are ejected at `now`.
+    pub fn ejected(&self, now: Instant) -> usize {
+        let states = self.records.values().map(|record| record.state);
+        states
+            .filter(|state| matches!(state, EjectState::Ejected { until } if *until > now))
+            .count()
+    }
+
+    /// Returns when the next ejection ends.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        let states = self.records.values().map(|record| record.state);
+        states
+            .filter_map(|state| match state {
+                EjectState::Ejected { until } => Some(until),
+                EjectState::Serving | EjectState::Probing => None,
+            })
+            .min()
+    }
+
+    /// Forgets the endpoints for which `keep` does not hold.
+    pub fn retain(&mut self, keep: impl Fn(EndpointId) -> bool) {
+        self.records.retain(|&endpoint, _| keep(endpoint));
+    }
+}
+
+impl Default for OutcomeRecord {
+    fn default() -> Self {
+        Self {
+            state: EjectState::Serving,
+            consecutive: 0,
+            samples: 0,
+            rate: 0.0,
+            ejections: 0,
+            probe_successes: 0,
+        }
+    }
+}
+
+impl OutcomeRecord {
+    fn is_failing(&self) -> bool {
+        let by_rate = self.samples >= MIN_SAMPLES && self.rate >= FAILURE_RATE;
+        by_rate || self.consecutive >= CONSECUTIVE_FAILURES
+    }
+
+    fn succeed(&mut self) {
+        self.consecutive = 0;
+        if self.state != EjectState::Probing {
+            return;
+        }
+        self.probe_successes += 1;
+        if self.probe_successes < PROBE_SUCCESSES {
+            return;
+        }
+        self.state = EjectState::Serving;
+        self.ejections = 0;
+        self.samples = 0;
+        self.rate = 0.0;
+    }
+
+    fn eject(&mut self, now: Instant, rng: &mut SmallRng) {
+        let doubled = BASE_INTERVAL.saturating_mul(1 << self.ejections.min(5));
+        // Jitter keeps endpoints that failed together from returning together.
+        let interval = doubled
+            .min(MAX_INTERVAL)
+            .mul_f64(rng.random_range(0.75..1.25));
+        self.ejections += 1;
+        self.state = EjectState::Ejected {
+            until: now + interval,
+        };
+    }
+}
+
+/// Returns the share, from 0 to 1, of its usual work that an endpoint known since `since` receives.
+pub fn slow_start_share(since: Instant, now: Instant) -> f64 {
+    let known = now.saturating_duration_since(since).as_secs_f64();
+    (known / SLOW_START.as_secs_f64()).clamp(SLOW_START_FLOOR, 1.0)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,8 +5,11 @@
 //! a replay tool, a test or another front end drives the same code event by event. See `docs/design.md`,
 //! section 3.
 
+pub mod admit;
 pub mod catalogue;
 pub mod dispatch;
+pub mod eject;
 pub mod ids;
 pub mod member;
+pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/core/tests/limits.rs
@@ -0,0 +1,97 @@
+//! Retry budget, ejection and admission.
+
+use quetzalhill_core::admit::AdmitController;
+use quetzalhill_core::catalogue::{LimitSet, TrafficClass};
+use quetzalhill_core::dispatch::RefusalReason;
+use quetzalhill_core::eject::{EjectController, EjectState};
+use quetzalhill_core::retry::{AttemptOutcome, RetryBudget, RetryVerdict};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::time::{Duration, Instant};
+
+fn limits(in_flight: u32) -> LimitSet {
+    LimitSet {
+        in_flight,
+        ..LimitSet::default()
+    }
+}
+
+/// Guards against extra attempts beyond the budget when every attempt fails.
+#[test]
+fn retries_stay_within_the_fraction() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(60);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut budget = RetryBudget::new(0.1, now);
+    let mut extra = 0;
+    for _ in 0..1_000 {
+        budget.request(now);
+        let verdict = budget.decide(AttemptOutcome::NotRun, false, 1, deadline, now, &mut rng);
+        extra += u32::from(matches!(verdict, RetryVerdict::At(_)));
+    }
+    assert!(extra <= 100, "{extra}");
+    assert!(extra >= 90, "{extra}");
+}
+
+/// Guards against running a request twice that is not safe to run twice.
+#[test]
+fn request_that_may_have_run_is_not_retried() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(60);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut budget = RetryBudget::new(1.0, now);
+    budget.request(now);
+    let verdict = budget.decide(
+        AttemptOutcome::MayHaveRun,
+        false,
+        1,
+        deadline,
+        now,
+        &mut rng,
+    );
+    assert_eq!(verdict, RetryVerdict::Unsafe);
+}
+
+/// Guards against an ejection that takes away too many endpoints at once, and against one that never ends.
+#[test]
+fn ejection_is_bounded_and_ends() {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut eject = EjectController::new();
+    for endpoint in 1..=6 {
+        for _ in 0..50 {
+            eject.record(endpoint, false, 6, now, &mut rng);
+        }
+    }
+    assert_eq!(eject.ejected(now), 3);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(eject.state(1, later), EjectState::Probing);
+    assert!(eject.record(1, false, 6, later, &mut rng));
+    let EjectState::Ejected { until } = eject.peek(1) else {
+        panic!("a failed probe must eject again");
+    };
+    assert!(until >= later + Duration::from_secs(3));
+}
+
+/// Guards against a lesser class that fills the room of a more urgent one.
+#[test]
+fn bulk_leaves_room_for_urgent() {
+    let mut admit = AdmitController::new(&limits(10));
+    while admit.admit("a", TrafficClass::Bulk).is_ok() {}
+    assert_eq!(admit.in_flight(), 8);
+    assert_eq!(admit.admit("a", TrafficClass::Urgent), Ok(()));
+}
+
+/// Guards against an owner that holds more than its share while others wait, and against a share left unused.
+#[test]
+fn owner_may_use_what_others_leave() {
+    let mut admit = AdmitController::new(&limits(10));
+    for _ in 0..6 {
+        assert_eq!(admit.admit("a", TrafficClass::Urgent), Ok(()));
+    }
+    assert_eq!(admit.admit("b", TrafficClass::Urgent), Ok(()));
+    let refused = admit.admit("a", TrafficClass::Urgent);
+    assert_eq!(refused, Err(RefusalReason::OwnerLimit));
+    admit.finish("b");
+    assert_eq!(admit.admit("a", TrafficClass::Urgent), Ok(()));
+}
--- /dev/null
+++ b/crates/core/tests/pool/outcome.rs
@@ -0,0 +1,108 @@
+//! What became of the requests of a trace.
+
+use super::workload::{Seconds, TraceJob};
+
+/// The end of one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum JobEnd {
+    /// Not ended when the run stopped.
+    Open,
+    /// The answer reached the caller.
+    Answered { at: Seconds, agent: usize },
+    /// Refused as not run.
+    Refused,
+    /// The upstream failed.
+    Failed,
+}
+
+/// Result of one run over a trace.
+pub(crate) struct RunResult {
+    pub(crate) ends: Vec<JobEnd>,
+    /// Start, length and agent of each piece of work.
+    pub(crate) work: Vec<(Seconds, Seconds, usize)>,
+    pub(crate) messages: u64,
+    pub(crate) extra_attempts: u64,
+    /// Times that a request was started, per request and attempt, beyond the first.
+    pub(crate) double_starts: u64,
+    /// Requests that ended.
+    pub(crate) ended: usize,
+}
+
+impl RunResult {
+    pub(crate) fn latencies(
+        &self,
+        jobs: &[TraceJob],
+        keep: impl Fn(&TraceJob) -> bool,
+    ) -> Vec<Seconds> {
+        let mut found = Vec::new();
+        for (job, end) in jobs.iter().zip(&self.ends) {
+            if !keep(job) {
+                continue;
+            }
+            if let JobEnd::Answered { at, .. } = end {
+                found.push(at - job.at);
+            }
+        }
+        found
+    }
+
+    pub(crate) fn p99(&self, jobs: &[TraceJob], keep: impl Fn(&TraceJob) -> bool) -> Seconds {
+        percentile(self.latencies(jobs, keep), 0.99)
+    }
+
+    pub(crate) fn count(&self, matching: impl Fn(&JobEnd) -> bool) -> usize {
+        self.ends.iter().filter(|end| matching(end)).count()
+    }
+
+    /// Share of the requests answered within their deadline.
+    pub(crate) fn answered_in_time(
+        &self,
+        jobs: &[TraceJob],
+        keep: impl Fn(&TraceJob) -> bool,
+    ) -> f64 {
+        let mut all = 0_u32;
+        let mut good = 0_u32;
+        for (job, end) in jobs.iter().zip(&self.ends) {
+            if !keep(job) {
+                continue;
+            }
+            all += 1;
+            good += u32::from(is_in_time(job, end));
+        }
+        f64::from(good) / f64::from(all.max(1))
+    }
+
+    /// Service time of the requests answered within their deadline that arrived in the given time.
+    pub(crate) fn useful_work(&self, jobs: &[TraceJob], from: Seconds, until: Seconds) -> Seconds {
+        let ends = jobs.iter().zip(&self.ends);
+        ends.filter(|(job, end)| {
+            matches!(end, JobEnd::Answered { at, .. } if *at >= from && *at < until)
+                && is_in_time(job, end)
+        })
+        .map(|(job, _)| job.service)
+        .sum()
+    }
+
+    /// Work of the busiest agent over the mean of all, in the given time.
+    pub(crate) fn imbalance(&self, agents: usize, from: Seconds, until: Seconds) -> f64 {
+        let mut busy = vec![0.0; agents];
+        for (start, length, agent) in &self.work {
+            let overlap = (start + length).min(until) - start.max(from);
+            busy[*agent] += overlap.max(0.0);
+        }
+        let mean = busy.iter().sum::<f64>() / agents as f64;
+        busy.iter().copied().fold(0.0, f64::max) / mean
+    }
+}
+
+fn is_in_time(job: &TraceJob, end: &JobEnd) -> bool {
+    matches!(end, JobEnd::Answered { at, .. } if at - job.at <= job.patience)
+}
+
+/// Returns the value that the given share of the values does not exceed.
+pub(crate) fn percentile(mut values: Vec<f64>, share: f64) -> f64 {
+    assert!(!values.is_empty(), "no values");
+    values.sort_by(f64::total_cmp);
+    let rank = (share * values.len() as f64).ceil() as usize;
+    values[rank.clamp(1, values.len()) - 1]
+}
--- /dev/null
+++ b/crates/core/tests/pool/sim.rs
@@ -0,0 +1,411 @@
+//! Several controllers in virtual time, with message delay and loss.
+
+use super::outcome::{JobEnd, RunResult};
+use super::workload::{span, PoolShape, Seconds, TraceJob};
+use quetzalhill_core::catalogue::LimitSet;
+use quetzalhill_core::dispatch::{
+    DispatchAction, DispatchController, DispatchEvent, DispatchOptions, DispatchPolicy, LoadReport,
+    RequestMeta,
+};
+use quetzalhill_core::ids::{EndpointId, RequestId};
+use quetzalhill_core::retry::{AttemptOutcome, RetryBudget, RetryVerdict};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::time::Instant;
+
+/// Time that a faulty upstream takes to fail.
+const FAULT_SECONDS: Seconds = 0.001;
+
+/// Time that the fake runs on after the last arrival.
+const TAIL_SECONDS: Seconds = 60.0;
+
+/// How a run differs from the plain one.
+#[derive(Clone, Debug)]
+pub(crate) struct SimSpec {
+    pub(crate) shape: PoolShape,
+    pub(crate) policy: DispatchPolicy,
+    pub(crate) options: DispatchOptions,
+    pub(crate) limits: LimitSet,
+    pub(crate) seed: u64,
+    /// Share of the messages between agents that is lost.
+    pub(crate) loss: f64,
+    /// Agents whose upstream fails every request from the given time on.
+    pub(crate) faulty: Vec<(usize, Seconds)>,
+    /// An agent that becomes ready at the given time.
+    pub(crate) cold: Option<(usize, Seconds)>,
+    /// An agent that drains from the given time on.
+    pub(crate) drain: Option<(usize, Seconds)>,
+    /// Whether failed requests are attempted again within the retry budget.
+    pub(crate) retry: bool,
+}
+
+impl SimSpec {
+    pub(crate) fn new(shape: PoolShape) -> Self {
+        Self {
+            shape,
+            policy: DispatchPolicy::Pooled,
+            options: DispatchOptions::default(),
+            limits: LimitSet::default(),
+            seed: 1,
+            loss: 0.0,
+            faulty: Vec::new(),
+            cold: None,
+            drain: None,
+            retry: false,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum PeerMessage {
+    Load(LoadReport),
+    Pull,
+    Offer(RequestMeta),
+    Accept(RequestId),
+    Reject(RequestId),
+    Withdraw(RequestId),
+    Response(RequestId, bool),
+}
+
+#[derive(Clone, Debug)]
+enum SimEvent {
+    Arrive(usize, u32),
+    Message(usize, usize, PeerMessage),
+    Done(usize, RequestId, bool),
+    Timer(usize),
+    Ready,
+    Drain(usize),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OfferState {
+    Taken,
+    Started,
+    GivenBack,
+}
+
+struct AgentFake {
+    controller: DispatchController,
+    timer: Option<u64>,
+    budget: RetryBudget,
+    /// Offers that the agent has received.
+    offers: HashMap<RequestId, OfferState>,
+    /// Requests that ended here as their home.
+    settled: HashSet<RequestId>,
+}
+
+struct PoolSim<'a> {
+    spec: &'a SimSpec,
+    jobs: &'a [TraceJob],
+    base: Instant,
+    rng: SmallRng,
+    agents: Vec<AgentFake>,
+    heap: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, SimEvent>,
+    sequence: u64,
+    started: HashSet<RequestId>,
+    result: RunResult,
+}
+
+/// Runs a trace through a pool of controllers.
+pub(crate) fn run_pool(spec: &SimSpec, jobs: &[TraceJob]) -> RunResult {
+    let mut sim = PoolSim::new(spec, jobs);
+    sim.schedule_start();
+    let end = jobs.last().map_or(0.0, |job| job.at) + TAIL_SECONDS;
+    let mut left = jobs.len();
+    while let Some(Reverse((nanos, sequence))) = sim.heap.pop() {
+        let now = nanos as f64 / 1e9;
+        if now > end || left == 0 {
+            break;
+        }
+        let Some(event) = sim.events.remove(&sequence) else {
+            continue;
+        };
+        left -= sim.step(event, now);
+    }
+    sim.result
+}
+
+fn endpoint(agent: usize) -> EndpointId {
+    agent as EndpointId + 1
+}
+
+fn job_of(id: RequestId) -> usize {
+    (id & 0xffff_ffff) as usize
+}
+
+impl<'a> PoolSim<'a> {
+    fn new(spec: &'a SimSpec, jobs: &'a [TraceJob]) -> Self {
+        let base = Instant::now();
+        let agent = || AgentFake {
+            controller: DispatchController::with_options(
+                spec.policy,
+                spec.shape.slots,
+                spec.limits.clone(),
+                spec.options,
+            ),
+            timer: None,
+            budget: RetryBudget::new(spec.limits.retry_budget, base),
+            offers: HashMap::new(),
+            settled: HashSet::new(),
+        };
+        Self {
+            spec,
+            jobs,
+            base,
+            rng: SmallRng::seed_from_u64(spec.seed),
+            agents: (0..spec.shape.agents).map(|_| agent()).collect(),
+            heap: BinaryHeap::new(),
+            events: HashMap::new(),
+            sequence: 0,
+            started: HashSet::new(),
+            result: RunResult {
+                ends: vec![JobEnd::Open; jobs.len()],
+                work: Vec::new(),
+                messages: 0,
+                extra_attempts: 0,
+                double_starts: 0,
+                ended: 0,
+            },
+        }
+    }
+
+    fn schedule(&mut self, at: Seconds, event: SimEvent) {
+        self.sequence += 1;
+        let nanos = (at * 1e9).round() as u64;
+        self.heap.push(Reverse((nanos, self.sequence)));
+        self.events.insert(self.sequence, event);
+    }
+
+    fn schedule_start(&mut self) {
+        let cold = self.spec.cold.map(|cold| cold.0);
+        for agent in 0..self.spec.shape.agents {
+            if Some(agent) != cold {
+                self.set_peers(agent, cold, 0.0);
+            }
+        }
+        if let Some((_, at)) = self.spec.cold {
+            self.schedule(at, SimEvent::Ready);
+        }
+        if let Some((agent, at)) = self.spec.drain {
+            self.schedule(at, SimEvent::Drain(agent));
+        }
+        for (index, job) in self.jobs.iter().enumerate() {
+            self.schedule(job.at, SimEvent::Arrive(index, 0));
+        }
+    }
+
+    fn set_peers(&mut self, agent: usize, without: Option<usize>, now: Seconds) {
+        let others = (0..self.spec.shape.agents).filter(|a| *a != agent && Some(*a) != without);
+        let peers = others.map(endpoint).collect();
+        self.handle(agent, DispatchEvent::PeersChanged(peers), now);
+    }
+
+    /// Takes one event and returns the number of requests that it ended.
+    fn step(&mut self, event: SimEvent, now: Seconds) -> usize {
+        let before = self.result.ended;
+        match event {
+            SimEvent::Arrive(index, attempt) => self.arrive(index, attempt, now),
+            SimEvent::Message(from, to, message) => self.receive(from, to, message, now),
+            SimEvent::Done(agent, id, ok) => self.done(agent, id, ok, now),
+            SimEvent::Timer(agent) => {
+                self.agents[agent].timer = None;
+                self.handle(agent, DispatchEvent::TimerFired, now);
+            }
+            SimEvent::Ready => {
+                for agent in 0..self.spec.shape.agents {
+                    self.set_peers(agent, None, now);
+                }
+            }
+            SimEvent::Drain(agent) => self.handle(agent, DispatchEvent::DrainStarted, now),
+        }
+        self.result.ended - before
+    }
+
+    fn arrive(&mut self, index: usize, attempt: u32, now: Seconds) {
+        let job = &self.jobs[index];
+        let home = job.home;
+        let at = self.base + span(job.at);
+        let meta = RequestMeta {
+            id: (u128::from(attempt) << 64) | index as u128,
+            class: job.class,
+            owner: job.owner.to_owned(),
+            arrived: at,
+            deadline: at + span(job.patience),
+            work_key: job.key,
+        };
+        let instant = self.base + span(now);
+        match attempt {
+            0 => self.agents[home].budget.request(instant),
+            _ => self.result.extra_attempts += 1,
+        }
+        self.handle(home, DispatchEvent::Arrived(meta), now);
+    }
+
+    fn handle(&mut self, agent: usize, event: DispatchEvent, now: Seconds) {
+        let instant = self.base + span(now);
+        let fake = &mut self.agents[agent];
+        let actions = fake.controller.handle(event, instant, &mut self.rng);
+        for action in actions {
+            self.act(agent, action, now);
+        }
+        let Some(deadline) = self.agents[agent].controller.next_deadline() else {
+            return;
+        };
+        let at = deadline
+            .saturating_duration_since(self.base)
+            .as_secs_f64()
+            .max(now);
+        let nanos = (at * 1e9).round() as u64;
+        let fake = &mut self.agents[agent];
+        if fake.timer.is_none_or(|timer| nanos < timer) {
+            fake.timer = Some(nanos);
+            self.schedule(at, SimEvent::Timer(agent));
+        }
+    }
+
+    fn act(&mut self, agent: usize, action: DispatchAction, now: Seconds) {
+        match action {
+            DispatchAction::Start(id) => self.start(agent, id, now),
+            DispatchAction::HandOver(id, peer) => {
+                let job = &self.jobs[job_of(id)];
+                let at = self.base + span(job.at);
+                let meta = RequestMeta {
+                    id,
+                    class: job.class,
+                    owner: job.owner.to_owned(),
+                    arrived: at,
+                    deadline: at + span(job.patience),
+                    work_key: job.key,
+                };
+                self.send(agent, peer, PeerMessage::Offer(meta), now);
+            }
+            DispatchAction::AcceptOffer(id) => {
+                self.agents[agent].offers.insert(id, OfferState::Taken);
+                self.send_home(agent, id, PeerMessage::Accept(id), now);
+            }
+            DispatchAction::RejectOffer(id) => {
+                self.agents[agent].offers.insert(id, OfferState::GivenBack);
+                self.send_home(agent, id, PeerMessage::Reject(id), now);
+            }
+            DispatchAction::Refuse(id, _) => self.settle(agent, id, JobEnd::Refused),
+            DispatchAction::SendPull(peer) => self.send(agent, peer, PeerMessage::Pull, now),
+            DispatchAction::SendLoad(report) => {
+                let targets = self.agents[agent].controller.load_targets().to_vec();
+                for peer in targets {
+                    self.send(agent, peer, PeerMessage::Load(report), now);
+                }
+            }
+            DispatchAction::WithdrawOffer(id, peer) => {
+                self.send(agent, peer, PeerMessage::Withdraw(id), now);
+            }
+        }
+    }
+
+    fn send_home(&mut self, agent: usize, id: RequestId, message: PeerMessage, now: Seconds) {
+        let home = self.jobs[job_of(id)].home;
+        self.send(agent, endpoint(home), message, now);
+    }
+
+    fn send(&mut self, from: usize, peer: EndpointId, message: PeerMessage, now: Seconds) {
+        let to = peer as usize - 1;
+        self.result.messages += 1;
+        // The answer of the upstream travels on a connection whose failure the caller would see.
+        let reliable = matches!(message, PeerMessage::Response(..));
+        if !reliable && self.spec.loss > 0.0 && self.rng.random_bool(self.spec.loss) {
+            return;
+        }
+        let at = now + self.spec.shape.delay;
+        self.schedule(at, SimEvent::Message(from, to, message));
+    }
+
+    fn receive(&mut self, from: usize, to: usize, message: PeerMessage, now: Seconds) {
+        let peer = endpoint(from);
+        let event = match message {
+            PeerMessage::Load(report) => DispatchEvent::PeerLoad(peer, report),
+            PeerMessage::Pull => DispatchEvent::PullReceived(peer),
+            PeerMessage::Offer(meta) => DispatchEvent::Offered(peer, meta),
+            PeerMessage::Accept(id) => DispatchEvent::OfferAccepted(id, peer),
+            PeerMessage::Reject(id) => DispatchEvent::OfferRejected(id, peer),
+            PeerMessage::Withdraw(id) => return self.withdrawn(from, to, id, now),
+            PeerMessage::Response(id, ok) => {
+                self.answer(to, from, id, ok, now);
+                DispatchEvent::Finished { id, ok }
+            }
+        };
+        self.handle(to, event, now);
+    }
+
+    /// Answers a withdrawal with what the agent knows of the offer.
+    fn withdrawn(&mut self, from: usize, to: usize, id: RequestId, now: Seconds) {
+        let answer = match self.agents[to].offers.get(&id) {
+            Some(OfferState::Taken | OfferState::Started) => PeerMessage::Accept(id),
+            Some(OfferState::GivenBack) | None => PeerMessage::Reject(id),
+        };
+        self.send(to, endpoint(from), answer, now);
+    }
+
+    fn start(&mut self, agent: usize, id: RequestId, now: Seconds) {
+        let job = &self.jobs[job_of(id)];
+        if !self.started.insert(id) {
+            self.result.double_starts += 1;
+        }
+        if let Some(state) = self.agents[agent].offers.get_mut(&id) {
+            *state = OfferState::Started;
+        }
+        let faulty = self.spec.faulty.iter();
+        let fails = faulty
+            .clone()
+            .any(|(other, at)| *other == agent && *at <= now);
+        let length = if fails { FAULT_SECONDS } else { job.service };
+        self.result.work.push((now, length, agent));
+        self.schedule(now + length, SimEvent::Done(agent, id, !fails));
+    }
+
+    fn done(&mut self, agent: usize, id: RequestId, ok: bool, now: Seconds) {
+        let home = self.jobs[job_of(id)].home;
+        if home == agent {
+            self.answer(home, agent, id, ok, now);
+        } else {
+            self.send(agent, endpoint(home), PeerMessage::Response(id, ok), now);
+        }
+        self.handle(agent, DispatchEvent::Finished { id, ok }, now);
+    }
+
+    fn answer(&mut self, home: usize, agent: usize, id: RequestId, ok: bool, now: Seconds) {
+        if ok {
+            self.settle(home, id, JobEnd::Answered { at: now, agent });
+            return;
+        }
+        let attempt = (id >> 64) as u32 + 1;
+        if self.spec.retry {
+            let index = job_of(id);
+            let deadline = self.jobs[index].at + self.jobs[index].patience;
+            let verdict = self.agents[home].budget.decide(
+                AttemptOutcome::MayHaveRun,
+                true,
+                attempt,
+                self.base + span(deadline),
+                self.base + span(now),
+                &mut self.rng,
+            );
+            if let RetryVerdict::At(at) = verdict {
+                let at = at.saturating_duration_since(self.base).as_secs_f64();
+                self.schedule(at, SimEvent::Arrive(index, attempt));
+                return;
+            }
+        }
+        self.settle(home, id, JobEnd::Failed);
+    }
+
+    fn settle(&mut self, home: usize, id: RequestId, end: JobEnd) {
+        if !self.agents[home].settled.insert(id) {
+            self.result.double_starts += 1;
+            return;
+        }
+        self.result.ends[job_of(id)] = end;
+        self.result.ended += 1;
+    }
+}
