Add stand-ins for fabric, upstream and caller, and a load generator

Cause: the path from caller to upstream needs both ends before it can be shown to work. Change: fabric that sprays packets with delay, loss and duplication; upstream with slots, streams and faults; HTTP/3 caller that checks every answer; open-loop load with counters.

--- /dev/null
+++ b/crates/standins/src/caller.rs
@@ -0,0 +1,317 @@
+//! Stand-in for callers: HTTP/3 over QUIC, with checks of every answer.
+
+use crate::certificate::SERVER_NAME;
+use crate::payload::body_of;
+use crate::upstream::EVENT_BYTES;
+use anyhow::{Context, Result};
+use bytes::{Buf, Bytes};
+use h3::client::SendRequest;
+use h3_quinn::OpenStreams;
+use http::{HeaderMap, Request, StatusCode};
+use quinn::crypto::rustls::QuicClientConfig;
+use rustls::pki_types::CertificateDer;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// HTTP/3 code of a connection that ends in good order.
+const H3_NO_ERROR: u32 = 0x100;
+
+/// What one request asks for.
+#[derive(Clone, Debug, Default)]
+pub struct CallRequest {
+    /// Identity, unique over the run; 32 bits reach the upstream.
+    pub id: u32,
+    /// Service that has to answer.
+    pub service: String,
+    /// Path, to which the query is added; empty means `/work`.
+    pub path: String,
+    /// Work of the upstream, in milliseconds, or time between two events of a stream.
+    pub ms: u32,
+    /// Bytes of the answer.
+    pub bytes: u32,
+    /// Events of a stream; 0 asks for one answer.
+    pub events: u32,
+    /// Whether the request may not run twice.
+    pub keyed: bool,
+    /// Value of the `priority` header.
+    pub priority: Option<String>,
+    /// Deadline that the request names, in milliseconds after it is sent.
+    pub timeout_ms: Option<u32>,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CallOutcome {
+    /// The whole answer to this request, by the right service.
+    Whole,
+    /// An answer that belongs to another request or service, or that ended early without an error.
+    Wrong(String),
+    /// The request was not run.
+    NotRun(String),
+    /// Nobody can say whether it was run.
+    Unknown(String),
+    /// The service answered with an error of its own.
+    Failed(u16),
+    /// The connection was lost.
+    Broken(String),
+}
+
+/// Opens sessions to services.
+#[derive(Clone, Debug)]
+pub struct CallerStandin {
+    endpoint: quinn::Endpoint,
+}
+
+/// One QUIC connection to a service.
+pub struct CallerSession {
+    connection: quinn::Connection,
+    send: SendRequest<OpenStreams, Bytes>,
+    token: Arc<std::sync::Mutex<Option<String>>>,
+    draining: Arc<std::sync::atomic::AtomicBool>,
+}
+
+impl CallerStandin {
+    /// Makes a caller that trusts `root`; has to be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no socket can be opened.
+    pub fn new(root: &CertificateDer<'static>) -> Result<Self> {
+        let mut roots = rustls::RootCertStore::empty();
+        roots.add(root.clone())?;
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        tls.alpn_protocols = vec![b"h3".to_vec()];
+        let mut config = quinn::ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
+        let mut transport = quinn::TransportConfig::default();
+        transport.max_idle_timeout(Some(Duration::from_secs(30).try_into()?));
+        transport.keep_alive_interval(Some(Duration::from_secs(5)));
+        transport.mtu_discovery_config(None);
+        config.transport_config(Arc::new(transport));
+        let mut endpoint = quinn::Endpoint::client((Ipv4Addr::LOCALHOST, 0).into())?;
+        endpoint.set_default_client_config(config);
+        Ok(Self { endpoint })
+    }
+
+    /// Opens a session to the service at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the handshake does not end within 10 seconds.
+    pub async fn connect(&self, address: SocketAddrV4) -> Result<CallerSession> {
+        let connecting = self.endpoint.connect(address.into(), SERVER_NAME)?;
+        let connection = tokio::time::timeout(Duration::from_secs(10), connecting)
+            .await
+            .context("no handshake within 10 s")??;
+        let h3_connection = h3_quinn::Connection::new(connection.clone());
+        let (mut driver, send) = h3::client::new(h3_connection).await?;
+        let draining = Arc::new(std::sync::atomic::AtomicBool::new(false));
+        let flag = Arc::clone(&draining);
+        tokio::spawn(async move {
+            let _ = futures_util::future::poll_fn(|cx| driver.poll_close(cx)).await;
+            flag.store(true, std::sync::atomic::Ordering::Relaxed);
+        });
+        Ok(CallerSession {
+            connection,
+            send,
+            token: Arc::default(),
+            draining,
+        })
+    }
+}
+
+/// What the head of an answer and its body showed.
+struct AnswerSeen {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Vec<u8>,
+    end: Option<String>,
+}
+
+impl CallerSession {
+    /// Returns whether the connection is gone.
+    pub fn is_closed(&self) -> bool {
+        self.connection.close_reason().is_some()
+    }
+
+    /// Returns whether the connection was lost, rather than closed in good order by either side.
+    pub fn is_lost(&self) -> bool {
+        match self.connection.close_reason() {
+            None | Some(quinn::ConnectionError::LocallyClosed) => false,
+            Some(quinn::ConnectionError::ApplicationClosed(close)) => {
+                close.error_code != quinn::VarInt::from_u32(H3_NO_ERROR)
+            }
+            Some(_) => true,
+        }
+    }
+
+    /// Returns whether the session takes no more requests, so that the caller has to open another.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(std::sync::atomic::Ordering::Relaxed) || self.is_closed()
+    }
+
+    /// Closes the connection in good order.
+    pub fn close(&self) {
+        self.connection.close(H3_NO_ERROR.into(), b"done");
+    }
+
+    /// Sends a request and checks its answer; a keyed request fetches a session token first if there is none.
+    pub async fn call(&self, request: &CallRequest) -> CallOutcome {
+        let outcome = self.call_once(request).await;
+        let token_missing = outcome == CallOutcome::Failed(428);
+        match token_missing {
+            true => self.call_once(request).await,
+            false => outcome,
+        }
+    }
+
+    async fn call_once(&self, request: &CallRequest) -> CallOutcome {
+        match self.exchange(request).await {
+            Ok(seen) => judge(request, seen),
+            Err(CallFault::NotRun(why)) => CallOutcome::NotRun(why),
+            Err(CallFault::Lost(why)) => match self.is_closed() {
+                true => CallOutcome::Broken(why),
+                false => CallOutcome::Unknown(why),
+            },
+        }
+    }
+
+    async fn exchange(&self, request: &CallRequest) -> Result<AnswerSeen, CallFault> {
+        let head = self
+            .head_of(request)
+            .map_err(|error| CallFault::NotRun(error.to_string()))?;
+        let mut send = self.send.clone();
+        let opened = send.send_request(head).await;
+        let mut stream = opened.map_err(|error| self.unsent(&error))?;
+        stream.finish().await.map_err(fault_of)?;
+        let head = stream.recv_response().await.map_err(fault_of)?;
+        if let Some(token) = head.headers().get("quetzalhill-session") {
+            let token = token.to_str().ok().map(str::to_string);
+            *self
+                .token
+                .lock()
+                .unwrap_or_else(std::sync::PoisonError::into_inner) = token;
+        }
+        let mut seen = AnswerSeen {
+            status: head.status(),
+            headers: head.headers().clone(),
+            body: Vec::new(),
+            end: None,
+        };
+        loop {
+            match stream.recv_data().await {
+                Ok(Some(mut data)) => seen
+                    .body
+                    .extend_from_slice(&data.copy_to_bytes(data.remaining())),
+                Ok(None) => break,
+                Err(error) => {
+                    seen.end = Some(error.to_string());
+                    break;
+                }
+            }
+        }
+        Ok(seen)
+    }
+
+    /// A request for which no stream could be opened was not sent; after a GOAWAY the session takes no more.
+    fn unsent(&self, error: &h3::error::StreamError) -> CallFault {
+        if self.is_closed() {
+            return CallFault::Lost(error.to_string());
+        }
+        self.draining
+            .store(true, std::sync::atomic::Ordering::Relaxed);
+        CallFault::NotRun(error.to_string())
+    }
+
+    fn head_of(&self, request: &CallRequest) -> Result<Request<()>> {
+        let path = match (request.path.as_str(), request.events) {
+            ("", 0) => "/work",
+            ("", _) => "/stream",
+            (path, _) => path,
+        };
+        let uri = format!(
+            "https://{SERVER_NAME}{path}?id={}&ms={}&bytes={}&count={}",
+            request.id, request.ms, request.bytes, request.events
+        );
+        let method = match request.keyed {
+            true => "POST",
+            false => "GET",
+        };
+        let mut head = Request::builder().method(method).uri(uri);
+        if request.keyed {
+            head = head.header("idempotency-key", format!("key-{}", request.id));
+            let token = self
+                .token
+                .lock()
+                .unwrap_or_else(std::sync::PoisonError::into_inner)
+                .clone();
+            if let Some(token) = token {
+                head = head.header("quetzalhill-session", token);
+            }
+        }
+        if let Some(priority) = &request.priority {
+            head = head.header("priority", priority);
+        }
+        if let Some(timeout) = request.timeout_ms {
+            head = head.header("quetzalhill-timeout-ms", timeout);
+        }
+        Ok(head.body(())?)
+    }
+}
+
+/// Why there is no answer.
+enum CallFault {
+    NotRun(String),
+    Lost(String),
+}
+
+fn fault_of(error: h3::error::StreamError) -> CallFault {
+    let text = error.to_string();
+    match error {
+        h3::error::StreamError::RemoteTerminate { code, .. }
+            if code == h3::error::Code::H3_REQUEST_REJECTED =>
+        {
+            CallFault::NotRun(text)
+        }
+        _ => CallFault::Lost(text),
+    }
+}
+
+fn judge(request: &CallRequest, seen: AnswerSeen) -> CallOutcome {
+    let header = |name: &str| seen.headers.get(name).and_then(|value| value.to_str().ok());
+    match header("quetzalhill-outcome") {
+        Some("not-run") => return CallOutcome::NotRun(seen.status.to_string()),
+        Some("unknown") => return CallOutcome::Unknown(seen.status.to_string()),
+        _ => {}
+    }
+    if seen.status != StatusCode::OK {
+        return CallOutcome::Failed(seen.status.as_u16());
+    }
+    let service = header("upstream-service");
+    if service != Some(request.service.as_str()) {
+        return CallOutcome::Wrong(format!("answered by {service:?}"));
+    }
+    if let Some(end) = seen.end {
+        return CallOutcome::Unknown(end);
+    }
+    let expected = match request.events {
+        0 => body_of(request.id.into(), request.bytes as usize),
+        // CAST: Event counts of tests fit every supported target.
+        events => body_of(request.id.into(), EVENT_BYTES).repeat(events as usize),
+    };
+    if seen.body != expected {
+        let (got, want) = (seen.body.len(), expected.len());
+        return CallOutcome::Wrong(format!("body of {got} bytes, expected {want}"));
+    }
+    CallOutcome::Whole
+}
+
+/// Returns the moment `ms` milliseconds from now.
+pub fn deadline_in(ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(ms)
+}
--- /dev/null
+++ b/crates/standins/src/fabric.rs
@@ -0,0 +1,248 @@
+//! Stand-in for the fabric: sprays each packet of a service address over the entries.
+//!
+//! For each caller address it keeps one socket, from which entries see the caller's packets and to which they
+//! send the replies. Delay, loss, duplication and cuts can be changed while it runs.
+
+use crate::delay::{DelayHandle, DelayLine};
+use anyhow::{Context, Result};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+const DATAGRAM_MAX: usize = 65_536;
+
+/// How the fabric treats packets; each direction of a packet is treated by itself.
+#[derive(Clone, Debug, Default)]
+pub struct FabricRules {
+    /// Entry listeners that receive packets.
+    pub entries: Vec<SocketAddrV4>,
+    /// One-way delay.
+    pub delay: Duration,
+    /// Further delay, drawn evenly from zero to this, which also reorders packets.
+    pub jitter: Duration,
+    /// Share of packets that are lost, from 0 to 1.
+    pub loss: f64,
+    /// Share of packets that are delivered twice, from 0 to 1.
+    pub duplicate: f64,
+}
+
+/// What the fabric has counted.
+#[derive(Debug, Default)]
+pub struct FabricCounters {
+    /// Packets from callers.
+    pub to_entries: AtomicU64,
+    /// Packets to callers.
+    pub to_callers: AtomicU64,
+    /// Packets that the rules dropped.
+    pub lost: AtomicU64,
+}
+
+struct FabricState {
+    rules: Mutex<FabricRules>,
+    rng: Mutex<SmallRng>,
+    counters: FabricCounters,
+    delay: DelayHandle,
+}
+
+/// The fabric in front of one service address.
+pub struct FabricStandin {
+    address: SocketAddrV4,
+    state: Arc<FabricState>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+    _line: DelayLine,
+}
+
+impl FabricStandin {
+    /// Starts the fabric on `address`, which callers use; `seed` decides which entry gets each packet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn start(address: SocketAddrV4, rules: FabricRules, seed: u64) -> Result<Self> {
+        let socket = std::net::UdpSocket::bind(address)
+            .with_context(|| format!("fabric address {address}"))?;
+        socket.set_nonblocking(true)?;
+        let SocketAddr::V4(address) = socket.local_addr()? else {
+            anyhow::bail!("fabric address {address} is not IPv4");
+        };
+        let line = DelayLine::start();
+        let state = Arc::new(FabricState {
+            rules: Mutex::new(rules),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            counters: FabricCounters::default(),
+            delay: line.handle(),
+        });
+        let (stop, stopped) = oneshot::channel();
+        let shared = Arc::clone(&state);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let thread = thread::spawn(move || {
+            runtime.block_on(async {
+                tokio::select! {
+                    result = receive(socket, shared) => {
+                        if let Err(error) = result {
+                            log::error!("fabric {address}: {error}");
+                        }
+                    }
+                    _ = stopped => {}
+                }
+            });
+        });
+        Ok(Self {
+            address,
+            state,
+            stop: Some(stop),
+            thread: Some(thread),
+            _line: line,
+        })
+    }
+
+    /// Returns the address that callers use.
+    pub fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
+    /// Changes how packets are treated from now on.
+    pub fn change(&self, change: impl FnOnce(&mut FabricRules)) {
+        change(
+            &mut self
+                .state
+                .rules
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner),
+        );
+    }
+
+    /// Returns what has been counted.
+    pub fn counters(&self) -> &FabricCounters {
+        &self.state.counters
+    }
+}
+
+impl Drop for FabricStandin {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// What happens to one packet.
+struct PacketFate {
+    entry: Option<SocketAddrV4>,
+    copies: u8,
+    due: Option<Instant>,
+}
+
+impl FabricState {
+    fn fate(&self) -> PacketFate {
+        let rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = match rules.entries.len() {
+            0 => None,
+            count => Some(rules.entries[rng.random_range(0..count)]),
+        };
+        let mut copies = 1;
+        if rules.loss > 0.0 && rng.random_bool(rules.loss) {
+            copies = 0;
+        }
+        if rules.duplicate > 0.0 && rng.random_bool(rules.duplicate) {
+            copies *= 2;
+        }
+        let mut delay = rules.delay;
+        if !rules.jitter.is_zero() {
+            delay += rules.jitter.mul_f64(rng.random());
+        }
+        let due = (!delay.is_zero()).then(|| Instant::now() + delay);
+        PacketFate { entry, copies, due }
+    }
+
+    fn send(
+        &self,
+        socket: &Arc<std::net::UdpSocket>,
+        to: SocketAddrV4,
+        packet: &[u8],
+        fate: &PacketFate,
+    ) {
+        if fate.copies == 0 {
+            self.counters.lost.fetch_add(1, Ordering::Relaxed);
+        }
+        for _ in 0..fate.copies {
+            let Some(due) = fate.due else {
+                // A full socket buffer loses the packet, as a network would.
+                let _ = socket.send_to(packet, to);
+                continue;
+            };
+            let socket = Arc::clone(socket);
+            let packet = packet.to_vec();
+            self.delay.at(due, move || {
+                let _ = socket.send_to(&packet, to);
+            });
+        }
+    }
+}
+
+async fn receive(front: std::net::UdpSocket, state: Arc<FabricState>) -> Result<()> {
+    let sender = Arc::new(front.try_clone()?);
+    let front = UdpSocket::from_std(front)?;
+    let mut callers: HashMap<SocketAddrV4, Arc<std::net::UdpSocket>> = HashMap::new();
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    loop {
+        let Ok((length, from)) = front.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let SocketAddr::V4(caller) = from else {
+            continue;
+        };
+        state.counters.to_entries.fetch_add(1, Ordering::Relaxed);
+        let back = match callers.get(&caller) {
+            Some(back) => Arc::clone(back),
+            None => {
+                let back = open_back(caller, Arc::clone(&sender), Arc::clone(&state))?;
+                callers.insert(caller, Arc::clone(&back));
+                back
+            }
+        };
+        let fate = state.fate();
+        let Some(entry) = fate.entry else {
+            state.counters.lost.fetch_add(1, Ordering::Relaxed);
+            continue;
+        };
+        state.send(&back, entry, &buffer[..length], &fate);
+    }
+}
+
+fn open_back(
+    caller: SocketAddrV4,
+    front: Arc<std::net::UdpSocket>,
+    state: Arc<FabricState>,
+) -> Result<Arc<std::net::UdpSocket>> {
+    let back = std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    back.set_nonblocking(true)?;
+    let sender = Arc::new(back.try_clone()?);
+    let back = UdpSocket::from_std(back)?;
+    tokio::spawn(async move {
+        let mut buffer = vec![0; DATAGRAM_MAX];
+        loop {
+            let Ok((length, _)) = back.recv_from(&mut buffer).await else {
+                continue;
+            };
+            state.counters.to_callers.fetch_add(1, Ordering::Relaxed);
+            let fate = state.fate();
+            state.send(&front, caller, &buffer[..length], &fate);
+        }
+    });
+    Ok(sender)
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,12 @@
 //! Stand-ins for callers, fabric, upstreams and the platform, for tests and measurements only.
+//!
+//! Every stand-in runs as threads with its own sockets on loopback, so that the real entries and agents meet it
+//! through the network. See docs/design.md, section 3.
+
+pub mod caller;
+pub mod certificate;
+pub mod delay;
+pub mod fabric;
+pub mod payload;
+pub mod upstream;
+pub mod workload;
--- /dev/null
+++ b/crates/standins/src/upstream.rs
@@ -0,0 +1,296 @@
+//! Stand-in for an upstream: HTTP/1.1 with slots, long streams, and faults that can be switched on.
+//!
+//! - `/work?id=N&ms=N&bytes=N` occupies a slot for `ms` and answers with the body that belongs to `id`.
+//! - `/stream?id=N&ms=N&count=N` sends `count` events of 64 bytes, one every `ms`, as `text/event-stream`.
+//! - `/health` answers 200, or 503 while the upstream drains.
+
+use crate::payload::body_of;
+use anyhow::{Context, Result};
+use ntex::time::Millis;
+use ntex::util::Bytes;
+use ntex::web::{self, App, HttpRequest, HttpResponse};
+use std::collections::HashMap;
+use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::sync::{mpsc, Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+
+/// Bytes of one event of a stream.
+pub const EVENT_BYTES: usize = 64;
+
+/// How the upstream behaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum UpstreamMode {
+    /// Answers each request.
+    #[default]
+    Healthy,
+    /// Answers `/health` with 200 and work at once with 500.
+    Failing,
+    /// Takes requests and never answers work.
+    Hanging,
+    /// Closes the connection in the middle of each answer.
+    Truncating,
+    /// Takes three times as long for each request.
+    Cold,
+    /// Answers `/health` with 503 and work as usual.
+    Draining,
+}
+
+/// What an upstream has seen.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamRecord {
+    /// Runs of each request id.
+    pub runs: HashMap<u64, u32>,
+    /// Requests that ran to their end.
+    pub finished: u64,
+    /// Requests whose connection closed before their end.
+    pub cancelled: u64,
+    /// Requests that run now.
+    pub running: u32,
+    /// Most requests that ran at the same time.
+    pub most_running: u32,
+    /// Milliseconds of work done.
+    pub work_ms: u64,
+    /// Time since the Unix epoch, in milliseconds, at which the last request arrived.
+    pub last_arrival_ms: u64,
+}
+
+struct UpstreamState {
+    service: String,
+    mode: Mutex<UpstreamMode>,
+    record: Mutex<UpstreamRecord>,
+}
+
+impl UpstreamState {
+    fn record(&self) -> MutexGuard<'_, UpstreamRecord> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn mode(&self) -> UpstreamMode {
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A running upstream.
+pub struct UpstreamStandin {
+    address: SocketAddrV4,
+    state: Arc<UpstreamState>,
+    system: ntex::rt::System,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl UpstreamStandin {
+    /// Starts an upstream of `service` on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn start(address: SocketAddrV4, service: &str) -> Result<Self> {
+        let listener =
+            TcpListener::bind(address).with_context(|| format!("upstream address {address}"))?;
+        let SocketAddr::V4(address) = listener.local_addr()? else {
+            anyhow::bail!("upstream address {address} is not IPv4");
+        };
+        let state = Arc::new(UpstreamState {
+            service: service.into(),
+            mode: Mutex::default(),
+            record: Mutex::default(),
+        });
+        let shared = Arc::clone(&state);
+        let (started, start) = mpsc::channel();
+        let thread = thread::spawn(move || serve(listener, shared, &started));
+        let system = start.recv().context("the upstream thread ended at once")?;
+        Ok(Self {
+            address,
+            state,
+            system,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the address of the upstream.
+    pub fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
+    /// Changes how the upstream behaves from now on.
+    pub fn set_mode(&self, mode: UpstreamMode) {
+        *self
+            .state
+            .mode
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = mode;
+    }
+
+    /// Returns what the upstream has seen so far.
+    pub fn record(&self) -> UpstreamRecord {
+        self.state.record().clone()
+    }
+}
+
+impl Drop for UpstreamStandin {
+    fn drop(&mut self) {
+        self.system.stop();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn serve(
+    listener: TcpListener,
+    state: Arc<UpstreamState>,
+    started: &mpsc::Sender<ntex::rt::System>,
+) {
+    let runner = ntex::rt::System::new("upstream", ntex::rt::DefaultRuntime);
+    let started = started.clone();
+    let result = runner.run(move || {
+        let server = web::server(async move || {
+            App::new()
+                .state(Arc::clone(&state))
+                .service(web::resource("/work").to(work))
+                .service(web::resource("/stream").to(stream))
+                .service(web::resource("/health").to(health))
+        });
+        server.workers(1).disable_signals().listen(listener)?.run();
+        let _ = started.send(ntex::rt::System::current());
+        Ok(())
+    });
+    if let Err(error) = result {
+        log::error!("upstream: {error}");
+    }
+}
+
+/// Values of the query string; 0 where one is absent.
+struct WorkQuery {
+    id: u64,
+    ms: u32,
+    bytes: usize,
+    count: u32,
+}
+
+impl WorkQuery {
+    fn of(request: &HttpRequest) -> Self {
+        let mut query = Self {
+            id: 0,
+            ms: 0,
+            bytes: 0,
+            count: 0,
+        };
+        for pair in request.query_string().split('&') {
+            let Some((name, value)) = pair.split_once('=') else {
+                continue;
+            };
+            let Ok(value) = value.parse::<u32>() else {
+                continue;
+            };
+            match name {
+                "id" => query.id = value.into(),
+                "ms" => query.ms = value,
+                "bytes" => query.bytes = usize::try_from(value).unwrap_or(usize::MAX),
+                "count" => query.count = value,
+                _ => {}
+            }
+        }
+        query
+    }
+}
+
+/// Counts a request as cancelled unless it reaches its end.
+struct RunGuard {
+    state: Arc<UpstreamState>,
+    ms: u32,
+    finished: bool,
+}
+
+impl RunGuard {
+    fn start(state: &Arc<UpstreamState>, query: &WorkQuery) -> Self {
+        let mut record = state.record();
+        *record.runs.entry(query.id).or_default() += 1;
+        record.running += 1;
+        record.most_running = record.most_running.max(record.running);
+        record.last_arrival_ms = unix_ms();
+        Self {
+            state: Arc::clone(state),
+            ms: query.ms,
+            finished: false,
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut record = self.state.record();
+        record.running -= 1;
+        match self.finished {
+            true => {
+                record.finished += 1;
+                record.work_ms += u64::from(self.ms);
+            }
+            false => record.cancelled += 1,
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let age = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn work(request: HttpRequest, state: web::types::State<Arc<UpstreamState>>) -> HttpResponse {
+    let query = WorkQuery::of(&request);
+    let mut guard = RunGuard::start(state.get_ref(), &query);
+    let mode = state.mode();
+    match mode {
+        UpstreamMode::Failing => return HttpResponse::InternalServerError().finish(),
+        UpstreamMode::Hanging => ntex::time::sleep(Millis(3_600_000)).await,
+        UpstreamMode::Cold => ntex::time::sleep(Millis(query.ms.saturating_mul(3))).await,
+        _ => ntex::time::sleep(Millis(query.ms)).await,
+    }
+    guard.finished = true;
+    let body = body_of(query.id, query.bytes);
+    let mut response = HttpResponse::Ok();
+    response.header("upstream-service", state.service.as_str());
+    if mode == UpstreamMode::Truncating {
+        let half = Bytes::from(body[..body.len() / 2].to_vec());
+        let error = std::io::Error::other("truncated");
+        let parts = vec![Ok(half), Err(error)];
+        return response.streaming(futures_util::stream::iter(parts));
+    }
+    response.body(body)
+}
+
+async fn stream(
+    request: HttpRequest,
+    state: web::types::State<Arc<UpstreamState>>,
+) -> HttpResponse {
+    let query = WorkQuery::of(&request);
+    let guard = RunGuard::start(state.get_ref(), &query);
+    let body = body_of(query.id, EVENT_BYTES);
+    let events = futures_util::stream::unfold((0, guard), move |(sent, mut guard)| {
+        let event = Bytes::from(body.clone());
+        async move {
+            if sent == query.count {
+                guard.finished = true;
+                drop(guard);
+                return None;
+            }
+            if sent > 0 {
+                ntex::time::sleep(Millis(query.ms)).await;
+            }
+            Some((Ok::<_, std::io::Error>(event), (sent + 1, guard)))
+        }
+    });
+    HttpResponse::Ok()
+        .header("upstream-service", state.service.as_str())
+        .content_type("text/event-stream")
+        .streaming(Box::pin(events))
+}
+
+async fn health(state: web::types::State<Arc<UpstreamState>>) -> HttpResponse {
+    match state.mode() {
+        UpstreamMode::Draining => HttpResponse::ServiceUnavailable().finish(),
+        _ => HttpResponse::Ok().finish(),
+    }
+}
