--- /dev/null
+++ b/crates/standins/src/testbed.rs
@@ -0,0 +1,333 @@
+//! A whole deployment on loopback: store, fabric, entries, agents and upstreams as threads of one process.
+
+use crate::certificate::{write_certificate, write_key, TestCertificate};
+use crate::deployment::DeploymentPlan;
+use crate::fabric::{FabricRules, FabricStandin};
+use crate::upstream::UpstreamStandin;
+use anyhow::{bail, Context, Result};
+use quetzalhill::run::EntryHandle;
+use quetzalhill::settings::{EntrySection, EntrySettings, ListenSettings, StoreSection};
+use quetzalhill_agent::run::AgentHandle;
+use quetzalhill_agent::settings::{AgentSection, AgentSettings};
+use quetzalhill_core::dispatch::DispatchPolicy;
+use quetzalhill_core::ids::ServiceName;
+use quetzalhill_node::settings::{LogSettings, NodeSettings};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+const PORT_FABRIC: u16 = 4433;
+const PORT_LISTEN: u16 = 10_000;
+const PORT_ENTRY_CONTROL: u16 = 11_000;
+const PORT_ENTRY_DATA: u16 = 12_000;
+const PORT_ENTRY_ADMIN: u16 = 13_000;
+const PORT_PACKETS: u16 = 20_000;
+const PORT_PEER: u16 = 21_000;
+const PORT_AGENT_CONTROL: u16 = 22_000;
+const PORT_AGENT_ADMIN: u16 = 23_000;
+const PORT_UPSTREAM: u16 = 24_000;
+const PORT_STORE: u16 = 2379;
+
+/// Listeners that one entry may have.
+const LISTENERS_MAX: u16 = 10;
+
+/// Testbeds of this process so far; each uses an IP address of its own.
+static NEXT_BED: AtomicU8 = AtomicU8::new(1);
+
+/// One endpoint of the testbed.
+pub struct TestEndpoint {
+    /// Service it belongs to.
+    pub service: ServiceName,
+    /// The upstream.
+    pub upstream: UpstreamStandin,
+    /// The agent, until it is stopped.
+    pub agent: Option<AgentHandle>,
+    /// Settings with which the agent was started.
+    pub settings: AgentSettings,
+}
+
+/// One entry of the testbed.
+pub struct TestEntry {
+    /// The entry, until it is stopped.
+    pub entry: Option<EntryHandle>,
+    /// Settings with which it was started.
+    pub settings: EntrySettings,
+}
+
+/// A running deployment.
+pub struct Testbed {
+    /// What was asked for.
+    pub plan: DeploymentPlan,
+    /// IP address of everything in this testbed.
+    pub ip: Ipv4Addr,
+    /// The fabric in front of each service, in the order of the plan.
+    pub fabrics: Vec<FabricStandin>,
+    /// Entries, with those that have been stopped.
+    pub entries: Vec<TestEntry>,
+    /// Endpoints, with those that have been stopped.
+    pub endpoints: Vec<TestEndpoint>,
+    /// What callers trust.
+    pub certificate: TestCertificate,
+    folder: PathBuf,
+    key: String,
+    policy: DispatchPolicy,
+}
+
+impl Testbed {
+    /// Starts entries, agents, upstreams and the fabric, and waits until every service answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if something cannot start or is not ready within 15 seconds.
+    pub fn start(plan: DeploymentPlan, policy: DispatchPolicy, seed: u64) -> Result<Self> {
+        let ip = next_ip();
+        let folder = std::env::temp_dir().join(format!("quetzalhill-{ip}"));
+        std::fs::create_dir_all(&folder)?;
+        let certificate = write_certificate(&folder)?;
+        let key = write_key(&folder, 1)?;
+        let mut bed = Self {
+            plan,
+            ip,
+            fabrics: Vec::new(),
+            entries: Vec::new(),
+            endpoints: Vec::new(),
+            certificate,
+            folder,
+            key,
+            policy,
+        };
+        for _ in 0..bed.plan.entries {
+            bed.add_entry()?;
+        }
+        bed.add_endpoints()?;
+        bed.add_fabrics(seed)?;
+        Ok(bed)
+    }
+
+    /// Returns the address of a service at the fabric.
+    pub fn address_of(&self, service: &str) -> Option<SocketAddrV4> {
+        let index = self.plan.service.keys().position(|name| name == service)?;
+        Some(self.service_address(index))
+    }
+
+    fn address(&self, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, port)
+    }
+
+    fn service_address(&self, index: usize) -> SocketAddrV4 {
+        // CAST: A deployment has a handful of services.
+        self.address(PORT_FABRIC + index as u16)
+    }
+
+    fn node(&self, zone: usize, control: u16, admin: u16) -> NodeSettings {
+        NodeSettings {
+            zone: self.plan.zones[zone % self.plan.zones.len()].clone(),
+            control: self.address(control),
+            admin: self.address(admin),
+            control_key: self.key.clone(),
+            previous_key: None,
+        }
+    }
+
+    /// Starts one more entry; it is not in the fabric before [`Testbed::publish_entries`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the entry cannot start.
+    pub fn add_entry(&mut self) -> Result<usize> {
+        let index = self.entries.len();
+        // CAST: Tests start at most some dozens of entries.
+        let number = index as u16;
+        let first = PORT_LISTEN + number * LISTENERS_MAX;
+        let listen = (0..self.plan.service.len())
+            .map(|service| ListenSettings {
+                // CAST: A deployment has a handful of services.
+                bind: self.address(first + service as u16),
+                address: Some(self.service_address(service)),
+            })
+            .collect();
+        let seeds = self.live_entries().take(3).map(|entry| entry.settings.node.control).collect();
+        let settings = EntrySettings {
+            node: self.node(index, PORT_ENTRY_CONTROL + number, PORT_ENTRY_ADMIN + number),
+            log: LogSettings::default(),
+            entry: EntrySection {
+                listen,
+                data: self.address(PORT_ENTRY_DATA + number),
+                seeds,
+                threads: 1,
+                linger_s: 1,
+            },
+            store: StoreSection {
+                urls: vec![format!("http://{}", self.address(PORT_STORE))],
+            },
+        };
+        let entry = quetzalhill::run::start(settings.clone()).with_context(|| format!("entry {index}"))?;
+        self.entries.push(TestEntry {
+            entry: Some(entry),
+            settings,
+        });
+        Ok(index)
+    }
+
+    fn live_entries(&self) -> impl Iterator<Item = &TestEntry> {
+        self.entries.iter().filter(|entry| entry.entry.is_some())
+    }
+
+    fn add_endpoints(&mut self) -> Result<()> {
+        for (name, plan) in self.plan.service.clone() {
+            for number in 0..plan.endpoints {
+                self.add_endpoint(&name, plan.slots, usize::from(number))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts one more upstream with its agent and returns its position in `endpoints`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if either cannot start.
+    pub fn add_endpoint(&mut self, service: &str, slots: u16, zone: usize) -> Result<usize> {
+        let index = self.endpoints.len();
+        // CAST: Tests start at most some dozens of endpoints.
+        let number = index as u16;
+        let upstream = UpstreamStandin::start(self.address(PORT_UPSTREAM + number), service)?;
+        let settings = AgentSettings {
+            node: self.node(zone, PORT_AGENT_CONTROL + number, PORT_AGENT_ADMIN + number),
+            log: LogSettings::default(),
+            agent: AgentSection {
+                service: service.into(),
+                packets: self.address(PORT_PACKETS + number),
+                peer: self.address(PORT_PEER + number),
+                upstream: upstream.address(),
+                slots,
+                entries: self.live_entries().take(3).map(|entry| entry.settings.node.control).collect(),
+                certificate: self.certificate.certificate.clone(),
+                private_key: self.certificate.private_key.clone(),
+                flows: 100_000,
+                policy: self.policy,
+                drain_limit_s: 30,
+            },
+        };
+        let agent = quetzalhill_agent::run::start(settings.clone()).with_context(|| format!("agent {index}"))?;
+        self.endpoints.push(TestEndpoint {
+            service: service.into(),
+            upstream,
+            agent: Some(agent),
+            settings,
+        });
+        Ok(index)
+    }
+
+    fn add_fabrics(&mut self, seed: u64) -> Result<()> {
+        for service in 0..self.plan.service.len() {
+            let rules = FabricRules {
+                entries: self.listeners(service),
+                delay: Duration::from_micros(self.plan.caller_delay_us),
+                ..FabricRules::default()
+            };
+            // CAST: A deployment has a handful of services.
+            let fabric = FabricStandin::start(self.service_address(service), rules, seed + service as u64)?;
+            self.fabrics.push(fabric);
+        }
+        Ok(())
+    }
+
+    fn listeners(&self, service: usize) -> Vec<SocketAddrV4> {
+        self.live_entries().map(|entry| entry.settings.entry.listen[service].bind).collect()
+    }
+
+    /// Tells the fabric which entries are live.
+    pub fn publish_entries(&self) {
+        for (service, fabric) in self.fabrics.iter().enumerate() {
+            let entries = self.listeners(service);
+            fabric.change(|rules| rules.entries = entries);
+        }
+    }
+
+    /// Replaces an entry by a new one, as an operator does: start, wait until ready, move the fabric, stop.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the new entry is not ready within 15 seconds.
+    pub fn replace_entry(&mut self, index: usize) -> Result<usize> {
+        let fresh = self.add_entry()?;
+        self.wait_ready(self.entries[fresh].settings.node.admin)?;
+        let old = self.entries[index].entry.take();
+        self.publish_entries();
+        if let Some(old) = old {
+            old.stop();
+        }
+        Ok(fresh)
+    }
+
+    /// Waits until a node's `/readyz` answers 200.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error after 15 seconds.
+    pub fn wait_ready(&self, admin: SocketAddrV4) -> Result<()> {
+        let end = Instant::now() + Duration::from_secs(15);
+        while Instant::now() < end {
+            if probe(admin, "/readyz").is_ok_and(|status| status == 200) {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        bail!("the node with admin address {admin} is not ready after 15 s")
+    }
+
+    /// Waits until every live entry and agent is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one is not ready within 15 seconds.
+    pub fn wait_all_ready(&self) -> Result<()> {
+        for entry in self.live_entries() {
+            self.wait_ready(entry.settings.node.admin)?;
+        }
+        for endpoint in &self.endpoints {
+            if endpoint.agent.is_some() {
+                self.wait_ready(endpoint.settings.node.admin)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Testbed {
+    fn drop(&mut self) {
+        for endpoint in &mut self.endpoints {
+            if let Some(agent) = endpoint.agent.take() {
+                agent.stop();
+            }
+        }
+        for entry in &mut self.entries {
+            if let Some(entry) = entry.entry.take() {
+                entry.stop();
+            }
+        }
+        // The folder is below the temporary directory; what cannot be removed does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn next_ip() -> Ipv4Addr {
+    let pid = std::process::id();
+    // CAST: The masks leave at most eight bits.
+    let (high, low) = (((pid >> 8) & 0x3f) as u8, (pid & 0xff) as u8);
+    Ipv4Addr::new(127, 64 + high, low, NEXT_BED.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Sends one HTTP request to an admin address and returns the status.
+fn probe(admin: SocketAddrV4, path: &str) -> Result<u16> {
+    use std::io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect_timeout(&admin.into(), Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+    write!(stream, "GET {path} HTTP/1.1\r\nhost: {admin}\r\nconnection: close\r\n\r\n")?;
+    let mut head = [0; 12];
+    stream.read_exact(&mut head)?;
+    let text = std::str::from_utf8(&head)?;
+    Ok(text[9..12].parse()?)
+}
