Add the packet filter chain and the QUIC invariants

Cause: entries need one place that decides where a packet goes.

Change: core::packet holds the filter chain (parse, service, connection ID, new-flow limit, endpoint choice) and the limit on new flows, one point in time per service. wire::quic reads the header that all QUIC versions share.

Conclusion: the entry's traffic threads can be built on it.

--- /dev/null
+++ b/crates/core/tests/packet.rs
@@ -0,0 +1,176 @@
+//! The packet filter chain.
+
+use quetzalhill_core::ids::id_of;
+use quetzalhill_core::packet::{
+    EmbeddedRoute, FlowStage, PacketController, PacketDrop, PacketFacts, PacketRoute,
+    PacketVerdict, ParsedPacket,
+};
+use quetzalhill_core::route::{RouteTable, ServiceRoute};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+use yare::parameterized;
+
+const FEED: u32 = 7;
+const BATCH: u32 = 8;
+const RATE: u32 = 100;
+
+fn local(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+}
+
+/// Feed at port 443 with two endpoints, batch at port 444 with none.
+fn table() -> RouteTable {
+    let service = |number, ready| ServiceRoute {
+        number,
+        new_flows_per_s: RATE,
+        ready,
+        ..ServiceRoute::default()
+    };
+    RouteTable {
+        by_address: [(local(443), 0), (local(444), 1)].into(),
+        services: vec![
+            service(FEED, vec![id_of(local(7001)), id_of(local(7002))]),
+            service(BATCH, Vec::new()),
+        ],
+    }
+}
+
+fn embedded(service: u32) -> Option<EmbeddedRoute> {
+    Some(EmbeddedRoute {
+        agent: local(7009),
+        service,
+        incarnation: 5,
+    })
+}
+
+fn packet(stage: FlowStage, embedded: Option<EmbeddedRoute>) -> Option<ParsedPacket<'static>> {
+    Some(ParsedPacket {
+        stage,
+        key: b"opaque flow key",
+        embedded,
+    })
+}
+
+fn decide(parsed: Option<ParsedPacket<'_>>, port: u16) -> PacketVerdict {
+    let facts = PacketFacts {
+        parsed,
+        service_address: local(port),
+        now: Instant::now(),
+    };
+    PacketController::new(1).decide(&facts, &table())
+}
+
+fn to_holder() -> PacketVerdict {
+    PacketVerdict::Forward(PacketRoute {
+        agent: local(7009),
+        service: FEED,
+        incarnation: 5,
+        second: None,
+    })
+}
+
+fn to_candidates() -> PacketVerdict {
+    let pair = table().services[0]
+        .candidates(b"opaque flow key")
+        .expect("two endpoints");
+    PacketVerdict::Forward(PacketRoute {
+        agent: pair.first,
+        service: FEED,
+        incarnation: 0,
+        second: pair.second,
+    })
+}
+
+/// Guards against a packet that reaches another service's endpoint or an endpoint that does not hold its flow.
+#[parameterized(
+    malformed = { None, 443, PacketVerdict::Drop(PacketDrop::Malformed) },
+    no_service = { packet(FlowStage::Opening, None), 445, PacketVerdict::Drop(PacketDrop::NoService) },
+    no_service_established = {
+        packet(FlowStage::Established, embedded(FEED)), 445, PacketVerdict::Drop(PacketDrop::NoService)
+    },
+    established = { packet(FlowStage::Established, embedded(FEED)), 443, to_holder() },
+    handshake = { packet(FlowStage::Opening, embedded(FEED)), 443, to_holder() },
+    established_wrong_service = {
+        packet(FlowStage::Established, embedded(BATCH)), 443, PacketVerdict::Drop(PacketDrop::WrongService)
+    },
+    established_unknown = {
+        packet(FlowStage::Established, None), 443, PacketVerdict::Drop(PacketDrop::UnknownConnection)
+    },
+    opening = { packet(FlowStage::Opening, None), 443, to_candidates() },
+    opening_wrong_service = { packet(FlowStage::Opening, embedded(BATCH)), 443, to_candidates() },
+    no_endpoint = { packet(FlowStage::Opening, None), 444, PacketVerdict::Drop(PacketDrop::NoEndpoint) },
+)]
+fn verdict(parsed: Option<ParsedPacket<'_>>, port: u16, expected: PacketVerdict) {
+    assert_eq!(decide(parsed, port), expected);
+}
+
+/// Sends `count` first packets at `now` and returns how many pass.
+fn passed(
+    chain: &mut PacketController,
+    table: &RouteTable,
+    port: u16,
+    now: Instant,
+    count: u32,
+) -> u32 {
+    let facts = PacketFacts {
+        parsed: packet(FlowStage::Opening, None),
+        service_address: local(port),
+        now,
+    };
+    let mut sum = 0;
+    for _ in 0..count {
+        match chain.decide(&facts, table) {
+            PacketVerdict::Forward(_) => sum += 1,
+            PacketVerdict::Drop(reason) => assert_eq!(reason, PacketDrop::NewFlowLimit),
+        }
+    }
+    sum
+}
+
+/// Guards against a flood of first packets that takes more than the service's limit.
+#[test]
+fn new_flows_stay_below_the_limit() {
+    let mut chain = PacketController::new(1);
+    let start = Instant::now();
+    assert_eq!(passed(&mut chain, &table(), 443, start, 1_000), RATE);
+    let later = start + Duration::from_millis(500);
+    assert_eq!(passed(&mut chain, &table(), 443, later, 1_000), RATE / 2);
+    let much_later = start + Duration::from_secs(60);
+    assert_eq!(passed(&mut chain, &table(), 443, much_later, 1_000), RATE);
+}
+
+/// Guards against a limit that multiplies with the number of traffic threads.
+#[test]
+fn threads_share_the_limit() {
+    let mut chain = PacketController::new(4);
+    assert_eq!(
+        passed(&mut chain, &table(), 443, Instant::now(), 1_000),
+        RATE / 4
+    );
+}
+
+/// Guards against a limit that stops established flows or another service.
+#[test]
+fn limit_of_one_service_spares_other_packets() {
+    let mut table = table();
+    table.services[1].ready = vec![id_of(local(7003))];
+    let mut chain = PacketController::new(1);
+    let now = Instant::now();
+    assert_eq!(passed(&mut chain, &table, 443, now, 1_000), RATE);
+    assert_eq!(passed(&mut chain, &table, 444, now, 1), 1);
+    let facts = PacketFacts {
+        parsed: packet(FlowStage::Established, embedded(FEED)),
+        service_address: local(443),
+        now,
+    };
+    assert_eq!(chain.decide(&facts, &table), to_holder());
+}
+
+/// Guards against a limit of 0 that lets flows pass.
+#[test]
+fn limit_of_zero_admits_nothing() {
+    let mut table = table();
+    table.services[0].new_flows_per_s = 0;
+    let mut chain = PacketController::new(1);
+    assert_eq!(passed(&mut chain, &table, 443, Instant::now(), 10), 0);
+}
--- /dev/null
+++ b/crates/wire/src/quic.rs
@@ -0,0 +1,74 @@
+//! The parts of a QUIC packet that all versions share (RFC 8999).
+//!
+//! An entry reads nothing else of a packet, so that callers may use versions that the entry does not know.
+
+use crate::cid::{CidContent, CID_BYTES};
+use crate::key::KeyRing;
+use quetzalhill_core::packet::{EmbeddedRoute, FlowStage, ParsedPacket};
+
+/// Bit of the first byte that is set in a long header.
+const LONG_HEADER: u8 = 0x80;
+
+/// First byte and version of a long header.
+const LONG_PREFIX: usize = 5;
+
+/// First byte of a short header.
+const SHORT_PREFIX: usize = 1;
+
+/// The first header of a datagram.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct InvariantHeader<'a> {
+    /// Long headers may open a flow, short ones belong to an established flow.
+    pub stage: FlowStage,
+    /// The destination connection ID; of a short header, the [`CID_BYTES`] that our agents' IDs take.
+    pub destination: &'a [u8],
+}
+
+impl<'a> InvariantHeader<'a> {
+    /// Reads the first header of a datagram; `None` if it is shorter than its own lengths say.
+    pub fn parse(datagram: &'a [u8]) -> Option<Self> {
+        let first = *datagram.first()?;
+        match first & LONG_HEADER {
+            0 => Self::parse_short(datagram),
+            _ => Self::parse_long(datagram),
+        }
+    }
+
+    fn parse_short(datagram: &'a [u8]) -> Option<Self> {
+        let destination = datagram.get(SHORT_PREFIX..SHORT_PREFIX + CID_BYTES)?;
+        Some(Self {
+            stage: FlowStage::Established,
+            destination,
+        })
+    }
+
+    fn parse_long(datagram: &'a [u8]) -> Option<Self> {
+        let (destination, rest) = take_id(datagram.get(LONG_PREFIX..)?)?;
+        let _source = take_id(rest)?;
+        Some(Self {
+            stage: FlowStage::Opening,
+            destination,
+        })
+    }
+}
+
+/// Splits off a connection ID that stands behind its length.
+fn take_id(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (&length, rest) = bytes.split_first()?;
+    rest.split_at_checked(usize::from(length))
+}
+
+/// Reads what the packet filter chain needs from a datagram; `None` if it has no valid header.
+pub fn parse_packet<'a>(ring: &KeyRing, datagram: &'a [u8]) -> Option<ParsedPacket<'a>> {
+    let header = InvariantHeader::parse(datagram)?;
+    let content = CidContent::open(ring, header.destination);
+    Some(ParsedPacket {
+        stage: header.stage,
+        key: header.destination,
+        embedded: content.map(|content| EmbeddedRoute {
+            agent: content.address,
+            service: content.service,
+            incarnation: content.incarnation,
+        }),
+    })
+}
