Add the traffic threads of an entry and the command run

Cause: an entry has to forward datagrams between callers and agents.

Change: traffic::start binds the sockets and starts plain threads with blocking sockets, one loop for each direction; run::start runs an entry as threads of one process; the command run does so until SIGTERM or SIGINT. Sockets bound to all addresses learn the destination of each packet from quinn-udp, the others use the standard socket. Drops are counted by reason.

--- /dev/null
+++ b/crates/entry/src/cmd.rs
@@ -0,0 +1,80 @@
+//! The commands of the binary `quetzalhill`, one file each.
+
+pub mod run;
+
+use anyhow::Result;
+use std::process::ExitCode;
+
+/// What `quetzalhill` prints without a command.
+pub const USAGE: &str = "\
+quetzalhill is a layer-4 load balancer for long-lived connections.
+
+Usage:
+    quetzalhill <command> [<arguments>...]
+    quetzalhill <command> --help
+
+Commands:
+    run        Run an entry instance.
+";
+
+/// Exit code of a command line that names no command, as most programs use it.
+const EXIT_USAGE: u8 = 2;
+
+/// Name of a command on the command line.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CommandName {
+    Run,
+}
+
+impl CommandName {
+    fn parse(name: &str) -> Option<Self> {
+        match name {
+            "run" => Some(CommandName::Run),
+            _ => None,
+        }
+    }
+}
+
+/// Runs the command that `argv` names and returns the exit code of the process.
+pub fn main(argv: &[&str]) -> ExitCode {
+    if matches!(argv.get(1), Some(&("--help" | "help"))) {
+        print!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    let Some(command) = argv.get(1).and_then(|name| CommandName::parse(name)) else {
+        eprint!("{USAGE}");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    match run(command, argv) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("quetzalhill: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: CommandName, argv: &[&str]) -> Result<ExitCode> {
+    match command {
+        CommandName::Run => run::run(argv),
+    }
+}
+
+/// Reads the arguments of a command, or prints its help or what is wrong with them.
+///
+/// # Errors
+///
+/// Returns the exit code with which the process ends.
+pub fn parse_args<T: argh::FromArgs>(argv: &[&str]) -> Result<T, ExitCode> {
+    let split = argv.len().min(2);
+    T::from_args(&argv[..split], &argv[split..]).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}", exit.output);
+            ExitCode::from(EXIT_USAGE)
+        }
+    })
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,4 +1,7 @@
 //! The entry instance, which forwards packets between callers and agents, and the operators' commands.
 
+pub mod cmd;
+pub mod run;
 pub mod settings;
 pub mod shared;
+pub mod traffic;
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,9 @@
+//! The binary `quetzalhill`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let argv: Vec<String> = std::env::args().collect();
+    let argv: Vec<&str> = argv.iter().map(String::as_str).collect();
+    quetzalhill::cmd::main(&argv)
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,83 @@
+//! Start and stop of a whole entry within one process.
+
+use crate::settings::EntrySettings;
+use crate::shared::SharedState;
+use crate::traffic::{self, TrafficHandle};
+use anyhow::Result;
+use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::keys::read_ring;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::Duration;
+
+/// A running entry.
+#[derive(Debug)]
+pub struct EntryHandle {
+    state: Arc<SharedState>,
+    traffic: TrafficHandle,
+    linger: Duration,
+}
+
+/// Starts an entry as threads of this process.
+///
+/// # Errors
+///
+/// Says which key file or address is wrong, or which thread could not be started.
+pub fn start(settings: EntrySettings) -> Result<EntryHandle> {
+    let node = &settings.node;
+    let ring = read_ring(&node.control_key, node.previous_key.as_deref())?;
+    let state = SharedState::new(ring);
+    let traffic = traffic::start(&settings, Arc::clone(&state))?;
+    // The control thread starts here, after the sockets are bound: `control::start(&settings, state)`.
+    emit(
+        EventCode::EntryStarted,
+        &[("zone", &node.zone), ("data", &traffic.data_address())],
+    );
+    Ok(EntryHandle {
+        state,
+        traffic,
+        linger: Duration::from_secs(settings.entry.linger_s.into()),
+    })
+}
+
+impl EntryHandle {
+    /// Returns the snapshots that the traffic threads read, and their counters.
+    pub fn state(&self) -> &Arc<SharedState> {
+        &self.state
+    }
+
+    /// Returns the bound addresses for callers, in the order of the settings.
+    pub fn listen_addresses(&self) -> &[SocketAddrV4] {
+        self.traffic.listen_addresses()
+    }
+
+    /// Returns the bound address on which packets from agents arrive.
+    pub fn data_address(&self) -> SocketAddrV4 {
+        self.traffic.data_address()
+    }
+
+    /// Stops gracefully: forwards for the time that the settings give, so that the fabric and the agents can turn
+    /// to other entries, and ends the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a thread had panicked.
+    pub fn stop(self) -> Result<()> {
+        // The control thread announces here that the entry leaves, before the wait.
+        sleep(self.linger);
+        self.stop_now()
+    }
+
+    /// Ends the threads without the wait, as when the instance fails.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a thread had panicked.
+    pub fn stop_now(self) -> Result<()> {
+        let data = self.traffic.data_address();
+        self.traffic.stop()?;
+        emit(EventCode::EntryStopped, &[("data", &data)]);
+        Ok(())
+    }
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the control thread of an entry publishes for its traffic threads.
 
+use crate::traffic::counters::TrafficCounters;
 use arc_swap::ArcSwap;
 use quetzalhill_core::route::RouteTable;
 use quetzalhill_wire::key::KeyRing;
@@ -13,6 +14,8 @@
     pub routes: ArcSwap<RouteTable>,
     /// Valid control keys.
     pub ring: ArcSwap<KeyRing>,
+    /// What the traffic threads counted; only they write it.
+    pub counters: TrafficCounters,
     /// Set when the traffic threads have to end.
     pub stop: AtomicBool,
 }
@@ -23,6 +26,7 @@
         Arc::new(Self {
             routes: ArcSwap::from_pointee(RouteTable::default()),
             ring: ArcSwap::from_pointee(ring),
+            counters: TrafficCounters::default(),
             stop: AtomicBool::new(false),
         })
     }
--- /dev/null
+++ b/crates/entry/src/traffic/counters.rs
@@ -0,0 +1,157 @@
+//! Counters of the traffic threads, read by the control thread for metrics.
+
+use quetzalhill_core::packet::PacketDrop;
+use quetzalhill_wire::packet::{DropReason, PacketDirection};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Why a traffic thread dropped a packet.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum TrafficDrop {
+    /// The packet filter chain dropped it.
+    Packet(PacketDrop),
+    /// It is too long, or not a valid datagram of an agent.
+    Datagram(DropReason),
+    /// A datagram for an agent arrived where those for callers arrive.
+    Direction,
+    /// An agent of another service sent it.
+    Service,
+    /// No socket for callers has the service address.
+    Listener,
+    /// The socket failed to receive.
+    Receive,
+    /// The socket failed to send.
+    Send,
+}
+
+const DATAGRAM_REASONS: [DropReason; 7] = [
+    DropReason::Short,
+    DropReason::Long,
+    DropReason::Version,
+    DropReason::Kind,
+    DropReason::Key,
+    DropReason::Tag,
+    DropReason::Body,
+];
+
+const OTHER_REASONS: [TrafficDrop; 5] = [
+    TrafficDrop::Direction,
+    TrafficDrop::Service,
+    TrafficDrop::Listener,
+    TrafficDrop::Receive,
+    TrafficDrop::Send,
+];
+
+const DATAGRAM_START: usize = PacketDrop::ALL.len();
+const OTHER_START: usize = DATAGRAM_START + DATAGRAM_REASONS.len();
+const REASON_COUNT: usize = OTHER_START + OTHER_REASONS.len();
+
+impl TrafficDrop {
+    /// Returns all reasons.
+    pub fn all() -> impl Iterator<Item = TrafficDrop> {
+        let packet = PacketDrop::ALL.into_iter().map(TrafficDrop::Packet);
+        let datagram = DATAGRAM_REASONS.into_iter().map(TrafficDrop::Datagram);
+        packet.chain(datagram).chain(OTHER_REASONS)
+    }
+
+    /// Returns the position of the reason in [`TrafficDrop::all`].
+    pub fn index(self) -> usize {
+        match self {
+            TrafficDrop::Packet(reason) => reason.index(),
+            TrafficDrop::Datagram(DropReason::Short) => DATAGRAM_START,
+            TrafficDrop::Datagram(DropReason::Long) => DATAGRAM_START + 1,
+            TrafficDrop::Datagram(DropReason::Version) => DATAGRAM_START + 2,
+            TrafficDrop::Datagram(DropReason::Kind) => DATAGRAM_START + 3,
+            TrafficDrop::Datagram(DropReason::Key) => DATAGRAM_START + 4,
+            TrafficDrop::Datagram(DropReason::Tag) => DATAGRAM_START + 5,
+            TrafficDrop::Datagram(DropReason::Body) => DATAGRAM_START + 6,
+            TrafficDrop::Direction => OTHER_START,
+            TrafficDrop::Service => OTHER_START + 1,
+            TrafficDrop::Listener => OTHER_START + 2,
+            TrafficDrop::Receive => OTHER_START + 3,
+            TrafficDrop::Send => OTHER_START + 4,
+        }
+    }
+
+    /// Returns the name used in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            TrafficDrop::Packet(reason) => reason.name(),
+            TrafficDrop::Datagram(DropReason::Short) => "datagram-short",
+            TrafficDrop::Datagram(DropReason::Long) => "datagram-long",
+            TrafficDrop::Datagram(DropReason::Version) => "datagram-version",
+            TrafficDrop::Datagram(DropReason::Kind) => "datagram-kind",
+            TrafficDrop::Datagram(DropReason::Key) => "datagram-key",
+            TrafficDrop::Datagram(DropReason::Tag) => "datagram-tag",
+            TrafficDrop::Datagram(DropReason::Body) => "datagram-body",
+            TrafficDrop::Direction => "direction",
+            TrafficDrop::Service => "agent-service",
+            TrafficDrop::Listener => "listener",
+            TrafficDrop::Receive => "receive",
+            TrafficDrop::Send => "send",
+        }
+    }
+}
+
+/// Counters of the packets that go one way.
+///
+/// Each direction has cache lines of its own, because different threads write them.
+#[derive(Debug, Default)]
+#[repr(align(128))]
+pub struct DirectionCounters {
+    packets: AtomicU64,
+    bytes: AtomicU64,
+    drops: [AtomicU64; REASON_COUNT],
+}
+
+impl DirectionCounters {
+    /// Counts a forwarded packet with a payload of `bytes`.
+    pub(super) fn forwarded(&self, bytes: usize) {
+        self.packets.fetch_add(1, Ordering::Relaxed);
+        // CAST: Datagram lengths fit 64 bits on every supported target.
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Counts a dropped packet.
+    pub(super) fn dropped(&self, reason: TrafficDrop) {
+        self.drops[reason.index()].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of forwarded packets.
+    pub fn packets(&self) -> u64 {
+        self.packets.load(Ordering::Relaxed)
+    }
+
+    /// Returns the bytes of the forwarded payloads.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of packets dropped for one reason.
+    pub fn drops(&self, reason: TrafficDrop) -> u64 {
+        self.drops[reason.index()].load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of packets dropped for any reason.
+    pub fn all_drops(&self) -> u64 {
+        TrafficDrop::all().map(|reason| self.drops(reason)).sum()
+    }
+}
+
+/// Counters of both directions, summed over all traffic threads.
+#[derive(Debug, Default)]
+pub struct TrafficCounters {
+    /// Packets from callers.
+    pub to_agent: DirectionCounters,
+    /// Packets from agents.
+    pub to_caller: DirectionCounters,
+}
+
+impl TrafficCounters {
+    /// Returns the counters of one direction.
+    pub fn of(&self, direction: PacketDirection) -> &DirectionCounters {
+        match direction {
+            PacketDirection::ToAgent => &self.to_agent,
+            PacketDirection::ToCaller => &self.to_caller,
+        }
+    }
+}
