Announce endpoints to entries and publish route tables

Cause: entries have no endpoints to route to, and agents know neither peers, nor entries, nor their service.

Change: agents announce their record to up to three entries of their zone and, on a change of state, to all entries they know. Entries keep the records and publish the route table from them and the catalogue in force. The answers give the agent its peers, live entries and service. The announcement messages move from the wire package to core, because decisions use them.

Gossip among entries and the catalogue fetch over TCP are missing; the service entry travels in the answer to an announcement until then.

--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 /// One view of the system, as the control thread of an agent knows it; published whole and never changed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AgentView {
     /// Life of this agent.
     pub incarnation: IncarnationNumber,
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -34,6 +34,9 @@
 /// Revision of the catalogue; rises by one with each accepted change.
 pub type RevisionNumber = u64;
 
+/// Digest of a catalogue or of a set of records.
+pub type DigestValue = u64;
+
 /// Identity of one request, unique over all agents and kept when the request is handed over.
 pub type RequestId = u128;
 
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -9,6 +9,11 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 
+pub mod announce;
+pub mod controller;
+pub mod message;
+pub mod routes;
+
 /// What an endpoint says of itself; ordered so that a later state of one incarnation wins.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum EndpointState {
@@ -22,6 +27,21 @@
     Left,
 }
 
+/// Orders the records of one endpoint; a higher version replaces a lower one.
+///
+/// Within one incarnation only the agent raises the sequence number, and an entry that removes a silent endpoint
+/// keeps it. So an agent that was removed by mistake returns with a higher sequence number, and its connection
+/// IDs, which carry the incarnation, stay valid.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RecordVersion {
+    /// Life of the agent.
+    pub incarnation: IncarnationNumber,
+    /// Counts the changes within that life.
+    pub sequence: u32,
+    /// State, which only moves forward under one sequence number.
+    pub state: EndpointState,
+}
+
 /// What an agent announces of its endpoint.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EndpointRecord {
@@ -51,10 +71,18 @@
         address_of(self.id)
     }
 
+    /// Returns the part of the record that orders it among the records of the same endpoint.
+    pub fn version(&self) -> RecordVersion {
+        RecordVersion {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            state: self.state,
+        }
+    }
+
     /// Returns whether this record replaces `other` of the same endpoint.
     pub fn supersedes(&self, other: &EndpointRecord) -> bool {
-        (self.incarnation, self.sequence, self.state)
-            > (other.incarnation, other.sequence, other.state)
+        self.version() > other.version()
     }
 }
 
--- /dev/null
+++ b/crates/core/src/member/announce.rs
@@ -0,0 +1,390 @@
+//! Decides to which entries an agent announces its endpoint, and merges what they answer.
+
+use super::message::{AnnounceBeat, AnnounceReply, CatalogueStamp, MemberMessage, OutgoingMessage};
+use super::{EndpointRecord, EndpointState, EntryRecord, RecordVersion};
+use crate::catalogue::ServiceEntry;
+use crate::ids::{address_of, id_of, DigestValue, EntryId, RevisionNumber, ServiceNumber};
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use rand::Rng;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Time between two announcements to one entry.
+pub const BEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Entries that hear every announcement.
+pub const SPONSORS: usize = 3;
+
+/// Time between copies of a change until an entry confirms it.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Copies of a change that an entry gets at most; half of them lost leaves one in 1,000 entries without any.
+const REPEATS: u8 = 10;
+
+/// Time between two requests for a sample of live entries.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Time without an answer after which an entry that hears every announcement counts as gone.
+const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time for which an entry counts as alive after another entry has named it.
+const NAMED_LIMIT: Duration = Duration::from_secs(12);
+
+/// Most entries that an agent knows; gossip among entries reaches the others.
+const ENTRIES_MAX: usize = 64;
+
+#[derive(Debug)]
+struct ContactState {
+    record: Option<EntryRecord>,
+    seed: bool,
+    /// When an answer is missing; set by an announcement and cleared by its answer.
+    missing_at: Option<Instant>,
+    /// When the entry is forgotten unless it answers or is named again.
+    expires: Instant,
+    known: Option<RecordVersion>,
+    repeats_left: u8,
+    repeat_at: Instant,
+}
+
+/// What changed for the traffic side.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct AnnounceChange {
+    /// Peers, entries, service, incarnation or state differ from before.
+    pub view: bool,
+    /// An entry has this catalogue, which is newer than the agent's.
+    pub newer: Option<(EntryId, CatalogueStamp)>,
+}
+
+/// Owns the record of one endpoint and what its agent knows of entries and peers.
+#[derive(Debug)]
+pub struct AnnounceController {
+    record: EndpointRecord,
+    service: Option<ServiceEntry>,
+    revision: RevisionNumber,
+    contacts: BTreeMap<EntryId, ContactState>,
+    peers: BTreeMap<u64, EndpointRecord>,
+    beat: u64,
+    next_beat: Instant,
+    next_refresh: Instant,
+}
+
+impl AnnounceController {
+    /// Makes the controller of an agent whose settings name `seeds` for the first contact.
+    pub fn new(record: EndpointRecord, seeds: &[SocketAddrV4], now: Instant) -> Self {
+        let mut contacts = BTreeMap::new();
+        for &seed in seeds {
+            contacts.insert(id_of(seed), ContactState::new(None, true, now));
+        }
+        Self {
+            record,
+            service: None,
+            revision: 0,
+            contacts,
+            peers: BTreeMap::new(),
+            beat: 0,
+            next_beat: now,
+            next_refresh: now,
+        }
+    }
+
+    /// Returns the record that is announced.
+    pub fn record(&self) -> &EndpointRecord {
+        &self.record
+    }
+
+    /// Returns the catalogue revision of the agent's service.
+    pub fn revision(&self) -> RevisionNumber {
+        self.revision
+    }
+
+    /// Returns the agent's service in the catalogue.
+    pub fn service(&self) -> Option<&ServiceEntry> {
+        self.service.as_ref()
+    }
+
+    /// Returns the other endpoints of the service that are ready.
+    pub fn ready_peers(&self) -> Vec<EndpointRecord> {
+        let ready = |peer: &&EndpointRecord| peer.state == EndpointState::Ready;
+        self.peers.values().filter(ready).cloned().collect()
+    }
+
+    /// Returns the entries that are believed to be alive.
+    pub fn live_entries(&self, now: Instant) -> Vec<EntryRecord> {
+        let alive = self.contacts.values().filter(|contact| contact.alive(now));
+        alive.filter_map(|contact| contact.record.clone()).collect()
+    }
+
+    /// Moves the endpoint to a later state; an earlier one is ignored.
+    pub fn set_state(&mut self, state: EndpointState, now: Instant) -> bool {
+        if state <= self.record.state {
+            return false;
+        }
+        self.record.state = state;
+        self.raise_sequence(now);
+        true
+    }
+
+    /// Takes the agent's service from a newer catalogue revision; an older one is ignored.
+    pub fn set_service(
+        &mut self,
+        revision: RevisionNumber,
+        service: Option<ServiceEntry>,
+        now: Instant,
+    ) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        self.revision = revision;
+        let number: ServiceNumber = service.as_ref().map_or(0, |entry| entry.number);
+        self.service = service;
+        if number != self.record.number {
+            self.record.number = number;
+            self.raise_sequence(now);
+        }
+        true
+    }
+
+    fn raise_sequence(&mut self, now: Instant) {
+        self.record.sequence += 1;
+        for contact in self.contacts.values_mut() {
+            contact.repeats_left = REPEATS;
+            contact.repeat_at = now;
+        }
+    }
+
+    /// Returns when [`AnnounceController::tick`] is due.
+    pub fn next_deadline(&self) -> Instant {
+        let mut deadline = self.next_beat;
+        for contact in self.contacts.values() {
+            if contact.repeats_left > 0 {
+                deadline = deadline.min(contact.repeat_at);
+            }
+        }
+        deadline
+    }
+
+    /// Returns the announcements that are due.
+    pub fn tick(&mut self, now: Instant, rng: &mut SmallRng) -> Vec<OutgoingMessage> {
+        let mut receivers = Vec::new();
+        self.contacts
+            .retain(|_, contact| contact.seed || contact.expires > now);
+        if self.next_beat <= now {
+            // The jitter keeps agents that started together from announcing together.
+            self.next_beat = now + BEAT_INTERVAL.mul_f64(rng.random_range(0.9..1.1));
+            receivers = self.sponsors(now);
+        }
+        for (&id, contact) in &mut self.contacts {
+            if contact.repeats_left == 0 || contact.repeat_at > now {
+                continue;
+            }
+            contact.repeats_left -= 1;
+            contact.repeat_at = now + REPEAT_INTERVAL;
+            if !receivers.contains(&id) {
+                receivers.push(id);
+            }
+        }
+        let mut refresh = false;
+        if !receivers.is_empty() && self.next_refresh <= now {
+            self.next_refresh = now + REFRESH_INTERVAL;
+            refresh = true;
+            receivers.extend(self.silent_contact(now, rng));
+        }
+        let announce = |id| self.announce(id, refresh, now);
+        receivers.into_iter().map(announce).collect()
+    }
+
+    /// Chooses entries of the own zone by rendezvous hashing, then others, and the seeds until enough answer.
+    fn sponsors(&self, now: Instant) -> Vec<EntryId> {
+        let mut ranked: Vec<_> = self
+            .contacts
+            .iter()
+            .map(|(&id, contact)| (contact.rank(&self.record, now), self.score(id), id))
+            .collect();
+        ranked.sort_unstable();
+        ranked.iter().take(SPONSORS).map(|&(_, _, id)| id).collect()
+    }
+
+    /// Returns one entry that does not answer, because it may answer again after a pause.
+    fn silent_contact(&self, now: Instant, rng: &mut SmallRng) -> Option<EntryId> {
+        let silent = self
+            .contacts
+            .iter()
+            .filter(|(_, contact)| !contact.answers(now));
+        silent.map(|(&id, _)| id).choose(rng)
+    }
+
+    fn score(&self, id: EntryId) -> u64 {
+        xxh3_64_with_seed(&id.to_le_bytes(), self.record.id)
+    }
+
+    fn announce(&mut self, id: EntryId, refresh: bool, now: Instant) -> OutgoingMessage {
+        let version = self.record.version();
+        let digest = peers_digest(self.peers.values());
+        self.beat += 1;
+        let mut record = Some(self.record.clone());
+        let mut first = true;
+        if let Some(contact) = self.contacts.get_mut(&id) {
+            first = contact.record.is_none();
+            if contact.known == Some(version) {
+                record = None;
+            }
+            contact.missing_at.get_or_insert(now + ANSWER_LIMIT);
+        }
+        OutgoingMessage {
+            to: address_of(id),
+            message: MemberMessage::Announce(AnnounceBeat {
+                id: self.record.id,
+                version,
+                beat: self.beat,
+                revision: self.revision,
+                peers: digest,
+                refresh: refresh || first,
+                record,
+            }),
+        }
+    }
+
+    /// Merges the answer of the entry whose control address is `from`.
+    pub fn receive(
+        &mut self,
+        from: SocketAddrV4,
+        reply: AnnounceReply,
+        now: Instant,
+    ) -> AnnounceChange {
+        let mut change = AnnounceChange::default();
+        let id = id_of(from);
+        let own = self.record.version();
+        change.view |= self.refute(reply.known, now);
+        let Some(contact) = self.contacts.get_mut(&id) else {
+            return change;
+        };
+        change.view |= !contact.alive(now);
+        contact.missing_at = None;
+        contact.expires = now + NAMED_LIMIT;
+        contact.known = reply.known;
+        if reply.known == Some(own) && own == self.record.version() {
+            contact.repeats_left = 0;
+        }
+        for entry in reply.entries {
+            change.view |= self.learn_entry(entry, now);
+        }
+        if let Some(peers) = reply.peers {
+            change.view |= self.learn_peers(peers);
+        }
+        if reply.stamp.revision > self.revision {
+            change.newer = Some((id, reply.stamp));
+        }
+        change
+    }
+
+    /// Rises above a version that an entry has and that this agent did not announce.
+    fn refute(&mut self, known: Option<RecordVersion>, now: Instant) -> bool {
+        let Some(known) = known else {
+            return false;
+        };
+        if known <= self.record.version() {
+            return false;
+        }
+        if known.incarnation > self.record.incarnation {
+            self.record.incarnation = known.incarnation + 1;
+        }
+        self.record.sequence = self.record.sequence.max(known.sequence);
+        self.raise_sequence(now);
+        true
+    }
+
+    fn learn_entry(&mut self, entry: EntryRecord, now: Instant) -> bool {
+        if let Some(contact) = self.contacts.get_mut(&entry.id) {
+            contact.expires = now + NAMED_LIMIT;
+            if contact.record.as_ref() == Some(&entry) {
+                return false;
+            }
+            let newer = |old: &EntryRecord| old.incarnation <= entry.incarnation;
+            if contact.record.as_ref().is_none_or(newer) {
+                contact.record = Some(entry);
+                contact.missing_at = None;
+            }
+            return true;
+        }
+        if self.contacts.len() >= ENTRIES_MAX {
+            return false;
+        }
+        let contact = ContactState::new(Some(entry.clone()), false, now);
+        self.contacts.insert(entry.id, contact);
+        true
+    }
+
+    fn learn_peers(&mut self, peers: Vec<EndpointRecord>) -> bool {
+        let before = peers_digest(self.peers.values());
+        let mut merged = BTreeMap::new();
+        for peer in peers {
+            if peer.id == self.record.id || peer.service != self.record.service {
+                continue;
+            }
+            let kept = match self.peers.remove(&peer.id) {
+                Some(old) if old.supersedes(&peer) => old,
+                _ => peer,
+            };
+            merged.insert(kept.id, kept);
+        }
+        self.peers = merged;
+        before != peers_digest(self.peers.values())
+    }
+}
+
+impl ContactState {
+    fn new(record: Option<EntryRecord>, seed: bool, now: Instant) -> Self {
+        Self {
+            record,
+            seed,
+            missing_at: None,
+            expires: now + NAMED_LIMIT,
+            known: None,
+            repeats_left: 0,
+            repeat_at: now,
+        }
+    }
+
+    fn answers(&self, now: Instant) -> bool {
+        self.missing_at.is_none_or(|deadline| deadline > now)
+    }
+
+    fn alive(&self, now: Instant) -> bool {
+        self.record.is_some() && self.answers(now) && self.expires > now
+    }
+
+    /// Orders entries of the own zone before others, and those that do not answer last.
+    fn rank(&self, own: &EndpointRecord, now: Instant) -> u8 {
+        if !self.answers(now) {
+            return 3;
+        }
+        match &self.record {
+            Some(record) if record.zone == own.zone => 0,
+            None => 1,
+            Some(_) => 2,
+        }
+    }
+}
+
+/// Returns the digest of the versions of a service's endpoints, in the order of their ids.
+pub fn peers_digest<'a>(peers: impl Iterator<Item = &'a EndpointRecord>) -> DigestValue {
+    let mut digest = 0;
+    for peer in peers {
+        digest ^= record_digest(peer);
+    }
+    digest
+}
+
+/// Returns the digest of one record's identity and version.
+pub fn record_digest(record: &EndpointRecord) -> DigestValue {
+    let mut bytes = [0_u8; 21];
+    bytes[..8].copy_from_slice(&record.id.to_le_bytes());
+    bytes[8..16].copy_from_slice(&record.incarnation.to_le_bytes());
+    bytes[16..20].copy_from_slice(&record.sequence.to_le_bytes());
+    // CAST: The enum has four values.
+    bytes[20] = record.state as u8;
+    xxh3_64(&bytes)
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -3,38 +3,15 @@
 use crate::key::{KeyRing, TAG_BYTES};
 use crate::packet::{DropReason, DATAGRAM_MAX, KIND_CONTROL, PREFIX_BYTES, WIRE_VERSION};
 use quetzalhill_core::dispatch::LoadReport;
-use quetzalhill_core::ids::{EndpointId, RevisionNumber};
-use quetzalhill_core::member::{EndpointRecord, EntryRecord};
+use quetzalhill_core::ids::EndpointId;
+use quetzalhill_core::member::message::MemberMessage;
 use serde::{Deserialize, Serialize};
 
-/// Digest of a catalogue or of a set of records.
-pub type DigestValue = u64;
-
 /// Everything that control sockets receive.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum ControlMessage {
-    /// An agent tells an entry of its endpoint.
-    Announce {
-        /// The endpoint.
-        record: EndpointRecord,
-        /// Counts the announcements of this incarnation, so that late copies are dropped.
-        beat: u64,
-        /// Catalogue revision that the agent has in force.
-        revision: RevisionNumber,
-    },
-    /// An entry answers an announcement.
-    AnnounceAck {
-        /// Announcement that is answered.
-        beat: u64,
-        /// Catalogue revision that the entry has in force.
-        revision: RevisionNumber,
-        /// Digest of that catalogue.
-        digest: DigestValue,
-        /// Some live entries.
-        entries: Vec<EntryRecord>,
-        /// Endpoints of the agent's service, as many as fit.
-        peers: Vec<EndpointRecord>,
-    },
+    /// Membership between agents and entries and among entries.
+    Member(Box<MemberMessage>),
     /// An agent tells a peer of its load.
     Load {
         /// The endpoint that reports.
