--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry instance, which forwards packets between callers and agents, and the operators' commands.
 
 pub mod cmd;
+pub mod control;
 pub mod run;
 pub mod settings;
 pub mod shared;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,5 +1,6 @@
 //! Start and stop of a whole entry within one process.
 
+use crate::control::{self, CatalogueSender, ControlHandle};
 use crate::settings::EntrySettings;
 use crate::shared::SharedState;
 use crate::traffic::{self, TrafficHandle};
@@ -16,6 +17,7 @@
 pub struct EntryHandle {
     state: Arc<SharedState>,
     traffic: TrafficHandle,
+    control: ControlHandle,
     linger: Duration,
 }
 
@@ -29,7 +31,7 @@
     let ring = read_ring(&node.control_key, node.previous_key.as_deref())?;
     let state = SharedState::new(ring);
     let traffic = traffic::start(&settings, Arc::clone(&state))?;
-    // The control thread starts here, after the sockets are bound: `control::start(&settings, state)`.
+    let control = control::start(&settings, Arc::clone(&state))?;
     emit(
         EventCode::EntryStarted,
         &[("zone", &node.zone), ("data", &traffic.data_address())],
@@ -37,6 +39,7 @@
     Ok(EntryHandle {
         state,
         traffic,
+        control,
         linger: Duration::from_secs(settings.entry.linger_s.into()),
     })
 }
@@ -57,6 +60,11 @@
         self.traffic.data_address()
     }
 
+    /// Returns where validated catalogue snapshots are handed in.
+    pub fn catalogue(&self) -> CatalogueSender {
+        self.control.catalogue()
+    }
+
     /// Stops gracefully: forwards for the time that the settings give, so that the fabric and the agents can turn
     /// to other entries, and ends the threads.
     ///
@@ -64,9 +72,10 @@
     ///
     /// Returns an error if a thread had panicked.
     pub fn stop(self) -> Result<()> {
-        // The control thread announces here that the entry leaves, before the wait.
+        // The other entries and the agents hear first that this one leaves, and still reach it meanwhile.
+        self.control.stop()?;
         sleep(self.linger);
-        self.stop_now()
+        stop_traffic(self.traffic)
     }
 
     /// Ends the threads without the wait, as when the instance fails.
@@ -75,9 +84,14 @@
     ///
     /// Returns an error if a thread had panicked.
     pub fn stop_now(self) -> Result<()> {
-        let data = self.traffic.data_address();
-        self.traffic.stop()?;
-        emit(EventCode::EntryStopped, &[("data", &data)]);
-        Ok(())
+        self.control.stop()?;
+        stop_traffic(self.traffic)
     }
 }
+
+fn stop_traffic(traffic: TrafficHandle) -> Result<()> {
+    let data = traffic.data_address();
+    traffic.stop()?;
+    emit(EventCode::EntryStopped, &[("data", &data)]);
+    Ok(())
+}
