Add the store client and a stand-in for the platform's store

Cause: The catalogue lives in a key-value service with compare-and-swap, leases and watches, and nothing spoke to it yet.

Change: `CatalogueStore` is the boundary; `EtcdStore` speaks the etcd v3 API in HTTP/JSON form and enforces a budget of calls. Errors separate "not applied" from "unknown". The stand-in answers the same API from memory and can refuse, stay silent, slow down, lose an answer, compact and roll back. The HTTP client reports a connection that closes before the answer as a connect error without a cause; that one counts as unknown.

Conclusion: A lost answer, an outage and a race lead to distinct values that callers can act on.

--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,190 @@
+//! Stand-in for the platform's key-value service: the etcd v3 API in its HTTP/JSON form, from memory.
+//!
+//! It implements what quetzalhill uses: range, transaction, lease grant, keep-alive and revoke, and watch.
+
+mod http;
+mod state;
+
+use ntex::rt::{DefaultRuntime, System};
+use ntex::web::{App, HttpServer};
+use state::StoreState;
+pub use state::{StandinCounts, StandinMode};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// How often a restart tries to bind the address while the old listener closes.
+const BIND_ATTEMPTS: u32 = 100;
+
+/// Time between two attempts to bind.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// State that the handle and the web server share.
+pub(crate) type SharedStore = Arc<Mutex<StoreState>>;
+
+/// Locks the state; a handler that panicked does not make the rest of a test fail in obscure ways.
+pub(crate) fn lock(state: &SharedStore) -> MutexGuard<'_, StoreState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The thread of a running web server.
+#[derive(Debug)]
+struct RunningServer {
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+/// A store on a thread of its own; its content outlives [`StoreStandin::stop`].
+#[derive(Debug)]
+pub struct StoreStandin {
+    address: SocketAddr,
+    state: SharedStore,
+    server: Option<RunningServer>,
+}
+
+impl StoreStandin {
+    /// Starts an empty store; port 0 lets the system choose one.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound or the thread cannot be started.
+    pub fn start(address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(StoreState::default()));
+        let server = serve(listener, state.clone())?;
+        Ok(Self {
+            address,
+            state,
+            server: Some(server),
+        })
+    }
+
+    /// Returns the address of the store.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the base address for a client.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Stops the server, so that connections are refused; open watches end.
+    pub fn stop(&mut self) {
+        let Some(server) = self.server.take() else {
+            return;
+        };
+        lock(&self.state).end_watches();
+        // The thread may have ended already.
+        let _ = server.stop.send(());
+        let _ = server.thread.join();
+    }
+
+    /// Starts the server again at the same address and with the same content.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound within two seconds or the thread cannot be started.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.stop();
+        let mut attempt = 0;
+        let listener = loop {
+            match TcpListener::bind(self.address) {
+                Ok(listener) => break listener,
+                Err(error) if attempt == BIND_ATTEMPTS => return Err(error),
+                Err(_) => attempt += 1,
+            }
+            thread::sleep(BIND_PAUSE);
+        };
+        self.server = Some(serve(listener, self.state.clone())?);
+        Ok(())
+    }
+
+    /// Sets how calls are answered from now on.
+    pub fn set_mode(&self, mode: StandinMode) {
+        lock(&self.state).set_mode(mode);
+    }
+
+    /// Lets the next transaction take effect and closes its connection instead of answering.
+    pub fn lose_next_answer(&self) {
+        lock(&self.state).lose_next = true;
+    }
+
+    /// Returns to the content at an earlier revision, as a store restored from an old copy; open watches end.
+    pub fn roll_back(&self, revision: i64) {
+        lock(&self.state).roll_back(revision);
+    }
+
+    /// Drops the history up to `revision`, so that no watch can start there.
+    pub fn compact(&self, revision: i64) {
+        lock(&self.state).compacted = revision;
+    }
+
+    /// Returns the current revision.
+    pub fn revision(&self) -> i64 {
+        lock(&self.state).revision
+    }
+
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let mut state = lock(&self.state);
+        state.expire();
+        state.value(key.as_bytes())
+    }
+
+    /// Writes a key directly, as another client would.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        lock(&self.state).put_now(key.as_bytes(), value);
+    }
+
+    /// Returns the keys that start with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let mut state = lock(&self.state);
+        state.expire();
+        state.keys(prefix.as_bytes())
+    }
+
+    /// Returns the calls so far.
+    pub fn counts(&self) -> StandinCounts {
+        lock(&self.state).counts()
+    }
+}
+
+impl Drop for StoreStandin {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn serve(listener: TcpListener, state: SharedStore) -> io::Result<RunningServer> {
+    let (stop, stopped) = oneshot::channel();
+    let thread = thread::Builder::new()
+        .name("store-standin".into())
+        .spawn(move || {
+            let system = System::new("store-standin", DefaultRuntime);
+            // The handle reports a server that does not answer through the failing calls of the test.
+            let _ = system.block_on(run(listener, state, stopped));
+        })?;
+    Ok(RunningServer { stop, thread })
+}
+
+async fn run(
+    listener: TcpListener,
+    state: SharedStore,
+    stopped: oneshot::Receiver<()>,
+) -> io::Result<()> {
+    let server =
+        HttpServer::new(async move || App::new().state(state.clone()).configure(http::configure))
+            .workers(1)
+            .disable_signals()
+            .listen(listener)?
+            .run();
+    // A dropped handle counts as a stop.
+    let _ = stopped.await;
+    server.stop(false).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/store/state.rs
@@ -0,0 +1,301 @@
+//! Content of the store and its rules.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::UnboundedSender;
+
+/// How calls are answered.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StandinMode {
+    /// At once.
+    #[default]
+    Normal,
+    /// After a pause; the effect takes place after it.
+    Slow(Duration),
+    /// Connections are accepted and calls are never answered nor take effect.
+    Silent,
+    /// Every call is answered with status 503.
+    Unavailable,
+}
+
+/// Calls that the store has received.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StandinCounts {
+    /// Reads.
+    pub reads: u64,
+    /// Transactions.
+    pub writes: u64,
+    /// Calls on leases.
+    pub leases: u64,
+    /// Watches opened.
+    pub watches: u64,
+    /// Watches that are open now.
+    pub open_watches: usize,
+}
+
+/// A value with its revisions.
+#[derive(Clone, Debug)]
+pub(super) struct StoredValue {
+    pub(super) value: Vec<u8>,
+    pub(super) create_revision: i64,
+    pub(super) mod_revision: i64,
+    pub(super) version: i64,
+    pub(super) lease: i64,
+}
+
+/// One change; `stored` is absent when the key was removed.
+#[derive(Clone, Debug)]
+pub(super) struct StoreEvent {
+    pub(super) revision: i64,
+    pub(super) key: Vec<u8>,
+    pub(super) stored: Option<StoredValue>,
+}
+
+/// Keys from `start` up to, and without, `end`.
+#[derive(Clone, Debug)]
+pub(super) struct ByteRange {
+    pub(super) start: Vec<u8>,
+    /// Empty for the single key `start`; a zero byte for no upper bound.
+    pub(super) end: Vec<u8>,
+}
+
+impl ByteRange {
+    pub(super) fn contains(&self, key: &[u8]) -> bool {
+        if self.end.is_empty() {
+            return key == self.start;
+        }
+        key >= self.start.as_slice() && (self.end == [0] || key < self.end.as_slice())
+    }
+}
+
+#[derive(Debug)]
+struct Watcher {
+    id: u64,
+    range: ByteRange,
+    sender: UnboundedSender<Vec<StoreEvent>>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+}
+
+/// One write of a transaction.
+#[derive(Debug)]
+pub(super) struct WireWrite {
+    pub(super) key: Vec<u8>,
+    pub(super) value: Vec<u8>,
+    pub(super) lease: i64,
+}
+
+/// Everything the store holds.
+#[derive(Debug, Default)]
+pub(crate) struct StoreState {
+    pub(super) revision: i64,
+    pub(super) compacted: i64,
+    pub(super) lose_next: bool,
+    pub(super) mode: StandinMode,
+    values: BTreeMap<Vec<u8>, StoredValue>,
+    history: Vec<StoreEvent>,
+    leases: HashMap<i64, Lease>,
+    next_lease: i64,
+    watchers: Vec<Watcher>,
+    next_watcher: u64,
+    pub(super) calls: StandinCounts,
+}
+
+impl StoreState {
+    pub(super) fn counts(&self) -> StandinCounts {
+        StandinCounts {
+            open_watches: self.watchers.len(),
+            ..self.calls
+        }
+    }
+
+    pub(super) fn set_mode(&mut self, mode: StandinMode) {
+        self.mode = mode;
+        if matches!(mode, StandinMode::Silent | StandinMode::Unavailable) {
+            self.end_watches();
+        }
+    }
+
+    pub(super) fn end_watches(&mut self) {
+        self.watchers.clear();
+    }
+
+    pub(super) fn value(&self, key: &[u8]) -> Option<Vec<u8>> {
+        self.values.get(key).map(|stored| stored.value.clone())
+    }
+
+    pub(super) fn stored(&self, key: &[u8]) -> Option<&StoredValue> {
+        self.values.get(key)
+    }
+
+    pub(super) fn keys(&self, prefix: &[u8]) -> Vec<String> {
+        self.values
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .map(|key| String::from_utf8_lossy(key).into_owned())
+            .collect()
+    }
+
+    pub(super) fn range(&self, range: &ByteRange) -> Vec<(&Vec<u8>, &StoredValue)> {
+        self.values
+            .iter()
+            .filter(|(key, _)| range.contains(key))
+            .collect()
+    }
+
+    /// Applies writes at one new revision and reports them to the watches.
+    pub(super) fn apply(&mut self, writes: Vec<WireWrite>) {
+        if writes.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        let mut events = Vec::with_capacity(writes.len());
+        for write in writes {
+            let old = self.values.get(&write.key);
+            let stored = StoredValue {
+                create_revision: old.map_or(self.revision, |old| old.create_revision),
+                version: old.map_or(1, |old| old.version + 1),
+                mod_revision: self.revision,
+                value: write.value,
+                lease: write.lease,
+            };
+            self.values.insert(write.key.clone(), stored.clone());
+            events.push(StoreEvent {
+                revision: self.revision,
+                key: write.key,
+                stored: Some(stored),
+            });
+        }
+        self.publish(events);
+    }
+
+    pub(super) fn put_now(&mut self, key: &[u8], value: &[u8]) {
+        self.apply(vec![WireWrite {
+            key: key.to_vec(),
+            value: value.to_vec(),
+            lease: 0,
+        }]);
+    }
+
+    fn publish(&mut self, events: Vec<StoreEvent>) {
+        self.history.extend_from_slice(&events);
+        for watcher in &self.watchers {
+            let seen: Vec<StoreEvent> = events
+                .iter()
+                .filter(|event| watcher.range.contains(&event.key))
+                .cloned()
+                .collect();
+            if !seen.is_empty() {
+                // A closed receiver is removed when its stream is dropped.
+                let _ = watcher.sender.send(seen);
+            }
+        }
+    }
+
+    /// Removes the leases that have ended and their keys.
+    pub(super) fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<i64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends <= now)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in ended {
+            self.revoke(id);
+        }
+    }
+
+    pub(super) fn grant(&mut self, ttl: Duration) -> i64 {
+        self.next_lease += 1;
+        let lease = Lease {
+            ttl,
+            ends: Instant::now() + ttl,
+        };
+        self.leases.insert(self.next_lease, lease);
+        self.next_lease
+    }
+
+    /// Renews a lease and returns its time to live, or nothing if it has ended.
+    pub(super) fn keep_alive(&mut self, id: i64) -> Option<Duration> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.ends = Instant::now() + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    pub(super) fn has_lease(&self, id: i64) -> bool {
+        self.leases.contains_key(&id)
+    }
+
+    /// Ends a lease; returns whether it existed.
+    pub(super) fn revoke(&mut self, id: i64) -> bool {
+        if self.leases.remove(&id).is_none() {
+            return false;
+        }
+        let keys: Vec<Vec<u8>> = self
+            .values
+            .iter()
+            .filter(|(_, stored)| stored.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if keys.is_empty() {
+            return true;
+        }
+        self.revision += 1;
+        let mut events = Vec::with_capacity(keys.len());
+        for key in keys {
+            self.values.remove(&key);
+            events.push(StoreEvent {
+                revision: self.revision,
+                key,
+                stored: None,
+            });
+        }
+        self.publish(events);
+        true
+    }
+
+    /// Opens a watch and returns its number with the changes that it has missed.
+    pub(super) fn open_watch(
+        &mut self,
+        range: ByteRange,
+        from: i64,
+        sender: UnboundedSender<Vec<StoreEvent>>,
+    ) -> (u64, Vec<StoreEvent>) {
+        let mut missed = Vec::new();
+        for event in &self.history {
+            if from > 0 && event.revision >= from && range.contains(&event.key) {
+                missed.push(event.clone());
+            }
+        }
+        self.next_watcher += 1;
+        self.calls.watches += 1;
+        self.watchers.push(Watcher {
+            id: self.next_watcher,
+            range,
+            sender,
+        });
+        (self.next_watcher, missed)
+    }
+
+    pub(super) fn close_watch(&mut self, id: u64) {
+        self.watchers.retain(|watcher| watcher.id != id);
+    }
+
+    pub(super) fn roll_back(&mut self, revision: i64) {
+        self.end_watches();
+        self.history.retain(|event| event.revision <= revision);
+        self.values.clear();
+        for event in &self.history {
+            match &event.stored {
+                Some(stored) => self.values.insert(event.key.clone(), stored.clone()),
+                None => self.values.remove(&event.key),
+            };
+        }
+        self.revision = revision.min(self.revision);
+    }
+}
--- /dev/null
+++ b/crates/store/src/etcd.rs
@@ -0,0 +1,267 @@
+//! Client of the etcd v3 API in its HTTP/JSON form.
+
+mod message;
+mod watch;
+
+pub use watch::EtcdWatch;
+
+use crate::api::{
+    CatalogueStore, KeyRange, LeaseGrant, LeaseId, RangeResult, StoreError, StoreRevision,
+    Transaction, TransactionOutcome,
+};
+use crate::budget::{BudgetLimits, CallBudget, CallCounts, CallKind};
+use message::{ErrorAnswer, LeaseAnswer, RangeAnswer, StreamLine, TransactionAnswer};
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, ClientResponse};
+use ntex::time::{timeout, Millis};
+use ntex::SharedCfg;
+use serde::de::DeserializeOwned;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Largest answer that is read, in bytes; 12,000 services of 400 bytes take 6.4 MB in base64.
+const ANSWER_MAX_BYTES: usize = 32 << 20;
+
+/// HTTP status from which an error says nothing about the effect of the call.
+const SERVER_ERROR: u16 = 500;
+
+/// Settings of the client.
+#[derive(Clone, Debug)]
+pub struct EtcdSettings {
+    /// Base addresses, such as `http://10.0.0.5:2379`, in order of preference.
+    pub urls: Vec<String>,
+    /// Longest wait for the answer to one call.
+    pub call_timeout: Duration,
+    /// Limits of this instance.
+    pub limits: BudgetLimits,
+}
+
+impl EtcdSettings {
+    /// Makes settings with the default timeout and limits.
+    pub fn new(urls: Vec<String>) -> Self {
+        Self {
+            urls,
+            call_timeout: Duration::from_secs(2),
+            limits: BudgetLimits::default(),
+        }
+    }
+}
+
+/// A store that speaks the etcd v3 API. It belongs to one thread.
+#[derive(Debug)]
+pub struct EtcdStore {
+    settings: EtcdSettings,
+    client: Client,
+    budget: Rc<RefCell<CallBudget>>,
+    /// Index of the base address that answered last.
+    preferred: Cell<usize>,
+}
+
+impl EtcdStore {
+    /// Makes a client on the ntex system of the calling thread; no connection is opened yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::NotApplied`] without a base address or if the HTTP client cannot be set up.
+    pub async fn new(settings: EtcdSettings) -> Result<Self, StoreError> {
+        if settings.urls.is_empty() {
+            return Err(not_applied("no address of the store is set"));
+        }
+        let client = Client::builder()
+            .response_timeout(millis(settings.call_timeout))
+            .disable_redirects()
+            .response_payload_limit(ANSWER_MAX_BYTES)
+            .response_payload_timeout(millis(settings.call_timeout))
+            .build(SharedCfg::default())
+            .await
+            .map_err(not_applied)?;
+        let budget = CallBudget::new(settings.limits, Instant::now());
+        Ok(Self {
+            settings,
+            client,
+            budget: Rc::new(RefCell::new(budget)),
+            preferred: Cell::new(0),
+        })
+    }
+
+    /// Returns the calls that this instance has made.
+    pub fn counts(&self) -> CallCounts {
+        self.budget.borrow().counts()
+    }
+
+    /// Sends a call to the base addresses in turn, as long as it certainly had no effect so far.
+    async fn send(&self, path: &str, body: &Value) -> Result<ClientResponse, StoreError> {
+        let count = self.settings.urls.len();
+        let mut failure = not_applied("no address of the store is set");
+        for step in 0..count {
+            let index = (self.preferred.get() + step) % count;
+            let url = format!("{}{path}", self.settings.urls[index].trim_end_matches('/'));
+            match self.send_to(&url, body).await {
+                Ok(response) => {
+                    self.preferred.set(index);
+                    return Ok(response);
+                }
+                Err(error) if error.may_have_applied() => {
+                    // The next call starts at another address, since this one may hang.
+                    self.preferred.set((index + 1) % count);
+                    return Err(error);
+                }
+                Err(error) => failure = error,
+            }
+        }
+        Err(failure)
+    }
+
+    async fn send_to(&self, url: &str, body: &Value) -> Result<ClientResponse, StoreError> {
+        let request = self.client.post(url);
+        let limit = millis(self.settings.call_timeout);
+        match timeout(limit, request.send_json(body)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) => Err(client_error(&error)),
+            Err(()) => Err(unknown("timeout")),
+        }
+    }
+
+    async fn call<T: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<T, StoreError> {
+        let response = self.send(path, body).await?;
+        let status = response.status().as_u16();
+        let bytes = response.body().await.map_err(unknown)?;
+        if response.status().is_success() {
+            return serde_json::from_slice(&bytes).map_err(unknown);
+        }
+        Err(refusal(status, &bytes))
+    }
+
+    fn take(&self, kind: CallKind) -> Result<(), StoreError> {
+        self.budget.borrow_mut().take(kind, Instant::now())?;
+        Ok(())
+    }
+}
+
+impl CatalogueStore for EtcdStore {
+    type Watch = EtcdWatch;
+
+    async fn range(&self, range: &KeyRange) -> Result<RangeResult, StoreError> {
+        self.take(CallKind::Read)?;
+        let body = message::range_body(range);
+        let answer: RangeAnswer = self
+            .call("/v3/kv/range", &body)
+            .await
+            .map_err(without_effect)?;
+        let mut entries = Vec::with_capacity(answer.kvs.len());
+        for pair in answer.kvs {
+            entries.push(pair.decode().map_err(not_applied)?);
+        }
+        Ok(RangeResult {
+            revision: answer.header.revision,
+            entries,
+        })
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<TransactionOutcome, StoreError> {
+        self.take(CallKind::Write)?;
+        let body = message::transaction_body(transaction);
+        let answer: TransactionAnswer = self.call("/v3/kv/txn", &body).await?;
+        let revision = answer.header.revision;
+        match answer.succeeded {
+            true => Ok(TransactionOutcome::Committed(revision)),
+            false => Ok(TransactionOutcome::Conflict(revision)),
+        }
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseGrant, StoreError> {
+        self.take(CallKind::Write)?;
+        let body = json!({ "TTL": ttl.as_secs().max(1).to_string(), "ID": "0" });
+        let answer: LeaseAnswer = self.call("/v3/lease/grant", &body).await?;
+        Ok(grant_of(answer.id, answer.ttl))
+    }
+
+    async fn keep_alive(&self, id: LeaseId) -> Result<LeaseGrant, StoreError> {
+        self.take(CallKind::Write)?;
+        let body = json!({ "ID": id.to_string() });
+        let line: StreamLine<LeaseAnswer> = self.call("/v3/lease/keepalive", &body).await?;
+        if let Some(error) = line.error {
+            return Err(unknown(error));
+        }
+        // The service answers with a time to live of 0, which it leaves out, when the lease has ended.
+        match line.result {
+            Some(answer) if answer.ttl > 0 => Ok(grant_of(id, answer.ttl)),
+            _ => Err(StoreError::LeaseNotFound { id }),
+        }
+    }
+
+    async fn revoke(&self, id: LeaseId) -> Result<(), StoreError> {
+        self.take(CallKind::Write)?;
+        let body = json!({ "ID": id.to_string() });
+        let _: Value = self.call("/v3/lease/revoke", &body).await?;
+        Ok(())
+    }
+
+    async fn watch(&self, range: &KeyRange, from: StoreRevision) -> Result<EtcdWatch, StoreError> {
+        self.take(CallKind::Watch)?;
+        let guard = watch::WatchGuard::new(self.budget.clone());
+        let body = message::watch_body(range, from);
+        let response = self
+            .send("/v3/watch", &body)
+            .await
+            .map_err(without_effect)?;
+        let status = response.status().as_u16();
+        if response.status().is_success() {
+            return Ok(EtcdWatch::new(response, guard));
+        }
+        let bytes = response.body().await.map_err(not_applied)?;
+        Err(without_effect(refusal(status, &bytes)))
+    }
+}
+
+fn millis(duration: Duration) -> Millis {
+    Millis(u32::try_from(duration.as_millis()).unwrap_or(u32::MAX))
+}
+
+fn grant_of(id: LeaseId, ttl_s: i64) -> LeaseGrant {
+    let ttl = Duration::from_secs(u64::try_from(ttl_s).unwrap_or(0));
+    LeaseGrant { id, ttl }
+}
+
+fn not_applied(cause: impl ToString) -> StoreError {
+    StoreError::NotApplied {
+        cause: cause.to_string(),
+    }
+}
+
+fn unknown(cause: impl ToString) -> StoreError {
+    StoreError::Unknown {
+        cause: cause.to_string(),
+    }
+}
+
+/// A read or a watch changes nothing, so that a missing answer leaves no doubt.
+fn without_effect(error: StoreError) -> StoreError {
+    match error {
+        StoreError::Unknown { cause } => StoreError::NotApplied { cause },
+        other => other,
+    }
+}
+
+/// Only errors from before the request was sent are certain to have had no effect. The HTTP client reports a
+/// connection that closes before the answer as `Disconnected` without a cause, and a refused one with its cause.
+fn client_error(error: &ClientError) -> StoreError {
+    match error {
+        ClientError::Connect(ConnectError::Disconnected(None)) => unknown(error),
+        ClientError::Url(_) | ClientError::Connect(_) | ClientError::Http(_) => not_applied(error),
+        _ => unknown(error),
+    }
+}
+
+fn refusal(status: u16, body: &[u8]) -> StoreError {
+    let message = match serde_json::from_slice::<ErrorAnswer>(body) {
+        Ok(answer) => answer.message,
+        Err(_) => String::from_utf8_lossy(body).into_owned(),
+    };
+    match status >= SERVER_ERROR {
+        true => unknown(format!("status {status}: {message}")),
+        false => StoreError::Refused { status, message },
+    }
+}
--- /dev/null
+++ b/crates/store/src/etcd/watch.rs
@@ -0,0 +1,81 @@
+//! The streamed answer of a watch: one JSON object a line.
+
+use super::message::{StreamLine, WatchAnswer};
+use super::{not_applied, ANSWER_MAX_BYTES};
+use crate::api::{CatalogueWatch, StoreError, WatchBatch};
+use crate::budget::CallBudget;
+use futures_util::StreamExt;
+use ntex::client::ClientResponse;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Counts a watch as waiting until it is dropped.
+#[derive(Debug)]
+pub(super) struct WatchGuard {
+    budget: Rc<RefCell<CallBudget>>,
+}
+
+impl WatchGuard {
+    pub(super) fn new(budget: Rc<RefCell<CallBudget>>) -> Self {
+        Self { budget }
+    }
+}
+
+impl Drop for WatchGuard {
+    fn drop(&mut self) {
+        self.budget.borrow_mut().watch_ended();
+    }
+}
+
+/// An open watch; dropping it closes its connection.
+#[derive(Debug)]
+pub struct EtcdWatch {
+    response: ClientResponse,
+    buffer: Vec<u8>,
+    /// Counts the watch against the budget for as long as it lives.
+    _guard: WatchGuard,
+}
+
+impl EtcdWatch {
+    pub(super) fn new(response: ClientResponse, guard: WatchGuard) -> Self {
+        Self {
+            response,
+            buffer: Vec::new(),
+            _guard: guard,
+        }
+    }
+
+    /// Takes one whole line from the buffer.
+    fn take_line(&mut self) -> Option<Vec<u8>> {
+        let end = self.buffer.iter().position(|&byte| byte == b'\n')?;
+        let rest = self.buffer.split_off(end + 1);
+        Some(std::mem::replace(&mut self.buffer, rest))
+    }
+}
+
+impl CatalogueWatch for EtcdWatch {
+    async fn next(&mut self) -> Result<WatchBatch, StoreError> {
+        loop {
+            if let Some(line) = self.take_line() {
+                return decode_line(&line);
+            }
+            if self.buffer.len() > ANSWER_MAX_BYTES {
+                return Err(not_applied("a message of the watch is too long"));
+            }
+            match self.response.next().await {
+                Some(Ok(bytes)) => self.buffer.extend_from_slice(&bytes),
+                Some(Err(error)) => return Err(not_applied(error)),
+                None => return Err(not_applied("the store closed the watch")),
+            }
+        }
+    }
+}
+
+fn decode_line(line: &[u8]) -> Result<WatchBatch, StoreError> {
+    let line: StreamLine<WatchAnswer> = serde_json::from_slice(line).map_err(not_applied)?;
+    match (line.result, line.error) {
+        (Some(answer), _) => answer.decode().map_err(not_applied),
+        (None, Some(error)) => Err(not_applied(error)),
+        (None, None) => Err(not_applied("an empty message of the watch")),
+    }
+}
--- /dev/null
+++ b/crates/store/tests/client.rs
@@ -0,0 +1,268 @@
+//! The client against the stand-in of the store.
+
+use ntex::time::{sleep, timeout, Millis};
+use quetzalhill_standins::store::{StandinMode, StoreStandin};
+use quetzalhill_store::api::{
+    CatalogueStore, CatalogueWatch, Compare, KeyRange, PutOp, StoreError, Transaction,
+    TransactionOutcome, WatchBatch, WatchEvent,
+};
+use quetzalhill_store::budget::{BudgetLimits, CallBudget, CallKind};
+use quetzalhill_store::etcd::{EtcdSettings, EtcdStore};
+use std::time::{Duration, Instant};
+
+/// Longest wait for something that has to happen.
+const LIMIT: Millis = Millis(5_000);
+
+fn standin() -> StoreStandin {
+    StoreStandin::start("127.0.0.1:0".parse().expect("address")).expect("stand-in")
+}
+
+async fn client(standin: &StoreStandin) -> EtcdStore {
+    let mut settings = EtcdSettings::new(vec![standin.url()]);
+    settings.call_timeout = Duration::from_millis(500);
+    EtcdStore::new(settings).await.expect("client")
+}
+
+fn write(key: &str, value: &str, seen: i64) -> Transaction {
+    Transaction {
+        compares: vec![Compare::ModRevision {
+            key: key.into(),
+            revision: seen,
+        }],
+        puts: vec![PutOp {
+            key: key.into(),
+            value: value.into(),
+            lease: None,
+        }],
+    }
+}
+
+/// Guards against two writers that both believe they won a race.
+#[ntex::test]
+async fn second_writer_of_a_race_gets_a_conflict() {
+    let standin = standin();
+    let store = client(&standin).await;
+    let first = store.commit(&write("a", "1", 0)).await;
+    assert!(matches!(first, Ok(TransactionOutcome::Committed(_))));
+    let second = store.commit(&write("a", "2", 0)).await;
+    assert!(matches!(second, Ok(TransactionOutcome::Conflict(_))));
+    let read = store.range(&KeyRange::Key("a".into())).await.expect("read");
+    assert_eq!(read.entries[0].value, b"1");
+}
+
+/// Guards against reporting a write as not applied when only its answer was lost.
+#[ntex::test]
+async fn lost_answer_is_unknown_and_the_write_took_effect() {
+    let standin = standin();
+    let store = client(&standin).await;
+    standin.lose_next_answer();
+    let error = store.commit(&write("a", "1", 0)).await.expect_err("lost");
+    assert!(error.may_have_applied(), "{error}");
+    let read = store.range(&KeyRange::Key("a".into())).await.expect("read");
+    assert_eq!(read.entries[0].value, b"1");
+}
+
+/// Guards against a refused connection that is taken for an unknown outcome, and against giving up on a store
+/// that has come back.
+#[ntex::test]
+async fn refused_connection_is_not_applied_and_the_client_recovers() {
+    let mut standin = standin();
+    let store = client(&standin).await;
+    store.commit(&write("a", "1", 0)).await.expect("write");
+    standin.stop();
+    // The pooled connection may fail first, with an unknown outcome.
+    let _ = store.commit(&write("b", "1", 0)).await;
+    let error = store.commit(&write("b", "1", 0)).await.expect_err("down");
+    assert!(!error.may_have_applied(), "{error}");
+    standin.restart().expect("restart");
+    let read = store.range(&KeyRange::Key("a".into())).await.expect("read");
+    assert_eq!(read.entries.len(), 1);
+}
+
+/// Guards against a call that waits without limit, and against a read that claims an unknown effect.
+#[ntex::test]
+async fn silent_store_ends_in_a_timeout() {
+    let standin = standin();
+    let store = client(&standin).await;
+    standin.set_mode(StandinMode::Silent);
+    let error = store.commit(&write("a", "1", 0)).await.expect_err("silent");
+    assert!(error.may_have_applied(), "{error}");
+    let error = store.range(&KeyRange::Key("a".into())).await;
+    assert!(!error.expect_err("silent").may_have_applied());
+}
+
+/// Guards against a client that stays with an address that does not answer.
+#[ntex::test]
+async fn second_address_is_used_when_the_first_refuses() {
+    let mut dead = standin();
+    dead.stop();
+    let live = standin();
+    let settings = EtcdSettings::new(vec![dead.url(), live.url()]);
+    let store = EtcdStore::new(settings).await.expect("client");
+    store.commit(&write("a", "1", 0)).await.expect("write");
+    assert!(live.value("a").is_some());
+}
+
+/// Guards against a slot that stays taken after its holder has gone, and one that is lost while it is renewed.
+#[ntex::test]
+async fn key_lives_as_long_as_its_lease() {
+    let standin = standin();
+    let store = client(&standin).await;
+    let lease = store.grant(Duration::from_secs(2)).await.expect("grant");
+    let mut transaction = write("slot", "me", 0);
+    transaction.puts[0].lease = Some(lease.id);
+    store.commit(&transaction).await.expect("write");
+    for _ in 0..6 {
+        sleep(Millis(400)).await;
+        store.keep_alive(lease.id).await.expect("renewed");
+    }
+    assert!(standin.value("slot").is_some());
+    let limit = Instant::now() + Duration::from_secs(10);
+    while standin.value("slot").is_some() && Instant::now() < limit {
+        sleep(Millis(100)).await;
+    }
+    assert!(standin.value("slot").is_none());
+    let error = store.keep_alive(lease.id).await.expect_err("ended");
+    assert_eq!(error, StoreError::LeaseNotFound { id: lease.id });
+}
+
+/// Guards against a lease that a stopping instance cannot give back.
+#[ntex::test]
+async fn revoked_lease_removes_its_key() {
+    let standin = standin();
+    let store = client(&standin).await;
+    let lease = store.grant(Duration::from_secs(60)).await.expect("grant");
+    let mut transaction = write("slot", "me", 0);
+    transaction.puts[0].lease = Some(lease.id);
+    store.commit(&transaction).await.expect("write");
+    store.revoke(lease.id).await.expect("revoked");
+    assert!(standin.value("slot").is_none());
+}
+
+/// Waits for the first batch that has events.
+async fn next_events<W: CatalogueWatch>(watch: &mut W) -> Vec<WatchEvent> {
+    for _ in 0..10 {
+        let batch = timeout(LIMIT, watch.next()).await.expect("in time");
+        match batch.expect("batch") {
+            WatchBatch::Events { events, .. } if !events.is_empty() => return events,
+            _ => continue,
+        }
+    }
+    panic!("ten messages without an event");
+}
+
+/// Guards against changes that are lost between a read and the start of a watch.
+#[ntex::test]
+async fn watch_reports_changes_from_its_revision_on() {
+    let standin = standin();
+    let store = client(&standin).await;
+    standin.put("p/a", b"1");
+    let from = standin.revision() + 1;
+    standin.put("p/b", b"2");
+    standin.put("other", b"3");
+    let range = KeyRange::Prefix("p/".into());
+    let mut watch = store.watch(&range, from).await.expect("watch");
+    let missed = next_events(&mut watch).await;
+    assert!(matches!(&missed[..], [WatchEvent::Put(pair)] if pair.key == "p/b"));
+    standin.put("p/c", b"4");
+    let live = next_events(&mut watch).await;
+    assert!(matches!(&live[..], [WatchEvent::Put(pair)] if pair.key == "p/c"));
+    assert_eq!(standin.counts().open_watches, 1);
+    assert_eq!(store.counts().waiting, 1);
+    drop(watch);
+    assert_eq!(store.counts().waiting, 0);
+}
+
+/// Guards against a watch that ends without its reader noticing when the store goes away.
+#[ntex::test]
+async fn watch_ends_with_the_store() {
+    let mut standin = standin();
+    let store = client(&standin).await;
+    let range = KeyRange::Key("a".into());
+    let mut watch = store.watch(&range, 1).await.expect("watch");
+    timeout(LIMIT, watch.next())
+        .await
+        .expect("in time")
+        .expect("created");
+    standin.stop();
+    let end = timeout(LIMIT, watch.next()).await.expect("in time");
+    assert!(end.is_err());
+}
+
+/// Guards against a reader that waits for history which the store no longer has.
+#[ntex::test]
+async fn watch_from_a_compacted_revision_says_so() {
+    let standin = standin();
+    let store = client(&standin).await;
+    for value in ["1", "2", "3"] {
+        standin.put("a", value.as_bytes());
+    }
+    standin.compact(2);
+    let range = KeyRange::Key("a".into());
+    let mut watch = store.watch(&range, 1).await.expect("watch");
+    let mut seen = Vec::new();
+    for _ in 0..2 {
+        seen.push(timeout(LIMIT, watch.next()).await.expect("in time"));
+    }
+    assert!(seen.contains(&Ok(WatchBatch::Compacted { revision: 3 })));
+}
+
+/// Guards against a stand-in whose rollback leaves newer values behind.
+#[ntex::test]
+async fn rolled_back_store_has_the_older_value_and_revision() {
+    let standin = standin();
+    let store = client(&standin).await;
+    standin.put("a", b"1");
+    let revision = standin.revision();
+    standin.put("a", b"2");
+    standin.roll_back(revision);
+    let read = store.range(&KeyRange::Key("a".into())).await.expect("read");
+    assert_eq!(read.revision, revision);
+    assert_eq!(read.entries[0].value, b"1");
+}
+
+/// Guards against one instance that uses up the store's rates for all.
+#[ntex::test]
+async fn call_over_budget_is_refused_without_reaching_the_store() {
+    let standin = standin();
+    let mut settings = EtcdSettings::new(vec![standin.url()]);
+    settings.limits = BudgetLimits {
+        reads_per_s: 0.0,
+        read_burst: 2.0,
+        ..BudgetLimits::default()
+    };
+    let store = EtcdStore::new(settings).await.expect("client");
+    let range = KeyRange::Key("a".into());
+    for _ in 0..2 {
+        store.range(&range).await.expect("within the budget");
+    }
+    let error = store.range(&range).await.expect_err("over the budget");
+    assert!(matches!(error, StoreError::Budget(_)), "{error}");
+    assert_eq!(standin.counts().reads, 2);
+    assert_eq!(store.counts().refused, 1);
+}
+
+/// Guards against buckets that never refill or refill beyond their burst.
+#[test]
+fn budget_refills_at_its_rate_up_to_its_burst() {
+    let start = Instant::now();
+    let limits = BudgetLimits {
+        writes_per_s: 2.0,
+        write_burst: 3.0,
+        ..BudgetLimits::default()
+    };
+    let mut budget = CallBudget::new(limits, start);
+    let mut take = |after_ms: u64| {
+        let now = start + Duration::from_millis(after_ms);
+        budget.take(CallKind::Write, now).is_ok()
+    };
+    assert_eq!(
+        [take(0), take(0), take(0), take(0)],
+        [true, true, true, false]
+    );
+    assert_eq!([take(500), take(500)], [true, false]);
+    assert!([take(60_000), take(60_000), take(60_000)]
+        .iter()
+        .all(|&ok| ok));
+    assert!(!take(60_000));
+}
