--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod delay;
 pub mod fabric;
 pub mod payload;
+pub mod store;
 pub mod upstream;
 pub mod workload;
