Run the testbed with the store stand-in

Cause: the testbed has to start every part of a deployment. Change: store, catalogue edits, drains and the count of duplicates in the testbed.

--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -1,7 +1,9 @@
 //! Deployment files: which zones, services, endpoints and delays a test or measurement uses.
 
 use anyhow::{Context, Result};
-use quetzalhill_core::catalogue::{CatalogueSnapshot, LimitSet, PathClass, ServiceEntry, TrafficClass};
+use quetzalhill_core::catalogue::{
+    CatalogueSnapshot, LimitSet, PathClass, ServiceEntry, TrafficClass,
+};
 use quetzalhill_core::ids::{OwnerName, ServiceName, ZoneName};
 use serde::Deserialize;
 use smallvec::{smallvec, SmallVec};
@@ -84,6 +86,9 @@
             };
             services.insert(name.clone(), entry);
         }
-        CatalogueSnapshot { revision: 0, services }
+        CatalogueSnapshot {
+            revision: 0,
+            services,
+        }
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod caller;
 pub mod certificate;
 pub mod delay;
+pub mod deployment;
 pub mod fabric;
 pub mod payload;
 pub mod store;
+pub mod testbed;
 pub mod upstream;
 pub mod workload;
--- a/crates/standins/src/testbed.rs
+++ b/crates/standins/src/testbed.rs
@@ -3,15 +3,18 @@
 use crate::certificate::{write_certificate, write_key, TestCertificate};
 use crate::deployment::DeploymentPlan;
 use crate::fabric::{FabricRules, FabricStandin};
+use crate::store::StoreStandin;
 use crate::upstream::UpstreamStandin;
 use anyhow::{bail, Context, Result};
 use quetzalhill::run::EntryHandle;
 use quetzalhill::settings::{EntrySection, EntrySettings, ListenSettings, StoreSection};
 use quetzalhill_agent::run::AgentHandle;
 use quetzalhill_agent::settings::{AgentSection, AgentSettings};
+use quetzalhill_core::catalogue::CatalogueSnapshot;
 use quetzalhill_core::dispatch::DispatchPolicy;
 use quetzalhill_core::ids::ServiceName;
 use quetzalhill_node::settings::{LogSettings, NodeSettings};
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -67,6 +70,10 @@
     pub entries: Vec<TestEntry>,
     /// Endpoints, with those that have been stopped.
     pub endpoints: Vec<TestEndpoint>,
+    /// The platform's store.
+    pub store: StoreStandin,
+    /// Catalogue that was last handed out.
+    pub catalogue: CatalogueSnapshot,
     /// What callers trust.
     pub certificate: TestCertificate,
     folder: PathBuf,
@@ -86,8 +93,17 @@
         std::fs::create_dir_all(&folder)?;
         let certificate = write_certificate(&folder)?;
         let key = write_key(&folder, 1)?;
+        let store = StoreStandin::start(SocketAddrV4::new(ip, PORT_STORE).into())?;
+        let mut catalogue = plan.catalogue(|index| service_address(ip, index));
+        catalogue.revision = 1;
+        // CAST: A deployment has a handful of services.
+        for (index, entry) in catalogue.services.values_mut().enumerate() {
+            entry.number = index as u32 + 1;
+        }
         let mut bed = Self {
             plan,
+            store,
+            catalogue,
             ip,
             fabrics: Vec::new(),
             entries: Vec::new(),
@@ -116,8 +132,45 @@
     }
 
     fn service_address(&self, index: usize) -> SocketAddrV4 {
-        // CAST: A deployment has a handful of services.
-        self.address(PORT_FABRIC + index as u16)
+        service_address(self.ip, index)
+    }
+
+    /// Changes the catalogue as an operator does.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the change is not accepted.
+    pub fn edit_catalogue(&mut self, edit: impl FnOnce(&mut CatalogueSnapshot)) -> Result<()> {
+        edit(&mut self.catalogue);
+        self.catalogue.revision += 1;
+        for entry in self.entries.iter().filter_map(|entry| entry.entry.as_ref()) {
+            entry.catalogue().adopt(self.catalogue.clone());
+        }
+        Ok(())
+    }
+
+    /// Begins to drain an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its agent has been stopped.
+    pub fn drain_endpoint(&self, index: usize) -> Result<()> {
+        let agent = self.endpoints[index].agent.as_ref();
+        agent.context("the agent has been stopped")?.drain();
+        Ok(())
+    }
+
+    /// Returns how many requests ran more than once, over all upstreams.
+    pub fn duplicates(&self) -> u64 {
+        let mut runs: HashMap<u64, u32> = HashMap::new();
+        for endpoint in &self.endpoints {
+            for (id, count) in endpoint.upstream.record().runs {
+                *runs.entry(id).or_default() += count;
+            }
+        }
+        runs.values()
+            .map(|&count| u64::from(count.saturating_sub(1)))
+            .sum()
     }
 
     fn node(&self, zone: usize, control: u16, admin: u16) -> NodeSettings {
@@ -147,9 +200,17 @@
                 address: Some(self.service_address(service)),
             })
             .collect();
-        let seeds = self.live_entries().take(3).map(|entry| entry.settings.node.control).collect();
+        let seeds = self
+            .live_entries()
+            .take(3)
+            .map(|entry| entry.settings.node.control)
+            .collect();
         let settings = EntrySettings {
-            node: self.node(index, PORT_ENTRY_CONTROL + number, PORT_ENTRY_ADMIN + number),
+            node: self.node(
+                index,
+                PORT_ENTRY_CONTROL + number,
+                PORT_ENTRY_ADMIN + number,
+            ),
             log: LogSettings::default(),
             entry: EntrySection {
                 listen,
@@ -162,7 +223,9 @@
                 urls: vec![format!("http://{}", self.address(PORT_STORE))],
             },
         };
-        let entry = quetzalhill::run::start(settings.clone()).with_context(|| format!("entry {index}"))?;
+        let entry =
+            quetzalhill::run::start(settings.clone()).with_context(|| format!("entry {index}"))?;
+        entry.catalogue().adopt(self.catalogue.clone());
         self.entries.push(TestEntry {
             entry: Some(entry),
             settings,
@@ -202,7 +265,11 @@
                 peer: self.address(PORT_PEER + number),
                 upstream: upstream.address(),
                 slots,
-                entries: self.live_entries().take(3).map(|entry| entry.settings.node.control).collect(),
+                entries: self
+                    .live_entries()
+                    .take(3)
+                    .map(|entry| entry.settings.node.control)
+                    .collect(),
                 certificate: self.certificate.certificate.clone(),
                 private_key: self.certificate.private_key.clone(),
                 flows: 100_000,
@@ -210,7 +277,8 @@
                 drain_limit_s: 30,
             },
         };
-        let agent = quetzalhill_agent::run::start(settings.clone()).with_context(|| format!("agent {index}"))?;
+        let agent = quetzalhill_agent::run::start(settings.clone())
+            .with_context(|| format!("agent {index}"))?;
         self.endpoints.push(TestEndpoint {
             service: service.into(),
             upstream,
@@ -228,14 +296,17 @@
                 ..FabricRules::default()
             };
             // CAST: A deployment has a handful of services.
-            let fabric = FabricStandin::start(self.service_address(service), rules, seed + service as u64)?;
+            let fabric =
+                FabricStandin::start(self.service_address(service), rules, seed + service as u64)?;
             self.fabrics.push(fabric);
         }
         Ok(())
     }
 
     fn listeners(&self, service: usize) -> Vec<SocketAddrV4> {
-        self.live_entries().map(|entry| entry.settings.entry.listen[service].bind).collect()
+        self.live_entries()
+            .map(|entry| entry.settings.entry.listen[service].bind)
+            .collect()
     }
 
     /// Tells the fabric which entries are live.
@@ -313,11 +384,21 @@
     }
 }
 
+fn service_address(ip: Ipv4Addr, index: usize) -> SocketAddrV4 {
+    // CAST: A deployment has a handful of services.
+    SocketAddrV4::new(ip, PORT_FABRIC + index as u16)
+}
+
 fn next_ip() -> Ipv4Addr {
     let pid = std::process::id();
     // CAST: The masks leave at most eight bits.
     let (high, low) = (((pid >> 8) & 0x3f) as u8, (pid & 0xff) as u8);
-    Ipv4Addr::new(127, 64 + high, low, NEXT_BED.fetch_add(1, Ordering::Relaxed))
+    Ipv4Addr::new(
+        127,
+        64 + high,
+        low,
+        NEXT_BED.fetch_add(1, Ordering::Relaxed),
+    )
 }
 
 /// Sends one HTTP request to an admin address and returns the status.
@@ -325,7 +406,10 @@
     use std::io::{Read, Write};
     let mut stream = std::net::TcpStream::connect_timeout(&admin.into(), Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-    write!(stream, "GET {path} HTTP/1.1\r\nhost: {admin}\r\nconnection: close\r\n\r\n")?;
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: {admin}\r\nconnection: close\r\n\r\n"
+    )?;
     let mut head = [0; 12];
     stream.read_exact(&mut head)?;
     let text = std::str::from_utf8(&head)?;
