Serve callers' requests through packets, QUIC, HTTP/3 and the upstream

Cause: The agent had settings and a shared view, but nothing that takes packets or runs requests.

Change: A traffic thread with one ntex system. The packet socket opens and checks headers, passes unknown first packets on when the agent drains or is full, and answers through the entry that last forwarded. Connection IDs name the endpoint; reset tokens are equal in all lives. Requests pass the filter chain of core, dispatch and the HTTP/1.1 client; answers that end early are reset. Keyed requests run at most once and keep their outcome when the caller's connection is lost. A drain sends GOAWAY and closes connections that are idle.

Conclusion: One path works from an HTTP/3 client to an upstream.

--- /dev/null
+++ b/crates/agent/src/traffic.rs
@@ -0,0 +1,289 @@
+//! The traffic thread: packets, connections, requests and the upstream.
+
+mod answer;
+mod connection;
+mod context;
+pub mod counters;
+mod headers;
+mod paths;
+mod quic;
+mod request;
+mod scheduler;
+pub mod socket;
+mod upstream;
+
+use crate::settings::{AgentSection, AgentSettings};
+use crate::shared::{SharedState, TrafficEvent};
+use anyhow::{anyhow, Context, Result};
+use context::TrafficContext;
+use counters::PacketCounters;
+use ntex::rt::{DefaultRuntime, System};
+use quetzalhill_core::catalogue::LimitSet;
+use quetzalhill_core::dispatch::{DispatchController, DispatchEvent};
+use quetzalhill_core::ids::{id_of, EndpointId};
+use quetzalhill_core::member::{EndpointRecord, EndpointState};
+use quetzalhill_core::once::{OnceController, OnceLimits};
+use quetzalhill_node::event::{emit, EventCode};
+use quinn::{Endpoint, TokioRuntime};
+use scheduler::RequestScheduler;
+use socket::PacketSocket;
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use upstream::UpstreamClient;
+
+/// Bytes of the socket's buffers, so that a burst of some thousand packets is not lost.
+const SOCKET_BUFFER: usize = 4 * 1024 * 1024;
+
+/// How often a drain is checked for its end.
+const DRAIN_CHECK: Duration = Duration::from_millis(100);
+
+/// How long the last packets may take after all connections were closed.
+const CLOSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Stops the traffic thread.
+#[derive(Debug)]
+pub struct TrafficHandle {
+    stop: watch::Sender<bool>,
+    counters: Arc<PacketCounters>,
+    flows: Arc<AtomicU32>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl TrafficHandle {
+    /// Stops the thread and waits for its end; connections are closed at once.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    /// Returns the counters of the packet socket.
+    pub fn counters(&self) -> &Arc<PacketCounters> {
+        &self.counters
+    }
+
+    /// Returns the number of open flows.
+    pub fn flows(&self) -> u32 {
+        self.flows.load(Ordering::Relaxed)
+    }
+
+    fn end(&mut self) {
+        let _ = self.stop.send(true);
+        let Some(thread) = self.thread.take() else {
+            return;
+        };
+        if thread.join().is_err() {
+            emit(EventCode::TaskFailed, &[("task", &"traffic")]);
+        }
+    }
+}
+
+impl Drop for TrafficHandle {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+struct TrafficParts {
+    agent: AgentSection,
+    shared: Arc<SharedState>,
+    events: SyncSender<TrafficEvent>,
+    counters: Arc<PacketCounters>,
+    flows: Arc<AtomicU32>,
+    socket: UdpSocket,
+}
+
+/// Starts the traffic thread; it serves as soon as the view names the agent's service.
+///
+/// # Errors
+///
+/// Says which address or file can't be used.
+pub fn start(
+    settings: &AgentSettings,
+    shared: Arc<SharedState>,
+    events: SyncSender<TrafficEvent>,
+) -> Result<TrafficHandle> {
+    let agent = settings.agent.clone();
+    let socket = bind(&agent)?;
+    let counters = Arc::new(PacketCounters::default());
+    let flows = Arc::new(AtomicU32::new(0));
+    let parts = TrafficParts {
+        agent,
+        shared,
+        events,
+        counters: counters.clone(),
+        flows: flows.clone(),
+        socket,
+    };
+    let (stop, stopped) = watch::channel(false);
+    let (report, started) = sync_channel(1);
+    let thread = thread::Builder::new()
+        .name("traffic".into())
+        .spawn(move || run_thread(parts, &report, stopped))
+        .context("traffic thread")?;
+    started
+        .recv()
+        .map_err(|_| anyhow!("the traffic thread ended while it started"))??;
+    Ok(TrafficHandle {
+        stop,
+        counters,
+        flows,
+        thread: Some(thread),
+    })
+}
+
+fn bind(agent: &AgentSection) -> Result<UdpSocket> {
+    let name = || format!("agent.packets {}", agent.packets);
+    let socket = socket2::Socket::new(
+        socket2::Domain::IPV4,
+        socket2::Type::DGRAM,
+        Some(socket2::Protocol::UDP),
+    )
+    .with_context(name)?;
+    // The kernel may grant less; QUIC copes with the loss.
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
+    let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
+    socket.set_nonblocking(true).with_context(name)?;
+    socket
+        .bind(&std::net::SocketAddr::V4(agent.packets).into())
+        .with_context(name)?;
+    Ok(socket.into())
+}
+
+fn run_thread(
+    parts: TrafficParts,
+    report: &SyncSender<Result<()>>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let system = System::build()
+        .name("traffic")
+        .disable_signals()
+        .build(DefaultRuntime);
+    let report = report.clone();
+    system.block_on(async move {
+        let drain_limit = Duration::from_secs(parts.agent.drain_limit_s.into());
+        let (endpoint, context) = match prepare(parts).await {
+            Ok(prepared) => prepared,
+            Err(error) => {
+                let _ = report.send(Err(error));
+                return;
+            }
+        };
+        let _ = report.send(Ok(()));
+        ntex::rt::spawn(context.scheduler.clone().run_timer());
+        ntex::rt::spawn(follow_view(context.clone(), drain_limit));
+        tokio::select! {
+            () = accept(&endpoint, &context) => {}
+            _ = stopped.wait_for(|&stop| stop) => {}
+        }
+        endpoint.close(0_u32.into(), b"the agent stops");
+        let _ = tokio::time::timeout(CLOSE_LIMIT, endpoint.wait_idle()).await;
+    });
+}
+
+async fn prepare(parts: TrafficParts) -> Result<(Endpoint, Rc<TrafficContext>)> {
+    let agent = parts.agent;
+    let server = quic::server_config(&agent)?;
+    let io = tokio::net::UdpSocket::from_std(parts.socket).context("packet socket")?;
+    let socket = PacketSocket::new(
+        io,
+        parts.shared.clone(),
+        parts.counters,
+        parts.flows.clone(),
+        agent.flows,
+    )?;
+    let own = socket.own();
+    let endpoint = Endpoint::new_with_abstract_socket(
+        quic::endpoint_config(&parts.shared, own)?,
+        Some(server),
+        Arc::new(socket),
+        Arc::new(TokioRuntime),
+    )?;
+    let view = parts.shared.view.load_full();
+    let limits = view
+        .service
+        .as_ref()
+        .map_or_else(LimitSet::default, |service| service.limits.clone());
+    let controller = DispatchController::new(agent.policy, agent.slots, limits);
+    let once = OnceController::new(id_of(own), view.incarnation, OnceLimits::default());
+    let context = TrafficContext::new(
+        own,
+        parts.shared,
+        parts.events,
+        RequestScheduler::new(controller),
+        once,
+        UpstreamClient::new(agent.upstream).await?,
+        parts.flows,
+    );
+    Ok((endpoint, context))
+}
+
+async fn accept(endpoint: &Endpoint, context: &Rc<TrafficContext>) {
+    while let Some(incoming) = endpoint.accept().await {
+        ntex::rt::spawn(connection::serve(context.clone(), incoming));
+    }
+}
+
+/// Tells dispatch what changed in the view, and starts the drain.
+async fn follow_view(context: Rc<TrafficContext>, drain_limit: Duration) {
+    let mut limits: Option<LimitSet> = None;
+    let mut peers: Vec<EndpointId> = Vec::new();
+    let mut draining = false;
+    loop {
+        let view = context.view();
+        let seen = view.service.as_ref().map(|service| &service.limits);
+        if let Some(seen) = seen.filter(|seen| limits.as_ref() != Some(*seen)) {
+            limits = Some(seen.clone());
+            let event = DispatchEvent::LimitsChanged(seen.clone());
+            context.scheduler.handle(event);
+        }
+        let ready = ready_peers(&view.peers);
+        if ready != peers {
+            peers.clone_from(&ready);
+            context.scheduler.handle(DispatchEvent::PeersChanged(ready));
+        }
+        if !draining && view.state >= EndpointState::Draining {
+            draining = true;
+            ntex::rt::spawn(drain(context.clone(), drain_limit));
+        }
+        context.shared.changed.notified().await;
+    }
+}
+
+fn ready_peers(peers: &[EndpointRecord]) -> Vec<EndpointId> {
+    let mut ready: Vec<EndpointId> = peers
+        .iter()
+        .filter(|peer| peer.state == EndpointState::Ready)
+        .map(|peer| peer.id)
+        .collect();
+    ready.sort_unstable();
+    ready
+}
+
+/// Waits until every connection has ended, at most until the limit, and reports it.
+async fn drain(context: Rc<TrafficContext>, limit: Duration) {
+    let end = Instant::now() + limit;
+    emit(EventCode::AgentDraining, &[("endpoint", &context.own)]);
+    context.scheduler.handle(DispatchEvent::DrainStarted);
+    context.draining.send_replace(true);
+    while context.flows.load(Ordering::Relaxed) > 0 {
+        if Instant::now() >= end {
+            let flows = context.flows.load(Ordering::Relaxed);
+            let requests = context.scheduler.in_flight();
+            emit(
+                EventCode::AgentStopLimit,
+                &[("flows", &flows), ("requests", &requests)],
+            );
+            break;
+        }
+        tokio::time::sleep(DRAIN_CHECK).await;
+    }
+    // A full channel empties as the control thread reads it; a closed one has nobody to tell.
+    while let Err(TrySendError::Full(_)) = context.events.try_send(TrafficEvent::Drained) {
+        tokio::time::sleep(DRAIN_CHECK).await;
+    }
+}
--- /dev/null
+++ b/crates/agent/src/traffic/context.rs
@@ -0,0 +1,94 @@
+//! What all tasks of the traffic thread share.
+
+use super::scheduler::RequestScheduler;
+use super::upstream::UpstreamClient;
+use crate::shared::{AgentView, SharedState, TrafficEvent};
+use quetzalhill_core::ids::{id_of, incarnation_bits, EndpointId, RequestId};
+use quetzalhill_core::once::OnceController;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::sync::atomic::AtomicU32;
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Owners of the state of the traffic thread.
+pub(crate) struct TrafficContext {
+    /// Packet socket of this agent.
+    pub(crate) own: SocketAddrV4,
+    /// What the control thread publishes.
+    pub(crate) shared: Arc<SharedState>,
+    /// Events for the control thread.
+    pub(crate) events: SyncSender<TrafficEvent>,
+    /// Dispatch.
+    pub(crate) scheduler: Rc<RequestScheduler>,
+    /// Outcomes of keyed requests.
+    pub(crate) once: RefCell<OnceController>,
+    /// The upstream.
+    pub(crate) upstream: UpstreamClient,
+    /// Open flows.
+    pub(crate) flows: Arc<AtomicU32>,
+    /// Becomes true when the drain starts.
+    pub(crate) draining: watch::Sender<bool>,
+    next_request: Cell<u64>,
+    healthy: Cell<bool>,
+}
+
+impl TrafficContext {
+    /// Puts the owners together.
+    pub(crate) fn new(
+        own: SocketAddrV4,
+        shared: Arc<SharedState>,
+        events: SyncSender<TrafficEvent>,
+        scheduler: Rc<RequestScheduler>,
+        once: OnceController,
+        upstream: UpstreamClient,
+        flows: Arc<AtomicU32>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            own,
+            shared,
+            events,
+            scheduler,
+            once: RefCell::new(once),
+            upstream,
+            flows,
+            draining: watch::Sender::new(false),
+            next_request: Cell::new(0),
+            healthy: Cell::new(true),
+        })
+    }
+
+    /// Returns the identity of this endpoint.
+    pub(crate) fn endpoint(&self) -> EndpointId {
+        id_of(self.own)
+    }
+
+    /// Returns the view in force.
+    pub(crate) fn view(&self) -> Arc<AgentView> {
+        self.shared.view.load_full()
+    }
+
+    /// Returns an identity for a new request.
+    pub(crate) fn next_request(&self) -> RequestId {
+        let count = self.next_request.get();
+        self.next_request.set(count + 1);
+        let life = incarnation_bits(self.shared.view.load().incarnation);
+        (RequestId::from(self.endpoint()) << 80)
+            | (RequestId::from(life) << 56)
+            | RequestId::from(count)
+    }
+
+    /// Tells the control thread when the upstream starts or stops answering.
+    pub(crate) fn report_health(&self, healthy: bool) {
+        if self.healthy.replace(healthy) == healthy {
+            return;
+        }
+        let event = TrafficEvent::UpstreamHealth { healthy };
+        if self.events.try_send(event).is_err() {
+            // The next request repeats the report that the full channel did not take.
+            self.healthy.set(!healthy);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/traffic/headers.rs
@@ -0,0 +1,147 @@
+//! Header fields between callers, the filter chain and the upstream.
+
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use ntex::http::header as upstream;
+use quetzalhill_core::once::StoredAnswer;
+use quetzalhill_core::request::{RequestFacts, SessionFact};
+use quetzalhill_wire::key::KeyRing;
+use quetzalhill_wire::session;
+use std::time::{Instant, SystemTime};
+
+/// Key of a request that must not run twice.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Token that names the endpoint which remembers a caller's keys.
+pub(crate) const SESSION: &str = "quetzalhill-session";
+
+/// Whether a request was not run or its outcome is unknown.
+pub(crate) const OUTCOME: &str = "quetzalhill-outcome";
+
+/// Milliseconds that are left for the request.
+pub(crate) const TIMEOUT_MS: &str = "quetzalhill-timeout-ms";
+
+/// Urgency of a request (RFC 9218).
+const PRIORITY: &str = "priority";
+
+/// Fields that describe one connection and never pass (RFC 9110, section 7.6.1).
+const CONNECTION_FIELDS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Fields of a request that the agent sets itself.
+const OWN_FIELDS: [&str; 4] = ["host", "content-length", TIMEOUT_MS, SESSION];
+
+/// Reads what the filter chain has to know of a request.
+pub(crate) fn facts(head: &Parts, ring: &KeyRing, arrived: Instant) -> RequestFacts {
+    let text = |name: &str| {
+        let value = head.headers.get(name)?;
+        // A value that is not text counts as empty, which no filter accepts as a key or token.
+        Some(value.to_str().unwrap_or_default())
+    };
+    let token = match text(SESSION) {
+        None => SessionFact::Absent,
+        Some(value) => {
+            session::open(value, ring).map_or(SessionFact::Unreadable, SessionFact::Token)
+        }
+    };
+    RequestFacts {
+        method: head.method.as_str().into(),
+        path: head.uri.path().into(),
+        query: head.uri.query().unwrap_or_default().into(),
+        urgency: text(PRIORITY).and_then(urgency),
+        timeout_ms: text(TIMEOUT_MS).and_then(|value| value.trim().parse().ok()),
+        session: token,
+        key: text(IDEMPOTENCY_KEY).map(String::from),
+        arrived,
+        wall: SystemTime::now(),
+    }
+}
+
+/// Returns the parameter `u` of a `priority` field; anything else in the field is ignored, as RFC 9218 demands.
+fn urgency(value: &str) -> Option<u8> {
+    for item in value.split(',') {
+        let Some((name, digit)) = item.trim().split_once('=') else {
+            continue;
+        };
+        if name != "u" {
+            continue;
+        }
+        let digits = digit.split(';').next().unwrap_or(digit);
+        return digits.trim().parse().ok().filter(|&urgency| urgency <= 7);
+    }
+    None
+}
+
+/// Returns the length that a message announces for its body.
+pub(crate) fn content_length(fields: &HeaderMap) -> Option<u64> {
+    fields.get("content-length")?.to_str().ok()?.parse().ok()
+}
+
+/// Copies the fields that pass from a caller's request to the upstream.
+pub(crate) fn to_upstream(head: &Parts, deadline: Instant, target: &mut ntex::http::HeaderMap) {
+    for (name, value) in &head.headers {
+        let name = name.as_str();
+        if CONNECTION_FIELDS.contains(&name) || OWN_FIELDS.contains(&name) {
+            continue;
+        }
+        add_upstream(target, name, value.as_bytes());
+    }
+    let authority = head.uri.authority().map(|authority| authority.as_str());
+    let host = head
+        .headers
+        .get("host")
+        .and_then(|value| value.to_str().ok());
+    if let Some(host) = authority.or(host) {
+        add_upstream(target, "host", host.as_bytes());
+    }
+    let left = deadline.saturating_duration_since(Instant::now());
+    add_upstream(target, TIMEOUT_MS, left.as_millis().to_string().as_bytes());
+}
+
+fn add_upstream(target: &mut ntex::http::HeaderMap, name: &str, value: &[u8]) {
+    let name = upstream::HeaderName::from_bytes(name.as_bytes());
+    let value = upstream::HeaderValue::from_bytes(value);
+    if let (Ok(name), Ok(value)) = (name, value) {
+        target.append(name, value);
+    }
+}
+
+/// Returns the fields that pass from the upstream's answer to the caller.
+pub(crate) fn from_upstream(source: &ntex::http::HeaderMap) -> HeaderMap {
+    let mut fields = HeaderMap::new();
+    for (name, value) in source.iter() {
+        let name = name.as_str();
+        // Only the agent may say what became of a request.
+        if CONNECTION_FIELDS.contains(&name) || name == OUTCOME || name == SESSION {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            fields.append(name, value);
+        }
+    }
+    fields
+}
+
+/// Returns the fields of a stored answer.
+pub(crate) fn from_stored(answer: &StoredAnswer) -> HeaderMap {
+    let mut fields = HeaderMap::new();
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            fields.append(name, value);
+        }
+    }
+    fields
+}
--- /dev/null
+++ b/crates/agent/src/traffic/paths.rs
@@ -0,0 +1,110 @@
+//! Bounded tables of the packet socket: the way back to each caller, and handshakes in progress.
+
+use quinn::ConnectionId;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+/// Longest time that a path is kept without a packet; longer than the idle timeout of a connection.
+const PATH_AGE: Duration = Duration::from_secs(180);
+
+/// Most time from a first packet to the end of its handshake.
+const HANDSHAKE_AGE: Duration = Duration::from_secs(15);
+
+/// Most handshakes in progress that are remembered.
+const HANDSHAKE_MAX: usize = 8_192;
+
+/// The way back to a caller.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReturnPath {
+    /// Entry that last forwarded for the caller.
+    pub(crate) entry: SocketAddrV4,
+    /// Address that the caller uses for the service.
+    pub(crate) service_address: SocketAddrV4,
+    used: Instant,
+}
+
+/// Remembers the way back to each caller.
+#[derive(Debug)]
+pub(crate) struct ReturnTable {
+    paths: HashMap<SocketAddrV4, ReturnPath>,
+    limit: usize,
+    sweep_at: Option<Instant>,
+}
+
+impl ReturnTable {
+    /// Makes a table for at most `limit` callers.
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            paths: HashMap::new(),
+            limit,
+            sweep_at: None,
+        }
+    }
+
+    /// Records which entry forwarded for a caller; a full table takes no further caller.
+    pub(crate) fn learn(
+        &mut self,
+        caller: SocketAddrV4,
+        entry: SocketAddrV4,
+        service_address: SocketAddrV4,
+        now: Instant,
+    ) {
+        self.sweep(now);
+        if self.paths.len() >= self.limit && !self.paths.contains_key(&caller) {
+            return;
+        }
+        let path = ReturnPath {
+            entry,
+            service_address,
+            used: now,
+        };
+        self.paths.insert(caller, path);
+    }
+
+    /// Returns the way back to a caller.
+    pub(crate) fn find(&self, caller: SocketAddrV4) -> Option<ReturnPath> {
+        self.paths.get(&caller).copied()
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        let due = *self.sweep_at.get_or_insert(now + PATH_AGE / 4);
+        if due > now {
+            return;
+        }
+        self.sweep_at = Some(now + PATH_AGE / 4);
+        self.paths
+            .retain(|_, path| now.saturating_duration_since(path.used) < PATH_AGE);
+    }
+}
+
+/// Remembers the connection IDs that callers chose for handshakes in progress, so that a draining agent still gets
+/// the packets of a handshake that it began.
+#[derive(Debug, Default)]
+pub(crate) struct HandshakeTable {
+    deadlines: HashMap<(SocketAddrV4, ConnectionId), Instant>,
+    order: VecDeque<(Instant, SocketAddrV4, ConnectionId)>,
+}
+
+impl HandshakeTable {
+    /// Returns whether a handshake with this ID is in progress.
+    pub(crate) fn contains(&self, caller: SocketAddrV4, id: ConnectionId, now: Instant) -> bool {
+        self.deadlines
+            .get(&(caller, id))
+            .is_some_and(|deadline| *deadline > now)
+    }
+
+    /// Records the start of a handshake.
+    pub(crate) fn insert(&mut self, caller: SocketAddrV4, id: ConnectionId, now: Instant) {
+        while let Some((deadline, caller, id)) = self.order.front() {
+            if *deadline > now && self.order.len() < HANDSHAKE_MAX {
+                break;
+            }
+            self.deadlines.remove(&(*caller, *id));
+            self.order.pop_front();
+        }
+        let deadline = now + HANDSHAKE_AGE;
+        self.deadlines.insert((caller, id), deadline);
+        self.order.push_back((deadline, caller, id));
+    }
+}
--- /dev/null
+++ b/crates/agent/src/traffic/request.rs
@@ -0,0 +1,381 @@
+//! One request of a caller, from its head to the end of its answer.
+
+use super::answer::AnswerWriter;
+use super::context::TrafficContext;
+use super::headers;
+use super::scheduler::{RunDecision, RunTicket};
+use super::upstream::{read_chunk, BodyReader, BodyStart, UpstreamError};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::request::Parts;
+use http::{HeaderMap, StatusCode};
+use ntex::client::ClientResponse;
+use quetzalhill_core::dispatch::{RefusalReason, RequestMeta};
+use quetzalhill_core::ids::ServiceNumber;
+use quetzalhill_core::once::{OnceKey, OnceOutcome, StoredAnswer};
+use quetzalhill_core::request::{
+    self, InvalidReason, NotRunReason, RequestContext, RequestPlan, RequestVerdict,
+};
+use quetzalhill_wire::session;
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::sync::oneshot;
+
+/// Most bytes of the body of an answer that is kept for copies of a keyed request.
+const STORED_BODY_MAX: usize = 16 * 1024;
+
+/// A request whose head has been read.
+pub(crate) struct CallerRequest {
+    /// Method, path and header fields.
+    pub(crate) head: Parts,
+    /// The request's body.
+    pub(crate) reader: BodyReader,
+    /// The way to the caller.
+    pub(crate) writer: AnswerWriter,
+    /// Service for which the connection was made.
+    pub(crate) number: ServiceNumber,
+    /// When the head was read.
+    pub(crate) arrived: Instant,
+}
+
+/// Reports the outcome of a keyed request, also when its task ends early.
+struct OnceTicket {
+    context: Rc<TrafficContext>,
+    key: OnceKey,
+    outcome: OnceOutcome,
+}
+
+impl Drop for OnceTicket {
+    fn drop(&mut self) {
+        let outcome = std::mem::replace(&mut self.outcome, OnceOutcome::NotRun);
+        self.context.once.borrow_mut().finish(&self.key, outcome);
+    }
+}
+
+/// Serves a request; `connection` tells when the caller is gone.
+pub(crate) async fn serve(
+    context: Rc<TrafficContext>,
+    request: CallerRequest,
+    connection: quinn::Connection,
+) {
+    let verdict = judge(&context, &request);
+    let writer = request.writer;
+    match verdict {
+        RequestVerdict::Dispatch(plan) => {
+            let pending = PendingRequest {
+                head: request.head,
+                reader: request.reader,
+                writer,
+                arrived: request.arrived,
+            };
+            if plan.once.is_some() {
+                // The outcome is worth having even if the caller is gone, because it may ask again.
+                dispatch(&context, plan, pending, Some(&connection)).await;
+                return;
+            }
+            tokio::select! {
+                () = dispatch(&context, plan, pending, None) => {}
+                _ = connection.closed() => {}
+            }
+        }
+        RequestVerdict::NotRun(reason) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            writer.not_run(status, not_run_text(reason)).await;
+        }
+        RequestVerdict::SessionNeeded(token) => {
+            let text = session::seal(&token, &context.shared.ring.load());
+            writer.session_needed(&text).await;
+        }
+        RequestVerdict::Invalid(reason) => {
+            let (status, text) = match reason {
+                InvalidReason::KeyLength => (
+                    StatusCode::BAD_REQUEST,
+                    "the idempotency key has 1 to 128 ASCII characters",
+                ),
+                InvalidReason::KeyReused => (
+                    StatusCode::UNPROCESSABLE_ENTITY,
+                    "the idempotency key was used for another request",
+                ),
+            };
+            writer.not_run(status, text).await;
+        }
+        RequestVerdict::InProgress => {
+            let text = "a copy of the request is in progress";
+            writer.unknown(StatusCode::CONFLICT, text).await;
+        }
+        RequestVerdict::Repeat(answer) => {
+            let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            let fields = headers::from_stored(&answer);
+            writer.whole(status, fields, Bytes::from(answer.body)).await;
+        }
+        RequestVerdict::Unknown(reason) => {
+            writer.unknown(StatusCode::BAD_GATEWAY, reason.text()).await;
+        }
+    }
+}
+
+fn judge(context: &TrafficContext, request: &CallerRequest) -> RequestVerdict {
+    let view = context.view();
+    let facts = headers::facts(&request.head, &context.shared.ring.load(), request.arrived);
+    let mut once = context.once.borrow_mut();
+    let mut chain = RequestContext {
+        service: view.service.as_ref(),
+        number: request.number,
+        closing: false,
+        endpoint: context.endpoint(),
+        in_flight: context.scheduler.in_flight(),
+        once: &mut once,
+    };
+    request::decide(&facts, &mut chain)
+}
+
+struct PendingRequest {
+    head: Parts,
+    reader: BodyReader,
+    writer: AnswerWriter,
+    arrived: Instant,
+}
+
+async fn dispatch(
+    context: &Rc<TrafficContext>,
+    plan: RequestPlan,
+    mut pending: PendingRequest,
+    closed: Option<&quinn::Connection>,
+) {
+    let mut ticket = plan.once.map(|key| OnceTicket {
+        context: context.clone(),
+        key,
+        outcome: OnceOutcome::NotRun,
+    });
+    let Some(mut start) = first_bytes(&mut pending, plan.deadline).await else {
+        return;
+    };
+    let meta = RequestMeta {
+        id: context.next_request(),
+        class: plan.class,
+        owner: plan.owner,
+        arrived: pending.arrived,
+        deadline: plan.deadline,
+    };
+    let (run, decision) = context.scheduler.submit(meta);
+    let waited = wait_for_start(decision, &mut pending.reader, &mut start, closed).await;
+    match waited {
+        None => return,
+        Some(RunDecision::Refuse(reason)) => {
+            run.refused();
+            drop(ticket);
+            let text = refusal_text(reason);
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            pending.writer.not_run(status, text).await;
+            return;
+        }
+        Some(RunDecision::Start) => {}
+    }
+    if let Some(ticket) = &mut ticket {
+        ticket.outcome = OnceOutcome::Lost;
+    }
+    let sent = context
+        .upstream
+        .send(&pending.head, start, pending.reader, plan.deadline)
+        .await;
+    match sent {
+        Ok(response) => relay(context, run, response, pending.writer, ticket).await,
+        Err(error) => fail(context, run, error, pending.writer, ticket).await,
+    }
+}
+
+/// Reads ahead where only the stream's end tells whether there is a body; `None` if the caller gave up.
+async fn first_bytes(pending: &mut PendingRequest, deadline: Instant) -> Option<BodyStart> {
+    match headers::content_length(&pending.head.headers) {
+        Some(0) => return Some(BodyStart::End),
+        Some(_) => return Some(BodyStart::Unread),
+        None if !pending.head.method.is_safe() => return Some(BodyStart::Unread),
+        None => {}
+    }
+    let read = read_chunk(&mut pending.reader);
+    match tokio::time::timeout_at(deadline.into(), read).await {
+        Ok(Ok(Some(chunk))) => Some(BodyStart::Chunk(chunk)),
+        Ok(Ok(None)) => Some(BodyStart::End),
+        Ok(Err(_)) | Err(_) => None,
+    }
+}
+
+/// Waits for dispatch; `None` if the caller cancelled the request while it waited.
+async fn wait_for_start(
+    mut decision: oneshot::Receiver<RunDecision>,
+    reader: &mut BodyReader,
+    start: &mut BodyStart,
+    closed: Option<&quinn::Connection>,
+) -> Option<RunDecision> {
+    let gone = async {
+        match closed {
+            Some(connection) => {
+                connection.closed().await;
+            }
+            None => std::future::pending().await,
+        }
+    };
+    tokio::pin!(gone);
+    while let BodyStart::Unread = start {
+        tokio::select! {
+            biased;
+            decided = &mut decision => return decided.ok(),
+            () = &mut gone => return None,
+            read = read_chunk(reader) => match read {
+                Ok(Some(chunk)) => *start = BodyStart::Chunk(chunk),
+                Ok(None) => *start = BodyStart::End,
+                Err(_) => return None,
+            },
+        }
+    }
+    tokio::select! {
+        biased;
+        decided = decision => decided.ok(),
+        () = gone => None,
+    }
+}
+
+/// Passes the upstream's answer on and keeps a copy for a keyed request.
+async fn relay(
+    context: &TrafficContext,
+    run: RunTicket,
+    response: ClientResponse,
+    writer: AnswerWriter,
+    mut ticket: Option<OnceTicket>,
+) {
+    context.report_health(true);
+    let status = StatusCode::from_u16(response.status().as_u16());
+    let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    let fields = headers::from_upstream(response.headers());
+    let mut copy = ticket.as_ref().map(|_| AnswerCopy::new(status, &fields));
+    let mut caller = Some(writer);
+    if let Some(writer) = &mut caller {
+        if writer.head(status, fields).await.is_err() {
+            caller = None;
+        }
+    }
+    let mut payload = response.take_payload();
+    while let Some(item) = payload.next().await {
+        let Ok(chunk) = item else {
+            // The writer resets the stream when it is dropped, and the outcome of a keyed request stays unknown.
+            run.finish(false);
+            return;
+        };
+        if let Some(copy) = &mut copy {
+            copy.push(&chunk);
+        }
+        if let Some(writer) = &mut caller {
+            if writer.data(Bytes::copy_from_slice(&chunk)).await.is_err() {
+                caller = None;
+            }
+        }
+        let wanted = copy.as_ref().is_some_and(|copy| !copy.large);
+        if caller.is_none() && !wanted {
+            break;
+        }
+    }
+    run.finish(!status.is_server_error());
+    if let (Some(ticket), Some(copy)) = (&mut ticket, copy) {
+        ticket.outcome = copy.outcome();
+    }
+    drop(ticket);
+    if let Some(writer) = caller {
+        // A caller that is gone needs no end of its answer.
+        let _ = writer.finish().await;
+    }
+}
+
+async fn fail(
+    context: &TrafficContext,
+    run: RunTicket,
+    error: UpstreamError,
+    writer: AnswerWriter,
+    mut ticket: Option<OnceTicket>,
+) {
+    match error {
+        UpstreamError::CallerGone => {
+            run.finish(true);
+        }
+        UpstreamError::NotSent => {
+            context.report_health(false);
+            run.finish(false);
+            if let Some(ticket) = &mut ticket {
+                ticket.outcome = OnceOutcome::NotRun;
+            }
+            drop(ticket);
+            let text = "the upstream takes no connection";
+            writer.not_run(StatusCode::SERVICE_UNAVAILABLE, text).await;
+        }
+        UpstreamError::Lost => {
+            run.finish(false);
+            drop(ticket);
+            let text = "the upstream was lost while the request ran";
+            writer.unknown(StatusCode::BAD_GATEWAY, text).await;
+        }
+        UpstreamError::Deadline => {
+            run.finish(false);
+            drop(ticket);
+            let text = "the deadline passed while the request ran";
+            writer.unknown(StatusCode::GATEWAY_TIMEOUT, text).await;
+        }
+    }
+}
+
+/// Collects a small answer for copies of a keyed request.
+struct AnswerCopy {
+    answer: StoredAnswer,
+    large: bool,
+}
+
+impl AnswerCopy {
+    fn new(status: StatusCode, fields: &HeaderMap) -> Self {
+        let headers = fields
+            .iter()
+            .map(|(name, value)| (name.as_str().into(), value.as_bytes().into()))
+            .collect();
+        Self {
+            answer: StoredAnswer {
+                status: status.as_u16(),
+                headers,
+                body: Vec::new(),
+            },
+            large: false,
+        }
+    }
+
+    fn push(&mut self, chunk: &[u8]) {
+        if self.answer.body.len() + chunk.len() > STORED_BODY_MAX {
+            self.large = true;
+            self.answer.body = Vec::new();
+        }
+        if !self.large {
+            self.answer.body.extend_from_slice(chunk);
+        }
+    }
+
+    fn outcome(self) -> OnceOutcome {
+        match self.large {
+            true => OnceOutcome::AnsweredLarge,
+            false => OnceOutcome::Answered(self.answer),
+        }
+    }
+}
+
+fn not_run_text(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::Service => "the service is not served here",
+        NotRunReason::KeyTableFull => "no further idempotency key can be kept",
+        NotRunReason::Dispatch(reason) => refusal_text(reason),
+    }
+}
+
+fn refusal_text(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::QueueFull => "the queue is full",
+        RefusalReason::InFlightLimit => "too many requests in flight",
+        RefusalReason::OwnerLimit => "the owner's limit is reached",
+        RefusalReason::Deadline => "the deadline cannot be met",
+        RefusalReason::Overload => "more urgent requests need the capacity",
+        RefusalReason::Draining => "the endpoint is draining",
+    }
+}
--- /dev/null
+++ b/crates/agent/src/traffic/scheduler.rs
@@ -0,0 +1,163 @@
+//! Carries out the decisions of dispatch on the traffic thread.
+//!
+//! The scheduler is the one owner of the [`DispatchController`]; requests tell it what happened and wait for what
+//! it decides.
+
+use crate::handover;
+use quetzalhill_core::dispatch::{
+    ActionList, DispatchAction, DispatchController, DispatchEvent, RefusalReason, RequestMeta,
+};
+use quetzalhill_core::ids::{EndpointId, RequestId};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::sync::{oneshot, Notify};
+
+/// What dispatch decided for one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RunDecision {
+    /// Send it to the local upstream.
+    Start,
+    /// Answer that it was not run.
+    Refuse(RefusalReason),
+}
+
+/// Owns dispatch; used through [`Rc`] by all tasks of the traffic thread.
+pub(crate) struct RequestScheduler {
+    controller: RefCell<DispatchController>,
+    rng: RefCell<SmallRng>,
+    waiting: RefCell<HashMap<RequestId, oneshot::Sender<RunDecision>>>,
+    in_flight: Cell<u32>,
+    timer: Notify,
+}
+
+impl RequestScheduler {
+    /// Takes over a controller.
+    pub(crate) fn new(controller: DispatchController) -> Rc<Self> {
+        Rc::new(Self {
+            controller: RefCell::new(controller),
+            rng: RefCell::new(SmallRng::from_os_rng()),
+            waiting: RefCell::new(HashMap::new()),
+            in_flight: Cell::new(0),
+            timer: Notify::new(),
+        })
+    }
+
+    /// Returns how many requests wait or run.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Tells dispatch what happened and carries out what it decides.
+    pub(crate) fn handle(self: &Rc<Self>, event: DispatchEvent) {
+        let now = Instant::now();
+        let actions = {
+            let mut rng = self.rng.borrow_mut();
+            self.controller.borrow_mut().handle(event, now, &mut rng)
+        };
+        self.execute(actions);
+        self.timer.notify_one();
+    }
+
+    /// Gives a request to dispatch; the ticket tells dispatch how the request ended.
+    pub(crate) fn submit(
+        self: &Rc<Self>,
+        meta: RequestMeta,
+    ) -> (RunTicket, oneshot::Receiver<RunDecision>) {
+        let (sender, receiver) = oneshot::channel();
+        let ticket = RunTicket {
+            scheduler: self.clone(),
+            id: meta.id,
+            open: true,
+        };
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.waiting.borrow_mut().insert(meta.id, sender);
+        self.handle(DispatchEvent::Arrived(meta));
+        (ticket, receiver)
+    }
+
+    /// Fires the controller's timer; runs until the system stops.
+    pub(crate) async fn run_timer(self: Rc<Self>) {
+        loop {
+            let next = self.controller.borrow().next_deadline();
+            let changed = self.timer.notified();
+            let Some(deadline) = next else {
+                changed.await;
+                continue;
+            };
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep_until(deadline.into()) => {
+                    self.handle(DispatchEvent::TimerFired);
+                }
+            }
+        }
+    }
+
+    fn execute(self: &Rc<Self>, actions: ActionList) {
+        for action in actions {
+            match action {
+                DispatchAction::Start(id) => self.decide(id, RunDecision::Start),
+                DispatchAction::Refuse(id, reason) => self.decide(id, RunDecision::Refuse(reason)),
+                DispatchAction::HandOver(id, peer) => self.hand_over(id, peer),
+                // These speak to peers; the hand-over transport carries them out.
+                DispatchAction::AcceptOffer(_)
+                | DispatchAction::RejectOffer(_)
+                | DispatchAction::SendPull(_)
+                | DispatchAction::SendLoad(_) => {}
+            }
+        }
+    }
+
+    fn decide(&self, id: RequestId, decision: RunDecision) {
+        let sender = self.waiting.borrow_mut().remove(&id);
+        if let Some(sender) = sender {
+            // A request that was cancelled meanwhile tells dispatch so itself.
+            let _ = sender.send(decision);
+        }
+    }
+
+    fn hand_over(self: &Rc<Self>, id: RequestId, peer: EndpointId) {
+        let scheduler = self.clone();
+        // A task of its own, because the event must not be handled inside the handling of another.
+        ntex::rt::spawn(async move {
+            let event = handover::offer(id, peer).await;
+            scheduler.handle(event);
+        });
+    }
+}
+
+/// Tells dispatch how a request ended; a dropped ticket counts as cancelled.
+pub(crate) struct RunTicket {
+    scheduler: Rc<RequestScheduler>,
+    id: RequestId,
+    open: bool,
+}
+
+impl RunTicket {
+    /// Reports that the request ended; `ok` is what it says of the upstream's health.
+    pub(crate) fn finish(mut self, ok: bool) {
+        self.open = false;
+        let id = self.id;
+        self.scheduler.handle(DispatchEvent::Finished { id, ok });
+    }
+
+    /// Ends the ticket of a request that dispatch refused.
+    pub(crate) fn refused(mut self) {
+        self.open = false;
+    }
+}
+
+impl Drop for RunTicket {
+    fn drop(&mut self) {
+        let scheduler = &self.scheduler;
+        scheduler.in_flight.set(scheduler.in_flight.get() - 1);
+        scheduler.waiting.borrow_mut().remove(&self.id);
+        if self.open {
+            scheduler.handle(DispatchEvent::Cancelled(self.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/traffic/answers.rs
@@ -0,0 +1,178 @@
+//! Answers of the upstream on their way to the caller, and what the caller is told without one.
+
+use crate::support::{block_on, free_port, TestSite, STEP};
+use crate::upstream::UpstreamLog;
+use quetzalhill_core::catalogue::LimitSet;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Guards against an agent that loses, changes or cuts an answer.
+#[test]
+fn whole_answer_arrives() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        let answer = caller.get("/hello?x=1").await.unwrap();
+        assert_eq!(
+            (answer.status.as_u16(), answer.body.as_str()),
+            (200, "hello")
+        );
+        let answer = caller.get("/large").await.unwrap();
+        assert_eq!(answer.body.len(), 300_000);
+        let answer = caller.send("POST", "/echo", &[], b"some text").await;
+        assert_eq!(answer.unwrap().body, "some text");
+        let length = [("content-length", "9")];
+        let answer = caller.send("POST", "/echo", &length, b"some text").await;
+        assert_eq!(answer.unwrap().body, "some text");
+    });
+}
+
+/// Guards against an agent that loses a part of a streamed answer.
+#[test]
+fn streamed_answer_arrives() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        assert_eq!(caller.get("/stream").await.unwrap().body, "one two three");
+    });
+}
+
+/// Guards against a deadline that ends a stream which has begun.
+#[test]
+fn deadline_ends_with_the_head() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        // The head comes at once, the stream ends 600 ms after the deadline.
+        let timeout = [("quetzalhill-timeout-ms", "1500")];
+        let answer = caller.send("GET", "/long-stream", &timeout, b"").await;
+        assert_eq!(answer.unwrap().body, "one two three");
+    });
+}
+
+/// Guards against an answer that was cut short and looks complete.
+#[test]
+fn early_end_resets_the_stream() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        assert!(caller.get("/early").await.is_err());
+        // The connection outlives the failed request.
+        assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
+    });
+}
+
+/// Guards against telling "not run" of a request that may have run.
+#[test]
+fn lost_upstream_is_unknown() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        for method in ["GET", "POST"] {
+            let answer = caller.send(method, "/die", &[], b"").await.unwrap();
+            assert_eq!(answer.status.as_u16(), 502);
+            assert_eq!(answer.header("quetzalhill-outcome"), "unknown");
+        }
+        assert_eq!(site.log.requests.load(Ordering::SeqCst), 2);
+    });
+}
+
+/// Guards against a request that runs past its deadline, and against keeping its slot.
+#[test]
+fn deadline_is_unknown_and_closes_the_upstream_connection() {
+    let site = TestSite::start(1, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        let timeout = [("quetzalhill-timeout-ms", "200")];
+        let answer = caller.send("GET", "/hold", &timeout, b"").await.unwrap();
+        assert_eq!(answer.status.as_u16(), 504);
+        assert_eq!(answer.header("quetzalhill-outcome"), "unknown");
+        wait_for_abort(&site.log).await;
+        assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
+    });
+}
+
+/// Guards against an upstream that does not learn how much time is left.
+#[test]
+fn remaining_time_reaches_the_upstream() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        let timeout = [("quetzalhill-timeout-ms", "5000")];
+        let answer = caller.send("GET", "/timeout", &timeout, b"").await.unwrap();
+        let left: u64 = answer.body.parse().unwrap();
+        assert!((1..=5_000).contains(&left), "{left}");
+    });
+}
+
+/// Guards against telling "unknown" where nothing was sent.
+#[test]
+fn refused_connection_is_not_run() {
+    let log = Arc::new(UpstreamLog::default());
+    let site = TestSite::with_upstream(4, LimitSet::default(), free_port(), log);
+    block_on(async {
+        let caller = site.connect().await;
+        let answer = caller.send("POST", "/hello", &[], b"").await.unwrap();
+        assert_eq!(answer.status.as_u16(), 503);
+        assert_eq!(answer.header("quetzalhill-outcome"), "not-run");
+        assert_eq!(answer.header("retry-after"), "1");
+    });
+}
+
+/// Guards against running a request whose caller was told that it was not run.
+#[test]
+fn full_queue_is_not_run() {
+    let limits = LimitSet {
+        queue: 1,
+        ..LimitSet::default()
+    };
+    let site = TestSite::start(1, limits);
+    block_on(async {
+        let caller = site.connect().await;
+        let (a, b, c) = tokio::join!(
+            caller.get("/slow"),
+            caller.get("/slow"),
+            caller.get("/slow")
+        );
+        let answers = [a.unwrap(), b.unwrap(), c.unwrap()];
+        let refused: Vec<_> = answers
+            .iter()
+            .filter(|answer| answer.status.as_u16() == 503)
+            .collect();
+        assert_eq!(refused.len(), 1);
+        assert_eq!(refused[0].header("quetzalhill-outcome"), "not-run");
+        assert_eq!(site.log.requests.load(Ordering::SeqCst), 2);
+    });
+}
+
+/// Guards against requests that keep running, or run later, after their caller is gone.
+#[test]
+fn lost_caller_ends_its_requests() {
+    let site = TestSite::start(1, LimitSet::default());
+    block_on(async {
+        let leaving = site.connect().await;
+        let both = async { tokio::join!(leaving.get("/hold"), leaving.get("/hold")) };
+        tokio::select! {
+            _ = both => unreachable!("the upstream answers neither"),
+            () = wait_for(&site.log.requests) => {}
+        }
+        leaving.connection.close(0_u32.into(), b"");
+        wait_for_abort(&site.log).await;
+        let caller = site.connect().await;
+        assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
+        assert_eq!(site.log.requests.load(Ordering::SeqCst), 2);
+    });
+}
+
+async fn wait_for_abort(log: &UpstreamLog) {
+    wait_for(&log.aborted).await;
+}
+
+async fn wait_for(counter: &AtomicU32) {
+    let end = Instant::now() + STEP;
+    while counter.load(Ordering::SeqCst) == 0 {
+        assert!(Instant::now() < end, "the upstream sees nothing");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/traffic/drain.rs
@@ -0,0 +1,37 @@
+//! The graceful stop.
+
+use crate::support::{block_on, TestSite, STEP};
+use quetzalhill_agent::shared::TrafficEvent;
+use quetzalhill_core::catalogue::LimitSet;
+use quetzalhill_core::member::EndpointState;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Guards against a planned stop that breaks an answer in progress, or that never ends.
+#[test]
+fn drain_finishes_what_runs() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let busy = site.connect().await;
+        let idle = site.connect().await;
+        assert_eq!(idle.get("/hello").await.unwrap().body, "hello");
+        let stream = busy.get("/slow");
+        let drain = async {
+            while site.log.requests.load(Ordering::SeqCst) < 2 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            site.set_state(EndpointState::Draining);
+        };
+        let both = async { tokio::join!(stream, drain) };
+        let (answer, ()) = tokio::time::timeout(STEP, both).await.unwrap();
+        assert_eq!(answer.unwrap().body, "slow");
+        // GOAWAY arrived, so that the client itself sends no further request.
+        assert!(busy.get("/hello").await.is_err());
+        tokio::time::timeout(STEP, idle.connection.closed())
+            .await
+            .unwrap();
+    });
+    assert_eq!(site.events.recv_timeout(STEP), Ok(TrafficEvent::Drained));
+    assert_eq!(site.traffic.flows(), 0);
+    site.traffic.stop();
+}
--- /dev/null
+++ b/crates/agent/tests/traffic/main.rs
@@ -0,0 +1,8 @@
+//! The agent's traffic side, from an HTTP/3 client through packets to an HTTP/1.1 upstream.
+
+mod answers;
+mod drain;
+mod once;
+mod packets;
+mod support;
+mod upstream;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,9 @@
 
 pub mod catalogue;
 pub mod dispatch;
+pub mod flow;
 pub mod ids;
 pub mod member;
+pub mod once;
+pub mod request;
 pub mod route;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod control;
 pub mod key;
 pub mod packet;
+pub mod session;
