--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,6 +1,9 @@
 //! The agent, the process beside an upstream, which holds the callers' connections and runs their requests.
 
+pub mod cmd;
+pub mod control;
 mod handover;
+pub mod run;
 pub mod settings;
 pub mod shared;
 pub mod traffic;
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -5,6 +5,7 @@
 mod context;
 pub mod counters;
 mod headers;
+mod health;
 mod paths;
 mod quic;
 mod request;
@@ -30,11 +31,12 @@
 use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::{mpsc, watch};
 use upstream::UpstreamClient;
 
 /// Bytes of the socket's buffers, so that a burst of some thousand packets is not lost.
@@ -50,6 +52,7 @@
 #[derive(Debug)]
 pub struct TrafficHandle {
     stop: watch::Sender<bool>,
+    drained: Receiver<()>,
     counters: Arc<PacketCounters>,
     flows: Arc<AtomicU32>,
     thread: Option<JoinHandle<()>>,
@@ -61,6 +64,17 @@
         self.end();
     }
 
+    /// Waits until a drain has ended; returns false if it has not after `limit`.
+    ///
+    /// The view's state starts a drain, and `agent.drain_limit_s` ends it.
+    pub fn wait_drained(&self, limit: Duration) -> bool {
+        match self.drained.recv_timeout(limit) {
+            // A thread that has ended serves no flow any more.
+            Ok(()) | Err(RecvTimeoutError::Disconnected) => true,
+            Err(RecvTimeoutError::Timeout) => false,
+        }
+    }
+
     /// Returns the counters of the packet socket.
     pub fn counters(&self) -> &Arc<PacketCounters> {
         &self.counters
@@ -91,10 +105,11 @@
 struct TrafficParts {
     agent: AgentSection,
     shared: Arc<SharedState>,
-    events: SyncSender<TrafficEvent>,
+    events: mpsc::Sender<TrafficEvent>,
     counters: Arc<PacketCounters>,
     flows: Arc<AtomicU32>,
     socket: UdpSocket,
+    drained: SyncSender<()>,
 }
 
 /// Starts the traffic thread; it serves as soon as the view names the agent's service.
@@ -105,12 +120,13 @@
 pub fn start(
     settings: &AgentSettings,
     shared: Arc<SharedState>,
-    events: SyncSender<TrafficEvent>,
+    events: mpsc::Sender<TrafficEvent>,
 ) -> Result<TrafficHandle> {
     let agent = settings.agent.clone();
     let socket = bind(&agent)?;
     let counters = Arc::new(PacketCounters::default());
     let flows = Arc::new(AtomicU32::new(0));
+    let (drain_end, drained) = sync_channel(1);
     let parts = TrafficParts {
         agent,
         shared,
@@ -118,6 +134,7 @@
         counters: counters.clone(),
         flows: flows.clone(),
         socket,
+        drained: drain_end,
     };
     let (stop, stopped) = watch::channel(false);
     let (report, started) = sync_channel(1);
@@ -130,6 +147,7 @@
         .map_err(|_| anyhow!("the traffic thread ended while it started"))??;
     Ok(TrafficHandle {
         stop,
+        drained,
         counters,
         flows,
         thread: Some(thread),
@@ -166,6 +184,7 @@
     let report = report.clone();
     system.block_on(async move {
         let drain_limit = Duration::from_secs(parts.agent.drain_limit_s.into());
+        let drained = parts.drained.clone();
         let (endpoint, context) = match prepare(parts).await {
             Ok(prepared) => prepared,
             Err(error) => {
@@ -175,7 +194,8 @@
         };
         let _ = report.send(Ok(()));
         ntex::rt::spawn(context.scheduler.clone().run_timer());
-        ntex::rt::spawn(follow_view(context.clone(), drain_limit));
+        ntex::rt::spawn(health::probe(context.clone()));
+        ntex::rt::spawn(follow_view(context.clone(), drain_limit, drained));
         tokio::select! {
             () = accept(&endpoint, &context) => {}
             _ = stopped.wait_for(|&stop| stop) => {}
@@ -229,7 +249,7 @@
 }
 
 /// Tells dispatch what changed in the view, and starts the drain.
-async fn follow_view(context: Rc<TrafficContext>, drain_limit: Duration) {
+async fn follow_view(context: Rc<TrafficContext>, drain_limit: Duration, drained: SyncSender<()>) {
     let mut limits: Option<LimitSet> = None;
     let mut peers: Vec<EndpointId> = Vec::new();
     let mut draining = false;
@@ -248,7 +268,7 @@
         }
         if !draining && view.state >= EndpointState::Draining {
             draining = true;
-            ntex::rt::spawn(drain(context.clone(), drain_limit));
+            ntex::rt::spawn(drain(context.clone(), drain_limit, drained.clone()));
         }
         context.shared.changed.notified().await;
     }
@@ -265,7 +285,7 @@
 }
 
 /// Waits until every connection has ended, at most until the limit, and reports it.
-async fn drain(context: Rc<TrafficContext>, limit: Duration) {
+async fn drain(context: Rc<TrafficContext>, limit: Duration, drained: SyncSender<()>) {
     let end = Instant::now() + limit;
     emit(EventCode::AgentDraining, &[("endpoint", &context.own)]);
     context.scheduler.handle(DispatchEvent::DrainStarted);
@@ -282,6 +302,8 @@
         }
         tokio::time::sleep(DRAIN_CHECK).await;
     }
+    // The channel has room for the one message of the one drain.
+    let _ = drained.try_send(());
     // A full channel empties as the control thread reads it; a closed one has nobody to tell.
     while let Err(TrySendError::Full(_)) = context.events.try_send(TrafficEvent::Drained) {
         tokio::time::sleep(DRAIN_CHECK).await;
--- a/crates/agent/src/traffic/context.rs
+++ b/crates/agent/src/traffic/context.rs
@@ -9,9 +9,8 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::atomic::AtomicU32;
-use std::sync::mpsc::SyncSender;
 use std::sync::Arc;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch, Notify};
 
 /// Owners of the state of the traffic thread.
 pub(crate) struct TrafficContext {
@@ -20,7 +19,7 @@
     /// What the control thread publishes.
     pub(crate) shared: Arc<SharedState>,
     /// Events for the control thread.
-    pub(crate) events: SyncSender<TrafficEvent>,
+    pub(crate) events: mpsc::Sender<TrafficEvent>,
     /// Dispatch.
     pub(crate) scheduler: Rc<RequestScheduler>,
     /// Outcomes of keyed requests.
@@ -32,7 +31,8 @@
     /// Becomes true when the drain starts.
     pub(crate) draining: watch::Sender<bool>,
     next_request: Cell<u64>,
-    healthy: Cell<bool>,
+    healthy: Cell<Option<bool>>,
+    unhealthy: Notify,
 }
 
 impl TrafficContext {
@@ -40,7 +40,7 @@
     pub(crate) fn new(
         own: SocketAddrV4,
         shared: Arc<SharedState>,
-        events: SyncSender<TrafficEvent>,
+        events: mpsc::Sender<TrafficEvent>,
         scheduler: Rc<RequestScheduler>,
         once: OnceController,
         upstream: UpstreamClient,
@@ -56,7 +56,8 @@
             flows,
             draining: watch::Sender::new(false),
             next_request: Cell::new(0),
-            healthy: Cell::new(true),
+            healthy: Cell::new(None),
+            unhealthy: Notify::new(),
         })
     }
 
@@ -82,13 +83,23 @@
 
     /// Tells the control thread when the upstream starts or stops answering.
     pub(crate) fn report_health(&self, healthy: bool) {
-        if self.healthy.replace(healthy) == healthy {
+        if self.healthy.get() == Some(healthy) {
             return;
         }
         let event = TrafficEvent::UpstreamHealth { healthy };
-        if self.events.try_send(event).is_err() {
-            // The next request repeats the report that the full channel did not take.
-            self.healthy.set(!healthy);
+        // The next request or probe repeats a report that a full channel does not take.
+        if self.events.try_send(event).is_ok() {
+            self.healthy.set(Some(healthy));
+        }
+        if !healthy {
+            self.unhealthy.notify_one();
+        }
+    }
+
+    /// Waits until the upstream's health is unknown or bad.
+    pub(crate) async fn until_unhealthy(&self) {
+        while self.healthy.get() == Some(true) {
+            self.unhealthy.notified().await;
         }
     }
 }
--- a/crates/agent/src/traffic/socket.rs
+++ b/crates/agent/src/traffic/socket.rs
@@ -9,9 +9,11 @@
 use quetzalhill_core::flow::{self, FlowFacts, FlowIntake, FlowOrigin, FlowVerdict};
 use quetzalhill_core::ids::{id_of, incarnation_bits};
 use quetzalhill_core::member::EndpointState;
+use quetzalhill_core::packet::FlowStage;
 use quetzalhill_wire::cid::{CidContent, CID_BYTES};
 use quetzalhill_wire::key::{KeyRing, TAG_BYTES};
 use quetzalhill_wire::packet::{PacketDirection, PacketHeader, DATAGRAM_MAX, HEADER_MAX};
+use quetzalhill_wire::quic::InvariantHeader;
 use quinn::udp::{RecvMeta, Transmit};
 use quinn::{AsyncUdpSocket, ConnectionId, UdpPoller};
 use std::future::Future;
@@ -29,15 +31,6 @@
 /// Most datagrams handled in one poll, so that other tasks get their turn.
 const POLL_BUDGET: usize = 64;
 
-/// Most bytes of a connection ID in QUIC version 1.
-const CID_MAX: usize = 20;
-
-/// Bytes of flags, version and length before the destination connection ID of a long header.
-const LONG_PREFIX: usize = 6;
-
-/// Bit that is set in a long header.
-const LONG_BIT: u8 = 0x80;
-
 /// Callers that are remembered for each open flow; callers change their address during a flow.
 const PATHS_PER_FLOW: usize = 4;
 
@@ -281,17 +274,13 @@
 
 /// Returns the destination connection ID of a QUIC packet and whether its header is long.
 fn parse_destination(packet: &[u8]) -> Option<(ConnectionId, bool)> {
-    let first = *packet.first()?;
-    if first & LONG_BIT == 0 {
-        let id = packet.get(1..=CID_BYTES)?;
-        return Some((ConnectionId::new(id), false));
-    }
-    let length = usize::from(*packet.get(LONG_PREFIX - 1)?);
-    if length > CID_MAX {
+    let header = InvariantHeader::parse(packet)?;
+    // Later versions of QUIC may use longer IDs; this agent speaks version 1 only.
+    if header.destination.len() > CID_BYTES {
         return None;
     }
-    let id = packet.get(LONG_PREFIX..LONG_PREFIX + length)?;
-    Some((ConnectionId::new(id), true))
+    let long = header.stage == FlowStage::Opening;
+    Some((ConnectionId::new(header.destination), long))
 }
 
 impl AsyncUdpSocket for PacketSocket {
--- a/crates/agent/src/traffic/upstream.rs
+++ b/crates/agent/src/traffic/upstream.rs
@@ -64,6 +64,11 @@
         })
     }
 
+    /// Returns the address of the upstream.
+    pub(crate) fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
     /// Sends a request and returns the head of the answer, of which the body can be read.
     ///
     /// A request that is not safe gets a connection of its own: a reused one may be closed by the upstream at the
--- a/crates/agent/tests/traffic/drain.rs
+++ b/crates/agent/tests/traffic/drain.rs
@@ -10,7 +10,7 @@
 /// Guards against a planned stop that breaks an answer in progress, or that never ends.
 #[test]
 fn drain_finishes_what_runs() {
-    let site = TestSite::start(4, LimitSet::default());
+    let mut site = TestSite::start(4, LimitSet::default());
     block_on(async {
         let busy = site.connect().await;
         let idle = site.connect().await;
@@ -31,7 +31,10 @@
             .await
             .unwrap();
     });
-    assert_eq!(site.events.recv_timeout(STEP), Ok(TrafficEvent::Drained));
+    assert!(site.traffic.wait_drained(STEP));
+    let healthy = TrafficEvent::UpstreamHealth { healthy: true };
+    assert_eq!(site.events.blocking_recv(), Some(healthy));
+    assert_eq!(site.events.blocking_recv(), Some(TrafficEvent::Drained));
     assert_eq!(site.traffic.flows(), 0);
     site.traffic.stop();
 }
--- a/crates/agent/tests/traffic/support.rs
+++ b/crates/agent/tests/traffic/support.rs
@@ -20,7 +20,6 @@
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -186,7 +185,7 @@
 pub(crate) struct TestSite {
     pub(crate) entry: FakeEntry,
     pub(crate) shared: Arc<SharedState>,
-    pub(crate) events: Receiver<TrafficEvent>,
+    pub(crate) events: tokio::sync::mpsc::Receiver<TrafficEvent>,
     pub(crate) traffic: TrafficHandle,
     pub(crate) log: Arc<UpstreamLog>,
     pub(crate) settings: AgentSettings,
@@ -239,7 +238,7 @@
             peers: Vec::new(),
             entries: vec![entry.record()],
         });
-        let (sender, events) = sync_channel(16);
+        let (sender, events) = tokio::sync::mpsc::channel(16);
         let traffic = traffic::start(&settings, shared.clone(), sender).unwrap();
         Self {
             entry,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod ids;
 pub mod member;
 pub mod once;
+pub mod packet;
 pub mod request;
 pub mod route;
