--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -31,8 +31,8 @@
 use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
-use std::sync::Arc;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::error::TrySendError;
@@ -52,7 +52,7 @@
 #[derive(Debug)]
 pub struct TrafficHandle {
     stop: watch::Sender<bool>,
-    drained: Receiver<()>,
+    drained: Arc<DrainSignal>,
     counters: Arc<PacketCounters>,
     flows: Arc<AtomicU32>,
     thread: Option<JoinHandle<()>>,
@@ -68,11 +68,7 @@
     ///
     /// The view's state starts a drain, and `agent.drain_limit_s` ends it.
     pub fn wait_drained(&self, limit: Duration) -> bool {
-        match self.drained.recv_timeout(limit) {
-            // A thread that has ended serves no flow any more.
-            Ok(()) | Err(RecvTimeoutError::Disconnected) => true,
-            Err(RecvTimeoutError::Timeout) => false,
-        }
+        self.drained.wait(limit)
     }
 
     /// Returns the counters of the packet socket.
@@ -102,6 +98,29 @@
     }
 }
 
+/// Tells other threads that a drain has ended.
+#[derive(Debug, Default)]
+struct DrainSignal {
+    ended: Mutex<bool>,
+    changed: Condvar,
+}
+
+impl DrainSignal {
+    fn set(&self) {
+        *self.ended.lock().unwrap_or_else(PoisonError::into_inner) = true;
+        self.changed.notify_all();
+    }
+
+    fn wait(&self, limit: Duration) -> bool {
+        let ended = self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        let (ended, _) = self
+            .changed
+            .wait_timeout_while(ended, limit, |ended| !*ended)
+            .unwrap_or_else(PoisonError::into_inner);
+        *ended
+    }
+}
+
 struct TrafficParts {
     agent: AgentSection,
     shared: Arc<SharedState>,
@@ -109,7 +128,7 @@
     counters: Arc<PacketCounters>,
     flows: Arc<AtomicU32>,
     socket: UdpSocket,
-    drained: SyncSender<()>,
+    drained: Arc<DrainSignal>,
 }
 
 /// Starts the traffic thread; it serves as soon as the view names the agent's service.
@@ -126,7 +145,7 @@
     let socket = bind(&agent)?;
     let counters = Arc::new(PacketCounters::default());
     let flows = Arc::new(AtomicU32::new(0));
-    let (drain_end, drained) = sync_channel(1);
+    let drained = Arc::new(DrainSignal::default());
     let parts = TrafficParts {
         agent,
         shared,
@@ -134,7 +153,7 @@
         counters: counters.clone(),
         flows: flows.clone(),
         socket,
-        drained: drain_end,
+        drained: drained.clone(),
     };
     let (stop, stopped) = watch::channel(false);
     let (report, started) = sync_channel(1);
@@ -182,6 +201,7 @@
         .disable_signals()
         .build(DefaultRuntime);
     let report = report.clone();
+    let ended = parts.drained.clone();
     system.block_on(async move {
         let drain_limit = Duration::from_secs(parts.agent.drain_limit_s.into());
         let drained = parts.drained.clone();
@@ -203,6 +223,8 @@
         endpoint.close(0_u32.into(), b"the agent stops");
         let _ = tokio::time::timeout(CLOSE_LIMIT, endpoint.wait_idle()).await;
     });
+    // A thread that has ended serves no flow any more.
+    ended.set();
 }
 
 async fn prepare(parts: TrafficParts) -> Result<(Endpoint, Rc<TrafficContext>)> {
@@ -249,7 +271,11 @@
 }
 
 /// Tells dispatch what changed in the view, and starts the drain.
-async fn follow_view(context: Rc<TrafficContext>, drain_limit: Duration, drained: SyncSender<()>) {
+async fn follow_view(
+    context: Rc<TrafficContext>,
+    drain_limit: Duration,
+    drained: Arc<DrainSignal>,
+) {
     let mut limits: Option<LimitSet> = None;
     let mut peers: Vec<EndpointId> = Vec::new();
     let mut draining = false;
@@ -285,7 +311,7 @@
 }
 
 /// Waits until every connection has ended, at most until the limit, and reports it.
-async fn drain(context: Rc<TrafficContext>, limit: Duration, drained: SyncSender<()>) {
+async fn drain(context: Rc<TrafficContext>, limit: Duration, drained: Arc<DrainSignal>) {
     let end = Instant::now() + limit;
     emit(EventCode::AgentDraining, &[("endpoint", &context.own)]);
     context.scheduler.handle(DispatchEvent::DrainStarted);
@@ -302,8 +328,7 @@
         }
         tokio::time::sleep(DRAIN_CHECK).await;
     }
-    // The channel has room for the one message of the one drain.
-    let _ = drained.try_send(());
+    drained.set();
     // A full channel empties as the control thread reads it; a closed one has nobody to tell.
     while let Err(TrySendError::Full(_)) = context.events.try_send(TrafficEvent::Drained) {
         tokio::time::sleep(DRAIN_CHECK).await;
