Watch request streams for cancellation and for the end of answers

Cause: The adapter between HTTP/3 and QUIC tells of a cancelled answer only when the next byte is written, so that a cancelled request kept its slot, and a drain could only guess when an answer had arrived.

Change: Request streams are adapted here, with a watch for each. A cancelled request leaves the queue or closes its upstream connection at once. A draining connection is closed when the caller has acknowledged all answers instead of after a quiet time.

The drain test failed once after this change, because it let a client vanish before it acknowledged the answer; the agent rightly waited. It now keeps both clients until the agent closes their connections, which it did not check for the busy one before.

Conclusion: Cancellation no longer depends on the answer.

--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -11,6 +11,7 @@
 mod request;
 mod scheduler;
 pub mod socket;
+mod transport;
 mod upstream;
 
 use crate::settings::{AgentSection, AgentSettings};
--- a/crates/agent/src/traffic/answer.rs
+++ b/crates/agent/src/traffic/answer.rs
@@ -1,6 +1,7 @@
 //! Answers towards callers.
 
 use super::headers;
+use super::transport::CallerSend;
 use bytes::Bytes;
 use h3::error::{Code, StreamError};
 use h3::server::RequestStream;
@@ -19,13 +20,13 @@
 ///
 /// QUIC ends a dropped stream as if it were complete, so that an answer that was cut short has to be reset.
 pub(crate) struct AnswerWriter {
-    stream: RequestStream<h3_quinn::SendStream<Bytes>, Bytes>,
+    stream: RequestStream<CallerSend, Bytes>,
     complete: bool,
 }
 
 impl AnswerWriter {
     /// Takes over the sending half of a request.
-    pub(crate) fn new(stream: RequestStream<h3_quinn::SendStream<Bytes>, Bytes>) -> Self {
+    pub(crate) fn new(stream: RequestStream<CallerSend, Bytes>) -> Self {
         Self {
             stream,
             complete: false,
--- a/crates/agent/src/traffic/connection.rs
+++ b/crates/agent/src/traffic/connection.rs
@@ -3,6 +3,7 @@
 use super::answer::AnswerWriter;
 use super::context::TrafficContext;
 use super::request::{self, CallerRequest};
+use super::transport::{CallerTransport, WatchSlot};
 use bytes::Bytes;
 use h3::server::RequestResolver;
 use quetzalhill_core::ids::ServiceNumber;
@@ -19,13 +20,10 @@
 /// number; with 0 the frame would call a request that runs "not processed".
 const GOAWAY_ROOM: usize = 1;
 
-/// A draining connection that has sent no stream data for this long has nothing in flight.
-const QUIET_TIME: Duration = Duration::from_secs(1);
+/// How long a caller may take to acknowledge the end of an answer.
+const ACKNOWLEDGE_LIMIT: Duration = Duration::from_secs(30);
 
-/// How often a draining connection is checked for quiet.
-const QUIET_CHECK: Duration = Duration::from_millis(250);
-
-type ServerConnection = h3::server::Connection<h3_quinn::Connection, Bytes>;
+type ServerConnection = h3::server::Connection<CallerTransport, Bytes>;
 
 /// Counts the requests of one connection that run or wait.
 #[derive(Default)]
@@ -72,7 +70,8 @@
     let Ok(connection) = incoming.await else {
         return;
     };
-    let transport = h3_quinn::Connection::new(connection.clone());
+    let slot = WatchSlot::default();
+    let transport = CallerTransport::new(connection, slot.clone());
     let built = h3::server::builder()
         .max_field_section_size(FIELDS_MAX)
         .build(transport)
@@ -81,7 +80,7 @@
         return;
     };
     let active = Rc::new(ActiveRequests::default());
-    if !accept_until_drain(&context, &mut server, &connection, &active, number).await {
+    if !accept_until_drain(&context, &mut server, &slot, &active, number).await {
         return;
     }
     if server.shutdown(GOAWAY_ROOM).await.is_err() {
@@ -89,7 +88,7 @@
     }
     tokio::select! {
         () = reject_requests(&mut server) => {}
-        () = quiet(&connection, &active) => {}
+        () = quiet(&active) => {}
     }
 }
 
@@ -97,7 +96,7 @@
 async fn accept_until_drain(
     context: &Rc<TrafficContext>,
     server: &mut ServerConnection,
-    connection: &quinn::Connection,
+    slot: &WatchSlot,
     active: &Rc<ActiveRequests>,
     number: ServiceNumber,
 ) -> bool {
@@ -110,21 +109,25 @@
         let Ok(Some(resolver)) = accepted else {
             return false;
         };
+        let Some(watch) = slot.take() else {
+            return false;
+        };
         let guard = ActiveGuard::new(active);
         let context = context.clone();
-        let connection = connection.clone();
         ntex::rt::spawn(async move {
             let _guard = guard;
             let Some(request) = resolve(resolver, number).await else {
                 return;
             };
-            request::serve(context, request, connection).await;
+            request::serve(context, request, watch.clone()).await;
+            // A drain must not close the connection while the end of the answer is on its way.
+            let _ = tokio::time::timeout(ACKNOWLEDGE_LIMIT, watch).await;
         });
     }
 }
 
 async fn resolve(
-    resolver: RequestResolver<h3_quinn::Connection, Bytes>,
+    resolver: RequestResolver<CallerTransport, Bytes>,
     number: ServiceNumber,
 ) -> Option<CallerRequest> {
     let (request, stream) = resolver.resolve_request().await.ok()?;
@@ -149,29 +152,9 @@
     }
 }
 
-/// Waits until no request is active and QUIC has nothing left to send or repeat.
-///
-/// Data that a caller has not acknowledged is sent again within the quiet time, so that a steady count of stream
-/// frames means that the caller has all answers.
-async fn quiet(connection: &quinn::Connection, active: &ActiveRequests) {
-    let mut seen = connection.stats().frame_tx;
-    let mut since = Instant::now();
-    loop {
-        while active.count.get() > 0 {
-            active.ended.notified().await;
-            since = Instant::now();
-        }
-        tokio::time::sleep(QUIET_CHECK).await;
-        let now = connection.stats().frame_tx;
-        let steady = now.stream == seen.stream
-            && now.stream_data_blocked == seen.stream_data_blocked
-            && now.data_blocked == seen.data_blocked;
-        seen = now;
-        if !steady {
-            since = Instant::now();
-        }
-        if since.elapsed() >= QUIET_TIME.max(connection.rtt() * 4) {
-            return;
-        }
+/// Waits until no request is active and the callers have acknowledged all answers.
+async fn quiet(active: &ActiveRequests) {
+    while active.count.get() > 0 {
+        active.ended.notified().await;
     }
 }
--- a/crates/agent/src/traffic/request.rs
+++ b/crates/agent/src/traffic/request.rs
@@ -4,6 +4,7 @@
 use super::context::TrafficContext;
 use super::headers;
 use super::scheduler::{RunDecision, RunTicket};
+use super::transport::{StreamEnd, StreamWatch};
 use super::upstream::{read_chunk, BodyReader, BodyStart, UpstreamError};
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -52,12 +53,8 @@
     }
 }
 
-/// Serves a request; `connection` tells when the caller is gone.
-pub(crate) async fn serve(
-    context: Rc<TrafficContext>,
-    request: CallerRequest,
-    connection: quinn::Connection,
-) {
+/// Serves a request; `watch` tells when the caller is gone.
+pub(crate) async fn serve(context: Rc<TrafficContext>, request: CallerRequest, watch: StreamWatch) {
     let verdict = judge(&context, &request);
     let writer = request.writer;
     match verdict {
@@ -70,12 +67,12 @@
             };
             if plan.once.is_some() {
                 // The outcome is worth having even if the caller is gone, because it may ask again.
-                dispatch(&context, plan, pending, Some(&connection)).await;
+                dispatch(&context, plan, pending, Some(watch)).await;
                 return;
             }
             tokio::select! {
                 () = dispatch(&context, plan, pending, None) => {}
-                _ = connection.closed() => {}
+                () = gone(watch) => {}
             }
         }
         RequestVerdict::NotRun(reason) => {
@@ -114,6 +111,13 @@
     }
 }
 
+/// Waits until the caller has cancelled the request or its connection is lost.
+async fn gone(watch: StreamWatch) {
+    if watch.await == StreamEnd::Acknowledged {
+        std::future::pending().await
+    }
+}
+
 fn judge(context: &TrafficContext, request: &CallerRequest) -> RequestVerdict {
     let view = context.view();
     let facts = headers::facts(&request.head, &context.shared.ring.load(), request.arrived);
@@ -140,7 +144,7 @@
     context: &Rc<TrafficContext>,
     plan: RequestPlan,
     mut pending: PendingRequest,
-    closed: Option<&quinn::Connection>,
+    watch: Option<StreamWatch>,
 ) {
     let mut ticket = plan.once.map(|key| OnceTicket {
         context: context.clone(),
@@ -158,7 +162,7 @@
         deadline: plan.deadline,
     };
     let (run, decision) = context.scheduler.submit(meta);
-    let waited = wait_for_start(decision, &mut pending.reader, &mut start, closed).await;
+    let waited = wait_for_start(decision, &mut pending.reader, &mut start, watch).await;
     match waited {
         None => return,
         Some(RunDecision::Refuse(reason)) => {
@@ -205,13 +209,11 @@
     mut decision: oneshot::Receiver<RunDecision>,
     reader: &mut BodyReader,
     start: &mut BodyStart,
-    closed: Option<&quinn::Connection>,
+    watch: Option<StreamWatch>,
 ) -> Option<RunDecision> {
     let gone = async {
-        match closed {
-            Some(connection) => {
-                connection.closed().await;
-            }
+        match watch {
+            Some(watch) => gone(watch).await,
             None => std::future::pending().await,
         }
     };
--- a/crates/agent/src/traffic/upstream.rs
+++ b/crates/agent/src/traffic/upstream.rs
@@ -1,6 +1,7 @@
 //! Requests to the upstream over HTTP/1.1.
 
 use super::headers;
+use super::transport::CallerRecv;
 use bytes::{Buf, Bytes};
 use futures_util::{stream, Stream};
 use h3::server::RequestStream;
@@ -18,7 +19,7 @@
 const IDLE_CONNECTION: Seconds = Seconds(5);
 
 /// Receiving half of a caller's request.
-pub(crate) type BodyReader = RequestStream<h3_quinn::RecvStream, Bytes>;
+pub(crate) type BodyReader = RequestStream<CallerRecv, Bytes>;
 
 /// Why the upstream gave no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/agent/tests/traffic/answers.rs
+++ b/crates/agent/tests/traffic/answers.rs
@@ -165,6 +165,24 @@
     });
 }
 
+/// Guards against a cancelled request that keeps its slot because its answer has not begun.
+#[test]
+fn cancelled_request_closes_the_upstream_connection() {
+    let site = TestSite::start(1, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        let request = http::Request::get("https://localhost/hold")
+            .body(())
+            .unwrap();
+        let mut stream = caller.requests.clone().send_request(request).await.unwrap();
+        stream.finish().await.unwrap();
+        wait_for(&site.log.requests).await;
+        stream.stop_sending(h3::error::Code::H3_REQUEST_CANCELLED);
+        wait_for_abort(&site.log).await;
+        assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
+    });
+}
+
 async fn wait_for_abort(log: &UpstreamLog) {
     wait_for(&log.aborted).await;
 }
--- a/crates/agent/tests/traffic/drain.rs
+++ b/crates/agent/tests/traffic/drain.rs
@@ -27,9 +27,10 @@
         assert_eq!(answer.unwrap().body, "slow");
         // GOAWAY arrived, so that the client itself sends no further request.
         assert!(busy.get("/hello").await.is_err());
-        tokio::time::timeout(STEP, idle.connection.closed())
-            .await
-            .unwrap();
+        for caller in [&idle, &busy] {
+            let closed = caller.connection.closed();
+            tokio::time::timeout(STEP, closed).await.unwrap();
+        }
     });
     assert!(site.traffic.wait_drained(STEP));
     let healthy = TrafficEvent::UpstreamHealth { healthy: true };
