--- /dev/null
+++ b/crates/agent/src/cmd.rs
@@ -0,0 +1,54 @@
+//! `quetzalhill-agent SETTINGS.toml`: runs an agent beside its upstream.
+
+use crate::run;
+use crate::settings::{check, AgentSettings};
+use anyhow::{Context, Result};
+use argh::FromArgs;
+use quetzalhill_node::settings::read;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::process::ExitCode;
+
+/// Exit code of a command line that can't be read, as most programs use it.
+const EXIT_USAGE: u8 = 2;
+
+/// Run the agent of one upstream until SIGTERM or SIGINT. After the signal it takes no new flows, finishes what it
+/// holds, at most for `agent.drain_limit_s` seconds, and exits with code 0.
+#[derive(Debug, FromArgs)]
+struct AgentArgs {
+    /// settings file in TOML
+    #[argh(positional, arg_name = "SETTINGS.toml")]
+    settings: String,
+}
+
+/// Runs the command line `argv` and returns the exit code of the process.
+pub fn main(argv: &[&str]) -> ExitCode {
+    let split = argv.len().min(1);
+    let args = match AgentArgs::from_args(&argv[..split], &argv[split..]) {
+        Ok(args) => args,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run_agent(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("quetzalhill-agent: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_agent(args: &AgentArgs) -> Result<()> {
+    let settings: AgentSettings = read(&args.settings, check)?;
+    // The handlers stand before the threads start, so that an early signal is not lost.
+    let mut signals = Signals::new([SIGINT, SIGTERM]).context("signal handlers")?;
+    let agent = run::start(settings)?;
+    let _signal = signals.forever().next();
+    agent.stop()
+}
