Measure an entry's traffic thread against a bare UDP loop

Cause: the target of 0.80 of a bare receive-and-send loop had no run behind it.

Change: the example relay_bench alternates between both in 11 rounds and prints the median ratio, and the memory of the process before and after 100,000 flows.

Single rounds on a busy machine may fall below the target.

--- a/crates/core/src/packet.rs
+++ b/crates/core/src/packet.rs
@@ -48,7 +48,7 @@
     pub parsed: Option<ParsedPacket<'a>>,
     /// Address of the service that the caller uses.
     pub service_address: SocketAddrV4,
-    /// When the packet arrived.
+    /// When the packet arrived; only looked at for packets that may open a flow.
     pub now: Instant,
 }
 
--- a/crates/entry/src/traffic/callers.rs
+++ b/crates/entry/src/traffic/callers.rs
@@ -4,7 +4,9 @@
 use super::socket::{CallerSocket, PacketArrival};
 use super::{is_idle, ERROR_PAUSE};
 use crate::shared::SharedState;
-use quetzalhill_core::packet::{PacketController, PacketFacts, PacketRoute, PacketVerdict};
+use quetzalhill_core::packet::{
+    FlowStage, PacketController, PacketFacts, PacketRoute, PacketVerdict,
+};
 use quetzalhill_wire::key::{KeyRing, TAG_BYTES};
 use quetzalhill_wire::packet::{
     DropReason, PacketDirection, PacketHeader, DATAGRAM_MAX, HEADER_MAX,
@@ -32,6 +34,8 @@
     data: Arc<UdpSocket>,
     state: Arc<SharedState>,
     chain: PacketController,
+    /// Arrival of the last packet that may open a flow.
+    now: Instant,
 }
 
 impl CallerThread {
@@ -49,6 +53,7 @@
             data,
             state,
             chain: PacketController::new(threads),
+            now: Instant::now(),
         }
     }
 
@@ -120,10 +125,15 @@
         payload: &[u8],
         arrival: &PacketArrival,
     ) -> Result<PacketRoute, TrafficDrop> {
+        let parsed = parse_packet(ring, payload);
+        // Only the limit on new flows looks at the time, and a clock read takes about as long as the chain.
+        if parsed.is_some_and(|packet| packet.stage == FlowStage::Opening) {
+            self.now = Instant::now();
+        }
         let facts = PacketFacts {
-            parsed: parse_packet(ring, payload),
+            parsed,
             service_address: arrival.service_address,
-            now: Instant::now(),
+            now: self.now,
         };
         match self.chain.decide(&facts, &self.state.routes.load()) {
             PacketVerdict::Forward(route) => Ok(route),
--- /dev/null
+++ b/crates/standins/examples/relay_bench.rs
@@ -0,0 +1,373 @@
+//! Measures one traffic thread of an entry against a bare UDP loop, and the memory that open flows take.
+//!
+//! Both receive from the same senders and send to the same sink over the same kind of sockets. They take turns in
+//! several rounds, and the verdict is the median of the rounds' ratios, because rates vary on a shared machine.
+//!
+//! `cargo run --release --example relay_bench`; takes about 30 seconds.
+
+use anyhow::{Context, Result};
+use quetzalhill::settings::{EntrySection, EntrySettings, ListenSettings, StoreSection};
+use quetzalhill::shared::SharedState;
+use quetzalhill::traffic::{self, TrafficHandle};
+use quetzalhill_core::ids::id_of;
+use quetzalhill_core::route::{RouteTable, ServiceRoute};
+use quetzalhill_node::settings::{LogSettings, NodeSettings};
+use quetzalhill_wire::cid::CidContent;
+use quetzalhill_wire::key::{ControlKey, KeyRing};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Least ratio of the entry's rate to the bare loop's (docs/design.md, section 1).
+const RATIO_TARGET: f64 = 0.80;
+
+/// Most bytes for each open flow that count as none; a change of some pages is noise.
+const FLOW_BYTES_TARGET: f64 = 0.5;
+
+const PAYLOAD_SIZES: [usize; 2] = [64, 1_200];
+const ROUNDS: usize = 11;
+const WARM_UP: Duration = Duration::from_millis(100);
+const MEASURE: Duration = Duration::from_millis(400);
+
+/// Time for which the senders go on after a measurement, so that it never sees them end.
+const SEND_MARGIN: Duration = Duration::from_millis(20);
+const SENDERS: usize = 2;
+
+/// Packets that a sender sends between two looks at the clock.
+const SEND_CHUNK: usize = 64;
+const READ_TIMEOUT: Duration = Duration::from_millis(100);
+const RECEIVE_BUFFER: usize = 4 << 20;
+const DATAGRAM_MAX: usize = 2_048;
+
+/// Connections whose packets the senders cycle through.
+const CONNECTIONS: u32 = 1_024;
+
+/// Distinct flows of the memory measurement, and packets in flight at once.
+const FLOWS: u32 = 100_000;
+const WINDOW: u32 = 100;
+const WARM_UP_FLOWS: u32 = 10_000;
+
+/// Longest wait for the packets in flight.
+const WINDOW_LIMIT: Duration = Duration::from_secs(2);
+
+const FEED: u32 = 7;
+
+fn main() -> Result<()> {
+    let bench = RelayBench::start()?;
+    println!("payload  bare/s  entry/s  offered/s  ratio  target  verdict");
+    for size in PAYLOAD_SIZES {
+        bench.compare(size)?;
+    }
+    bench.measure_memory()?;
+    bench.stop()
+}
+
+/// Rates of one measurement, in packets a second.
+#[derive(Clone, Copy, Debug)]
+struct RateSample {
+    offered: f64,
+    delivered: f64,
+}
+
+/// The entry, the bare loop and the sink, which run during the whole benchmark.
+struct RelayBench {
+    ring: KeyRing,
+    state: Arc<SharedState>,
+    entry: TrafficHandle,
+    bare: SocketAddrV4,
+    sink: SocketAddrV4,
+    received: Arc<AtomicU64>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl RelayBench {
+    fn start() -> Result<Self> {
+        let ring = KeyRing::new(ControlKey::new(1, &[0x5a; 32]), None);
+        let state = SharedState::new(ring.clone());
+        let entry = traffic::start(&settings(), Arc::clone(&state))?;
+        let stop = Arc::new(AtomicBool::new(false));
+        let received = Arc::new(AtomicU64::new(0));
+        let sink_socket = bind()?;
+        let sink = local(&sink_socket)?;
+        let bare_socket = bind()?;
+        let bare = local(&bare_socket)?;
+        let out = bind()?;
+        state.routes.store(Arc::new(routes(&entry, sink)));
+        let (count, flag) = (received.clone(), stop.clone());
+        let mut threads = vec![thread::spawn(move || run_sink(&sink_socket, &count, &flag))];
+        let flag = stop.clone();
+        threads.push(thread::spawn(move || {
+            run_bare(&bare_socket, &out, sink, &flag);
+        }));
+        Ok(Self {
+            ring,
+            state,
+            entry,
+            bare,
+            sink,
+            received,
+            stop,
+            threads,
+        })
+    }
+
+    fn stop(self) -> Result<()> {
+        self.stop.store(true, Ordering::Release);
+        for thread in self.threads {
+            thread.join().ok().context("a thread panicked")?;
+        }
+        self.entry.stop()
+    }
+
+    /// Alternates between bare loop and entry and prints the medians.
+    fn compare(&self, size: usize) -> Result<()> {
+        let packets = self.packets(size);
+        let entry = self.entry.listen_addresses()[0];
+        let mut bare_rates = Vec::new();
+        let mut entry_rates = Vec::new();
+        let mut offered = Vec::new();
+        let mut ratios = Vec::new();
+        for round in 0..ROUNDS {
+            // Every other round starts with the entry, so that a drift favours neither.
+            let (bare_sample, entry_sample) = match round % 2 {
+                0 => {
+                    let first = self.sample(self.bare, &packets)?;
+                    (first, self.sample(entry, &packets)?)
+                }
+                _ => {
+                    let first = self.sample(entry, &packets)?;
+                    (self.sample(self.bare, &packets)?, first)
+                }
+            };
+            bare_rates.push(bare_sample.delivered);
+            entry_rates.push(entry_sample.delivered);
+            offered.push(entry_sample.offered);
+            ratios.push(entry_sample.delivered / bare_sample.delivered);
+        }
+        let ratio = median(&mut ratios);
+        let (bare, entry) = (median(&mut bare_rates), median(&mut entry_rates));
+        let offered = median(&mut offered);
+        let verdict = verdict(ratio >= RATIO_TARGET);
+        println!("{size:>7}  {bare:>6.0}  {entry:>7.0}  {offered:>9.0}  {ratio:>5.2}  {RATIO_TARGET:>6.2}  {verdict}");
+        let (least, most) = (ratios[0], ratios[ratios.len() - 1]);
+        println!("         ratios of {ROUNDS} rounds from {least:.2} to {most:.2}");
+        Ok(())
+    }
+
+    /// Sends as fast as possible to `relay` and counts what reaches the sink.
+    fn sample(&self, relay: SocketAddrV4, packets: &[Vec<u8>]) -> Result<RateSample> {
+        let sent = AtomicU64::new(0);
+        let end = Instant::now() + WARM_UP + MEASURE + SEND_MARGIN;
+        let sockets = (0..SENDERS).map(|_| bind()).collect::<Result<Vec<_>>>()?;
+        let sample = thread::scope(|scope| {
+            for socket in &sockets {
+                scope.spawn(|| run_sender(socket, relay, packets, &sent, end));
+            }
+            thread::sleep(WARM_UP);
+            let start = Instant::now();
+            let before = (
+                self.received.load(Ordering::Relaxed),
+                sent.load(Ordering::Relaxed),
+            );
+            thread::sleep(MEASURE);
+            let after = (
+                self.received.load(Ordering::Relaxed),
+                sent.load(Ordering::Relaxed),
+            );
+            let seconds = start.elapsed().as_secs_f64();
+            RateSample {
+                delivered: rate(after.0 - before.0, seconds),
+                offered: rate(after.1 - before.1, seconds),
+            }
+        });
+        // The relay works off its queue before the next measurement starts.
+        thread::sleep(READ_TIMEOUT);
+        Ok(sample)
+    }
+
+    /// Packets of established flows, `size` bytes each.
+    fn packets(&self, size: usize) -> Vec<Vec<u8>> {
+        (0..CONNECTIONS)
+            .map(|nonce| self.established_packet(nonce, size))
+            .collect()
+    }
+
+    fn established_packet(&self, nonce: u32, size: usize) -> Vec<u8> {
+        let cid = CidContent::new(self.sink, FEED, 1, nonce).seal(&self.ring);
+        let mut packet = vec![0x40];
+        packet.extend(cid);
+        packet.resize(size, 0xa5);
+        packet
+    }
+
+    /// Prints the growth of the process's memory for each open flow.
+    fn measure_memory(&self) -> Result<()> {
+        self.open_flows(0..WARM_UP_FLOWS)?;
+        let before = resident_bytes()?;
+        self.open_flows(WARM_UP_FLOWS..WARM_UP_FLOWS + FLOWS)?;
+        let after = resident_bytes()?;
+        let bytes = (after - before) / f64::from(FLOWS);
+        let verdict = verdict(bytes < FLOW_BYTES_TARGET);
+        println!("memory for each of {FLOWS} open flows: {bytes:.2} bytes, target 0, {verdict}");
+        Ok(())
+    }
+
+    /// Sends a first packet and a packet of the established flow for each number.
+    fn open_flows(&self, numbers: std::ops::Range<u32>) -> Result<()> {
+        let socket = bind()?;
+        let entry = self.entry.listen_addresses()[0];
+        let counters = &self.state.counters.to_agent;
+        let done = || counters.packets() + counters.all_drops();
+        let mut expected = done();
+        for number in numbers {
+            socket.send_to(&first_packet(number), entry)?;
+            socket.send_to(&self.established_packet(number, 64), entry)?;
+            expected += 2;
+            if number % WINDOW != 0 {
+                continue;
+            }
+            let end = Instant::now() + WINDOW_LIMIT;
+            while done() < expected {
+                anyhow::ensure!(Instant::now() < end, "lost packets before flow {number}");
+                thread::sleep(Duration::from_micros(200));
+            }
+        }
+        anyhow::ensure!(counters.all_drops() == 0, "the entry dropped packets");
+        Ok(())
+    }
+}
+
+fn settings() -> EntrySettings {
+    let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+    EntrySettings {
+        node: NodeSettings {
+            zone: "a".into(),
+            control: any,
+            admin: any,
+            control_key: String::new(),
+            previous_key: None,
+        },
+        log: LogSettings::default(),
+        entry: EntrySection {
+            listen: vec![ListenSettings {
+                bind: any,
+                address: None,
+            }],
+            data: any,
+            seeds: Vec::new(),
+            threads: 1,
+            linger_s: 0,
+        },
+        store: StoreSection::default(),
+    }
+}
+
+/// One service whose only endpoint is the sink.
+fn routes(entry: &TrafficHandle, sink: SocketAddrV4) -> RouteTable {
+    RouteTable {
+        by_address: [(entry.listen_addresses()[0], 0)].into(),
+        services: vec![ServiceRoute {
+            name: "feed".into(),
+            number: FEED,
+            new_flows_per_s: u32::MAX,
+            ready: vec![id_of(sink)],
+        }],
+    }
+}
+
+fn first_packet(number: u32) -> Vec<u8> {
+    let mut packet = vec![0xc0, 0, 0, 0, 1, 8, 0, 0, 0, 0];
+    packet.extend(number.to_be_bytes());
+    packet.push(0);
+    packet.resize(64, 0xa5);
+    packet
+}
+
+fn bind() -> Result<UdpSocket> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    socket.set_read_timeout(Some(READ_TIMEOUT))?;
+    // The kernel caps the size by its own limit, for the entry's sockets as well.
+    let _ = socket2::SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER);
+    Ok(socket)
+}
+
+fn local(socket: &UdpSocket) -> Result<SocketAddrV4> {
+    match socket.local_addr()? {
+        SocketAddr::V4(address) => Ok(address),
+        SocketAddr::V6(address) => anyhow::bail!("{address} is not an IPv4 address"),
+    }
+}
+
+fn run_sender(
+    socket: &UdpSocket,
+    relay: SocketAddrV4,
+    packets: &[Vec<u8>],
+    sent: &AtomicU64,
+    end: Instant,
+) {
+    for chunk in packets.chunks(SEND_CHUNK).cycle() {
+        if Instant::now() >= end {
+            return;
+        }
+        for packet in chunk {
+            if socket.send_to(packet, relay).is_ok() {
+                sent.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+fn run_bare(socket: &UdpSocket, out: &UdpSocket, sink: SocketAddrV4, stop: &AtomicBool) {
+    let mut buffer = [0; DATAGRAM_MAX];
+    while !stop.load(Ordering::Acquire) {
+        let Ok((length, _)) = socket.recv_from(&mut buffer) else {
+            continue;
+        };
+        // A lost packet shows at the sink.
+        let _ = out.send_to(&buffer[..length], sink);
+    }
+}
+
+fn run_sink(socket: &UdpSocket, received: &AtomicU64, stop: &AtomicBool) {
+    let mut buffer = [0; DATAGRAM_MAX];
+    while !stop.load(Ordering::Acquire) {
+        if socket.recv_from(&mut buffer).is_ok() {
+            received.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn rate(count: u64, seconds: f64) -> f64 {
+    // CAST: Counts of one measurement are far below 2^52.
+    count as f64 / seconds
+}
+
+/// Sorts `values` and returns the middle one.
+fn median(values: &mut [f64]) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+fn verdict(met: bool) -> &'static str {
+    match met {
+        true => "ok",
+        false => "short",
+    }
+}
+
+/// Returns the resident anonymous memory of this process, which includes the entry's threads.
+fn resident_bytes() -> Result<f64> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("RssAnon:"));
+    let kib: f64 = line
+        .and_then(|line| line.trim().strip_suffix(" kB"))
+        .context("no RssAnon in /proc/self/status")?
+        .trim()
+        .parse()?;
+    Ok(kib * 1_024.0)
+}
