Add the catalogue's rules, guards, layout in the store and reader decisions

Cause: A catalogue has to be checked before it is in force, changes that are valid may still interrupt service, and two operators may change it at once.

The store package plans and commits a change by compare-and-swap with a write id, reads it back, and plans rollback and restore. One address in two services is always invalid; a guard covers an address that moves between services. A removed service that comes back gets a new number.

Conclusion: A lost answer is recognised as the writer's own change, and a lost race changes nothing.

--- /dev/null
+++ b/crates/core/src/catalogue/change.rs
@@ -0,0 +1,165 @@
+//! Differences between two revisions of the catalogue.
+
+use super::{CatalogueSnapshot, ServiceEntry};
+use crate::ids::ServiceName;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What happens to one service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ServiceChange {
+    /// The service is new.
+    Added {
+        /// Its entry.
+        new: ServiceEntry,
+    },
+    /// The service goes.
+    Removed {
+        /// Its last entry.
+        old: ServiceEntry,
+    },
+    /// The entry of the service changes.
+    Changed {
+        /// Entry before.
+        old: ServiceEntry,
+        /// Entry after.
+        new: ServiceEntry,
+    },
+}
+
+impl ServiceChange {
+    /// Returns the entry before the change.
+    pub fn old(&self) -> Option<&ServiceEntry> {
+        match self {
+            ServiceChange::Added { .. } => None,
+            ServiceChange::Removed { old } | ServiceChange::Changed { old, .. } => Some(old),
+        }
+    }
+
+    /// Returns the entry after the change.
+    pub fn new_entry(&self) -> Option<&ServiceEntry> {
+        match self {
+            ServiceChange::Removed { .. } => None,
+            ServiceChange::Added { new } | ServiceChange::Changed { new, .. } => Some(new),
+        }
+    }
+}
+
+/// Services that differ between two revisions.
+pub type CatalogueChange = BTreeMap<ServiceName, ServiceChange>;
+
+/// One field of a service that differs.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct FieldChange {
+    /// Key in the service's table, such as `limits.queue`.
+    pub key: &'static str,
+    /// Value before.
+    pub old: String,
+    /// Value after.
+    pub new: String,
+}
+
+/// Returns the services that differ. Numbers do not count while `new` has none, because they are assigned when
+/// the change is accepted.
+pub fn diff(old: &CatalogueSnapshot, new: &CatalogueSnapshot) -> CatalogueChange {
+    let mut change = CatalogueChange::new();
+    for (name, entry) in &old.services {
+        if !new.services.contains_key(name) {
+            let old = entry.clone();
+            change.insert(name.clone(), ServiceChange::Removed { old });
+        }
+    }
+    for (name, entry) in &new.services {
+        let Some(before) = old.services.get(name) else {
+            let new = entry.clone();
+            change.insert(name.clone(), ServiceChange::Added { new });
+            continue;
+        };
+        let mut after = entry.clone();
+        if after.number == 0 {
+            after.number = before.number;
+        }
+        if after == *before {
+            continue;
+        }
+        let old = before.clone();
+        change.insert(name.clone(), ServiceChange::Changed { old, new: after });
+    }
+    change
+}
+
+/// Takes a change back: services return to what they were before it.
+pub fn undo(services: &mut BTreeMap<ServiceName, ServiceEntry>, change: &CatalogueChange) {
+    for (name, item) in change {
+        match item.old() {
+            Some(entry) => services.insert(name.clone(), entry.clone()),
+            None => services.remove(name),
+        };
+    }
+}
+
+/// Returns the fields that differ between two entries of a service.
+pub fn field_changes(old: &ServiceEntry, new: &ServiceEntry) -> Vec<FieldChange> {
+    let (a, b) = (&old.limits, &new.limits);
+    let pairs = [
+        ("number", old.number.to_string(), new.number.to_string()),
+        ("owner", old.owner.clone(), new.owner.clone()),
+        ("class", old.class.name().into(), new.class.name().into()),
+        ("addresses", addresses(old), addresses(new)),
+        ("path_classes", paths(old), paths(new)),
+        ("limits.flows", a.flows.to_string(), b.flows.to_string()),
+        (
+            "limits.new_flows_per_s",
+            a.new_flows_per_s.to_string(),
+            b.new_flows_per_s.to_string(),
+        ),
+        (
+            "limits.in_flight",
+            a.in_flight.to_string(),
+            b.in_flight.to_string(),
+        ),
+        ("limits.queue", a.queue.to_string(), b.queue.to_string()),
+        (
+            "limits.slot_share",
+            a.slot_share.to_string(),
+            b.slot_share.to_string(),
+        ),
+        (
+            "limits.retry_budget",
+            a.retry_budget.to_string(),
+            b.retry_budget.to_string(),
+        ),
+        ("limits.deadline", ms(a.deadline_ms), ms(b.deadline_ms)),
+        (
+            "limits.max_deadline",
+            ms(a.max_deadline_ms),
+            ms(b.max_deadline_ms),
+        ),
+    ];
+    let mut changes = Vec::new();
+    for (key, old, new) in pairs {
+        if old != new {
+            changes.push(FieldChange { key, old, new });
+        }
+    }
+    changes
+}
+
+fn ms(value: u64) -> String {
+    format!("{value} ms")
+}
+
+fn addresses(entry: &ServiceEntry) -> String {
+    let list: Vec<String> = entry.addresses.iter().map(ToString::to_string).collect();
+    list.join(" ")
+}
+
+fn paths(entry: &ServiceEntry) -> String {
+    let list: Vec<String> = entry
+        .path_classes
+        .iter()
+        .map(|path| format!("{}={}", path.prefix, path.class.name()))
+        .collect();
+    list.join(" ")
+}
--- /dev/null
+++ b/crates/core/src/catalogue/guard.rs
@@ -0,0 +1,264 @@
+//! Guards against changes that are valid and yet likely to interrupt service.
+//!
+//! A guard refuses with its reason; a named flag of the command lets exactly this kind of change pass.
+
+use super::change::{CatalogueChange, ServiceChange};
+use super::{CatalogueSnapshot, LimitSet};
+use crate::ids::ServiceName;
+use std::collections::BTreeMap;
+use std::fmt::{Display, Formatter, Result as FormatResult};
+use std::net::SocketAddrV4;
+
+/// What a guard looks at.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum GuardKind {
+    /// Callers of an address would find no endpoint.
+    NoEndpoints,
+    /// An address would belong to one service on some instances and to another on others while the change
+    /// spreads.
+    AddressMove,
+    /// A limit would fall under what is in use.
+    LimitInUse,
+    /// A large part of the catalogue would change at once.
+    LargeChange,
+    /// No instance told what is in use, and the change touches existing services.
+    UnknownUse,
+}
+
+impl GuardKind {
+    /// All guards.
+    pub const ALL: [GuardKind; 5] = [
+        GuardKind::NoEndpoints,
+        GuardKind::AddressMove,
+        GuardKind::LimitInUse,
+        GuardKind::LargeChange,
+        GuardKind::UnknownUse,
+    ];
+
+    /// Returns the flag of the command that lets the change pass.
+    pub fn flag(self) -> &'static str {
+        match self {
+            GuardKind::NoEndpoints => "--allow-no-endpoints",
+            GuardKind::AddressMove => "--allow-address-move",
+            GuardKind::LimitInUse => "--allow-limit-in-use",
+            GuardKind::LargeChange => "--allow-large-change",
+            GuardKind::UnknownUse => "--allow-unknown-use",
+        }
+    }
+}
+
+/// Use of one service, as the instances report it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServiceUse {
+    /// Endpoints that take new flows.
+    pub ready: u32,
+    /// Most open flows on one endpoint.
+    pub flows: u32,
+    /// Most requests in progress or in the queue on one endpoint.
+    pub in_flight: u32,
+    /// Most requests in the queue of one endpoint.
+    pub queue: u32,
+    /// Most new flows in one second on one entry.
+    pub new_flows_per_s: u32,
+}
+
+impl ServiceUse {
+    /// Takes over the larger of each value, because several instances report the same service.
+    pub fn merge(&mut self, other: ServiceUse) {
+        self.ready = self.ready.max(other.ready);
+        self.flows = self.flows.max(other.flows);
+        self.in_flight = self.in_flight.max(other.in_flight);
+        self.queue = self.queue.max(other.queue);
+        self.new_flows_per_s = self.new_flows_per_s.max(other.new_flows_per_s);
+    }
+}
+
+/// Use of all services.
+pub type FleetUse = BTreeMap<ServiceName, ServiceUse>;
+
+/// Bounds of the guards.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GuardSettings {
+    /// Largest share of the catalogue, from 0 to 1, that one change may touch.
+    pub share: f64,
+    /// Number of services that one change may touch whatever the share.
+    pub services: usize,
+}
+
+impl Default for GuardSettings {
+    fn default() -> Self {
+        Self {
+            share: 0.2,
+            services: 3,
+        }
+    }
+}
+
+/// Why a guard refuses a change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GuardRefusal {
+    /// The guard.
+    pub kind: GuardKind,
+    /// What the change would do.
+    pub reason: String,
+}
+
+impl Display for GuardRefusal {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        write!(f, "{}; {} allows it", self.reason, self.kind.flag())
+    }
+}
+
+/// Checks a change from `old`; `fleet` is absent when no instance answered.
+///
+/// # Errors
+///
+/// Returns what every guard that is not in `allowed` refuses.
+pub fn check_change(
+    old: &CatalogueSnapshot,
+    change: &CatalogueChange,
+    fleet: Option<&FleetUse>,
+    settings: &GuardSettings,
+    allowed: &[GuardKind],
+) -> Result<(), Vec<GuardRefusal>> {
+    let mut refusals = Vec::new();
+    check_size(old, change, settings, &mut refusals);
+    check_addresses(old, change, fleet, &mut refusals);
+    match fleet {
+        Some(fleet) => check_use(change, fleet, &mut refusals),
+        None => check_unknown(change, &mut refusals),
+    }
+    refusals.retain(|refusal| !allowed.contains(&refusal.kind));
+    match refusals.is_empty() {
+        true => Ok(()),
+        false => Err(refusals),
+    }
+}
+
+fn refuse(refusals: &mut Vec<GuardRefusal>, kind: GuardKind, reason: String) {
+    refusals.push(GuardRefusal { kind, reason });
+}
+
+fn check_size(
+    old: &CatalogueSnapshot,
+    change: &CatalogueChange,
+    settings: &GuardSettings,
+    refusals: &mut Vec<GuardRefusal>,
+) {
+    // The first catalogue interrupts nothing.
+    if old.services.is_empty() || change.len() <= settings.services {
+        return;
+    }
+    let count = old.services.len();
+    // CAST: Numbers of services are far below 2^52.
+    let share = change.len() as f64 / count as f64;
+    if share <= settings.share {
+        return;
+    }
+    let reason = format!(
+        "the change touches {} services of a catalogue of {count}, more than {:.0} % and more than {}",
+        change.len(),
+        settings.share * 100.0,
+        settings.services
+    );
+    refuse(refusals, GuardKind::LargeChange, reason);
+}
+
+fn ready(fleet: Option<&FleetUse>, name: &str) -> Option<u32> {
+    let fleet = fleet?;
+    Some(fleet.get(name).map_or(0, |service| service.ready))
+}
+
+fn check_addresses(
+    old: &CatalogueSnapshot,
+    change: &CatalogueChange,
+    fleet: Option<&FleetUse>,
+    refusals: &mut Vec<GuardRefusal>,
+) {
+    for (name, item) in change {
+        let Some(new) = item.new_entry() else {
+            continue;
+        };
+        for &address in &new.addresses {
+            let Some(before) = previous_holder(old, name, address) else {
+                continue;
+            };
+            let reason = format!("address {address} moves from service {before} to {name}");
+            refuse(refusals, GuardKind::AddressMove, reason);
+            if ready(fleet, name) == Some(0) {
+                let reason =
+                    format!("address {address} moves to service {name}, which has no endpoint");
+                refuse(refusals, GuardKind::NoEndpoints, reason);
+            }
+        }
+    }
+}
+
+fn previous_holder<'a>(
+    old: &'a CatalogueSnapshot,
+    name: &str,
+    address: SocketAddrV4,
+) -> Option<&'a ServiceName> {
+    let (before, _) = old.service_at(address)?;
+    (before != name).then_some(before)
+}
+
+fn check_use(change: &CatalogueChange, fleet: &FleetUse, refusals: &mut Vec<GuardRefusal>) {
+    for (name, item) in change {
+        let used = fleet.get(name).copied().unwrap_or_default();
+        match item {
+            ServiceChange::Added { .. } => {}
+            ServiceChange::Removed { .. } if used.ready > 0 => {
+                let reason = format!(
+                    "service {name} is removed while {} of its endpoints take flows",
+                    used.ready
+                );
+                refuse(refusals, GuardKind::NoEndpoints, reason);
+            }
+            ServiceChange::Removed { .. } => {}
+            ServiceChange::Changed { old, new } => {
+                check_limits(name, &old.limits, &new.limits, used, refusals);
+            }
+        }
+    }
+}
+
+fn check_limits(
+    name: &str,
+    old: &LimitSet,
+    new: &LimitSet,
+    used: ServiceUse,
+    refusals: &mut Vec<GuardRefusal>,
+) {
+    let limits = [
+        ("flows", old.flows, new.flows, used.flows),
+        ("in_flight", old.in_flight, new.in_flight, used.in_flight),
+        ("queue", old.queue, new.queue, used.queue),
+        (
+            "new_flows_per_s",
+            old.new_flows_per_s,
+            new.new_flows_per_s,
+            used.new_flows_per_s,
+        ),
+    ];
+    for (key, before, after, used) in limits {
+        if after >= before || after >= used {
+            continue;
+        }
+        let reason = format!(
+            "service.{name}.limits.{key} falls from {before} to {after} while {used} are in use"
+        );
+        refuse(refusals, GuardKind::LimitInUse, reason);
+    }
+}
+
+fn check_unknown(change: &CatalogueChange, refusals: &mut Vec<GuardRefusal>) {
+    for (name, item) in change {
+        if matches!(item, ServiceChange::Added { .. }) {
+            continue;
+        }
+        let reason =
+            format!("service {name} is touched and no instance answered how much of it is in use");
+        refuse(refusals, GuardKind::UnknownUse, reason);
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalogue/reader.rs
@@ -0,0 +1,371 @@
+//! Decides when an entry reads the catalogue from the store.
+//!
+//! Each availability zone has two reader slots in the store, each held under a lease. Only the entries that a
+//! hash of the zone's live entries ranks lowest try to take one, so that the number of calls does not grow with
+//! the fleet. A holder that was paused may read after its lease has ended; this is harmless, because a snapshot
+//! takes effect only if its revision is higher than the one in force. See docs/design.md, decision 7.
+
+use crate::ids::{EntryId, RevisionNumber, ZoneName};
+use rand::rngs::SmallRng;
+use rand::Rng;
+use smallvec::SmallVec;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Number of a reader slot in a zone.
+pub type SlotNumber = u8;
+
+/// Reader slots of a zone; the second keeps the zone current while the lease of a failed first reader runs out.
+pub const SLOTS: SlotNumber = 2;
+
+/// Entries that try to take a slot. Views of the membership differ, so one alone may not know that it is first.
+pub const CANDIDATES: usize = 3;
+
+/// Times and bounds of a reader.
+#[derive(Clone, Copy, Debug)]
+pub struct ReaderSettings {
+    /// Time to live of the lease on a slot.
+    pub lease_ttl: Duration,
+    /// Time between two looks at a slot that another entry holds.
+    pub retry_every: Duration,
+    /// Additional time for each rank behind the first, so that candidates do not race.
+    pub rank_delay: Duration,
+    /// Time between two reads of the head while a watch waits, in case the watch hangs.
+    pub read_every: Duration,
+    /// First pause after a failed call.
+    pub backoff_first: Duration,
+    /// Longest pause after failed calls.
+    pub backoff_max: Duration,
+}
+
+impl Default for ReaderSettings {
+    fn default() -> Self {
+        Self {
+            lease_ttl: Duration::from_secs(15),
+            retry_every: Duration::from_secs(10),
+            rank_delay: Duration::from_secs(2),
+            read_every: Duration::from_secs(30),
+            backoff_first: Duration::from_millis(250),
+            backoff_max: Duration::from_secs(30),
+        }
+    }
+}
+
+/// What happened to a reader.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReaderEvent {
+    /// The live entries of the zone, this one included.
+    Members(Vec<EntryId>),
+    /// A catalogue revision came into force, from the store or from a peer.
+    InForce(RevisionNumber),
+    /// The slot was taken; `since` is when the call began, from which the lease certainly lasts.
+    SlotTaken {
+        /// Start of the call.
+        since: Instant,
+    },
+    /// Another entry holds the slot.
+    SlotHeld,
+    /// The lease was renewed by a call that began at `since`.
+    Renewed {
+        /// Start of the call.
+        since: Instant,
+    },
+    /// The store does not know the lease any more.
+    LeaseLost,
+    /// The head in the store has this revision; 0 if there is no catalogue.
+    HeadSeen(RevisionNumber),
+    /// The catalogue of this revision failed validation.
+    Rejected(RevisionNumber),
+    /// A call to the store failed.
+    CallFailed,
+    /// The watch ended or failed.
+    WatchEnded,
+}
+
+/// What a reader has to do; the caller answers each with a [`ReaderEvent`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReaderAction {
+    /// Take the slot unless another entry holds it.
+    TakeSlot(SlotNumber),
+    /// Renew the lease.
+    Renew,
+    /// Give the slot back.
+    Release,
+    /// Read the head and open a watch from there.
+    OpenWatch,
+    /// Close the watch.
+    CloseWatch,
+    /// Read the head.
+    ReadHead,
+    /// Load the catalogue, validate it and put it in force.
+    Load,
+    /// Log that the store has an older revision than the one in force.
+    ReportOlder(RevisionNumber),
+}
+
+/// Short list of actions.
+pub type ReaderActions = SmallVec<[ReaderAction; 2]>;
+
+/// What an entry does at present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ReaderState {
+    /// It holds no slot.
+    Waiting,
+    /// It holds a slot.
+    Holding(HeldSlot),
+}
+
+/// A slot with the points in time that its lease gives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct HeldSlot {
+    renew_at: Instant,
+    expires_at: Instant,
+    /// When the head is read next.
+    read_at: Instant,
+    watching: bool,
+}
+
+/// Decides when an entry tries for a slot, renews its lease and reads.
+#[derive(Clone, Debug)]
+pub struct ReaderController {
+    settings: ReaderSettings,
+    zone: ZoneName,
+    own: EntryId,
+    state: ReaderState,
+    /// Slot with the best rank of this entry, if it is a candidate for any.
+    candidate: Option<(SlotNumber, usize)>,
+    try_at: Instant,
+    /// Earliest time of the next call after failures.
+    not_before: Instant,
+    failures: u32,
+    in_force: RevisionNumber,
+    /// Older revision that was reported last, so that each is logged once.
+    reported: Option<RevisionNumber>,
+    /// Revision that failed validation and is not loaded again.
+    rejected: Option<RevisionNumber>,
+}
+
+impl ReaderController {
+    /// Makes the controller of an entry that knows no other yet.
+    pub fn new(settings: ReaderSettings, zone: ZoneName, own: EntryId, now: Instant) -> Self {
+        let mut controller = Self {
+            settings,
+            zone,
+            own,
+            state: ReaderState::Waiting,
+            candidate: None,
+            try_at: now,
+            not_before: now,
+            failures: 0,
+            in_force: 0,
+            reported: None,
+            rejected: None,
+        };
+        controller.rank(&[own], now);
+        controller
+    }
+
+    /// Returns whether the entry holds a slot at `now`.
+    pub fn holds(&self, now: Instant) -> bool {
+        matches!(&self.state, ReaderState::Holding(slot) if now < slot.expires_at)
+    }
+
+    /// Returns when [`ReaderController::on_time`] has to be called next.
+    pub fn wake_at(&self) -> Option<Instant> {
+        let at = match &self.state {
+            ReaderState::Waiting => {
+                self.candidate?;
+                self.try_at.max(self.not_before)
+            }
+            ReaderState::Holding(slot) => {
+                let next_read = match slot.watching {
+                    true => slot.read_at,
+                    false => self.not_before,
+                };
+                let call = slot.renew_at.min(next_read).max(self.not_before);
+                call.min(slot.expires_at)
+            }
+        };
+        Some(at)
+    }
+
+    /// Returns what is due at `now`.
+    pub fn on_time(&mut self, now: Instant) -> ReaderActions {
+        let mut actions = ReaderActions::new();
+        match self.state {
+            ReaderState::Waiting => self.waiting(now, &mut actions),
+            ReaderState::Holding(slot) => self.holding(slot, now, &mut actions),
+        }
+        actions
+    }
+
+    /// Takes an event and returns what follows from it at once.
+    pub fn on_event(
+        &mut self,
+        event: ReaderEvent,
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> ReaderActions {
+        let mut actions = ReaderActions::new();
+        match event {
+            ReaderEvent::Members(live) => self.rank(&live, now),
+            ReaderEvent::InForce(revision) => self.in_force = self.in_force.max(revision),
+            ReaderEvent::SlotTaken { since } => self.taken(since, now),
+            ReaderEvent::SlotHeld => self.held(now, rng),
+            ReaderEvent::Renewed { since } => self.renewed(since),
+            ReaderEvent::LeaseLost => self.lost(now, &mut actions),
+            ReaderEvent::HeadSeen(revision) => self.head(revision, now, &mut actions),
+            ReaderEvent::Rejected(revision) => self.rejected = Some(revision),
+            ReaderEvent::CallFailed => self.failed(now, rng),
+            ReaderEvent::WatchEnded => {
+                if let ReaderState::Holding(slot) = &mut self.state {
+                    slot.watching = false;
+                }
+                self.failed(now, rng);
+            }
+        }
+        actions
+    }
+
+    /// Returns the actions of a graceful stop.
+    pub fn on_stop(&mut self, now: Instant) -> ReaderActions {
+        let mut actions = ReaderActions::new();
+        if matches!(self.state, ReaderState::Holding(_)) {
+            actions.push(ReaderAction::CloseWatch);
+            actions.push(ReaderAction::Release);
+        }
+        self.state = ReaderState::Waiting;
+        self.candidate = None;
+        self.try_at = now;
+        actions
+    }
+
+    fn waiting(&mut self, now: Instant, actions: &mut ReaderActions) {
+        let Some((slot, _)) = self.candidate else {
+            return;
+        };
+        if now < self.try_at || now < self.not_before {
+            return;
+        }
+        self.try_at = now + self.settings.retry_every;
+        actions.push(ReaderAction::TakeSlot(slot));
+    }
+
+    fn holding(&mut self, mut slot: HeldSlot, now: Instant, actions: &mut ReaderActions) {
+        if now >= slot.expires_at {
+            self.lost(now, actions);
+            return;
+        }
+        if now < self.not_before {
+            return;
+        }
+        if now >= slot.renew_at {
+            slot.renew_at = now + self.settings.lease_ttl / 3;
+            actions.push(ReaderAction::Renew);
+        }
+        if !slot.watching {
+            slot.watching = true;
+            slot.read_at = now + self.settings.read_every;
+            actions.push(ReaderAction::OpenWatch);
+        } else if now >= slot.read_at {
+            slot.read_at = now + self.settings.read_every;
+            actions.push(ReaderAction::ReadHead);
+        }
+        self.state = ReaderState::Holding(slot);
+    }
+
+    fn taken(&mut self, since: Instant, now: Instant) {
+        self.failures = 0;
+        self.not_before = now;
+        self.state = ReaderState::Holding(HeldSlot {
+            renew_at: since + self.settings.lease_ttl / 3,
+            expires_at: since + self.settings.lease_ttl,
+            read_at: now,
+            watching: false,
+        });
+    }
+
+    fn held(&mut self, now: Instant, rng: &mut SmallRng) {
+        self.failures = 0;
+        let rank = self.candidate.map_or(0, |(_, rank)| rank);
+        let delay = self.settings.rank_delay * u32::try_from(rank).unwrap_or(0);
+        let pause = self.settings.retry_every + delay;
+        self.try_at = now + pause.mul_f64(rng.random_range(0.8..1.2));
+    }
+
+    fn renewed(&mut self, since: Instant) {
+        self.failures = 0;
+        if let ReaderState::Holding(slot) = &mut self.state {
+            slot.renew_at = since + self.settings.lease_ttl / 3;
+            slot.expires_at = since + self.settings.lease_ttl;
+        }
+    }
+
+    fn lost(&mut self, now: Instant, actions: &mut ReaderActions) {
+        if matches!(self.state, ReaderState::Holding(_)) {
+            actions.push(ReaderAction::CloseWatch);
+        }
+        self.state = ReaderState::Waiting;
+        self.try_at = now;
+    }
+
+    fn head(&mut self, revision: RevisionNumber, now: Instant, actions: &mut ReaderActions) {
+        self.failures = 0;
+        self.not_before = now;
+        if self.rejected == Some(revision) {
+            return;
+        }
+        if revision > self.in_force {
+            self.reported = None;
+            actions.push(ReaderAction::Load);
+            return;
+        }
+        if revision < self.in_force && self.reported != Some(revision) {
+            self.reported = Some(revision);
+            actions.push(ReaderAction::ReportOlder(revision));
+        }
+    }
+
+    fn failed(&mut self, now: Instant, rng: &mut SmallRng) {
+        let doubled = self.settings.backoff_first * 2_u32.pow(self.failures.min(16));
+        let pause = doubled.min(self.settings.backoff_max);
+        self.failures += 1;
+        // Jitter over the upper half keeps the fleet from returning to the store all at once.
+        self.not_before = now + pause.mul_f64(rng.random_range(0.5..1.0));
+        if let ReaderState::Holding(slot) = &mut self.state {
+            // The failed call may have been the load of a new revision.
+            slot.read_at = slot.read_at.min(self.not_before);
+        }
+    }
+
+    fn rank(&mut self, live: &[EntryId], now: Instant) {
+        let before = self.candidate;
+        self.candidate = None;
+        for slot in 0..SLOTS {
+            let rank = slot_rank(&self.zone, slot, self.own, live);
+            let better = self.candidate.is_none_or(|(_, best)| rank < best);
+            if rank < CANDIDATES && better {
+                self.candidate = Some((slot, rank));
+            }
+        }
+        let Some((_, rank)) = self.candidate else {
+            return;
+        };
+        if before != self.candidate {
+            let delay = self.settings.rank_delay * u32::try_from(rank).unwrap_or(0);
+            self.try_at = now + delay;
+        }
+    }
+}
+
+/// Returns how many live entries a hash puts before `own` for a slot.
+pub fn slot_rank(zone: &str, slot: SlotNumber, own: EntryId, live: &[EntryId]) -> usize {
+    let score = |id: EntryId| {
+        (
+            xxh3_64_with_seed(zone.as_bytes(), id ^ u64::from(slot) << 56),
+            id,
+        )
+    };
+    let mine = score(own);
+    live.iter().filter(|&&id| score(id) < mine).count()
+}
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -6,6 +6,7 @@
 mod state;
 
 use ntex::rt::{DefaultRuntime, System};
+use ntex::web::types::JsonConfig;
 use ntex::web::{App, HttpServer};
 use state::StoreState;
 pub use state::{StandinCounts, StandinMode};
@@ -22,6 +23,9 @@
 /// Time between two attempts to bind.
 const BIND_PAUSE: Duration = Duration::from_millis(20);
 
+/// Largest request, in bytes; the values of a transaction are in base64.
+const REQUEST_MAX_BYTES: usize = 4 << 20;
+
 /// State that the handle and the web server share.
 pub(crate) type SharedStore = Arc<Mutex<StoreState>>;
 
@@ -177,12 +181,16 @@
     state: SharedStore,
     stopped: oneshot::Receiver<()>,
 ) -> io::Result<()> {
-    let server =
-        HttpServer::new(async move || App::new().state(state.clone()).configure(http::configure))
-            .workers(1)
-            .disable_signals()
-            .listen(listener)?
-            .run();
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(state.clone())
+            .state(JsonConfig::default().limit(REQUEST_MAX_BYTES))
+            .configure(http::configure)
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?
+    .run();
     // A dropped handle counts as a stop.
     let _ = stopped.await;
     server.stop(false).await;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod api;
 pub mod budget;
+pub mod catalogue;
 pub mod etcd;
--- /dev/null
+++ b/crates/store/tests/catalogue.rs
@@ -0,0 +1,257 @@
+//! The catalogue in the store, against the stand-in.
+
+use quetzalhill_core::catalogue::{CatalogueSnapshot, ServiceEntry};
+use quetzalhill_core::ids::ServiceName;
+use quetzalhill_standins::store::{StandinMode, StoreStandin};
+use quetzalhill_store::api::StoreError;
+use quetzalhill_store::catalogue::commit::{commit, CommitError, CommitOutcome};
+use quetzalhill_store::catalogue::load::{load, load_from, load_history, LoadError};
+use quetzalhill_store::catalogue::plan::{
+    content_at, plan_change, plan_restore, plan_rollback, PlanError, WriteStamp,
+};
+use quetzalhill_store::catalogue::HEAD_KEY;
+use quetzalhill_store::etcd::{EtcdSettings, EtcdStore};
+use std::collections::BTreeMap;
+use std::time::{Duration, UNIX_EPOCH};
+
+type Services = BTreeMap<ServiceName, ServiceEntry>;
+
+fn standin() -> StoreStandin {
+    StoreStandin::start("127.0.0.1:0".parse().expect("address")).expect("stand-in")
+}
+
+async fn client(standin: &StoreStandin) -> EtcdStore {
+    let mut settings = EtcdSettings::new(vec![standin.url()]);
+    settings.call_timeout = Duration::from_millis(300);
+    settings.limits.read_burst = 1_000.0;
+    settings.limits.write_burst = 1_000.0;
+    EtcdStore::new(settings).await.expect("client")
+}
+
+fn service(port: u16) -> ServiceEntry {
+    let text = format!(r#"{{"owner":"Lucky Slip","addresses":["10.0.0.1:{port}"]}}"#);
+    serde_json::from_str(&text).expect("entry")
+}
+
+fn services(names: &[&str]) -> Services {
+    let ports = 4_000..;
+    names
+        .iter()
+        .zip(ports)
+        .map(|(name, port)| (name.to_string(), service(port)))
+        .collect()
+}
+
+fn stamp(author: &str, id: &str) -> WriteStamp {
+    WriteStamp {
+        author: author.into(),
+        time: UNIX_EPOCH + Duration::from_secs(1),
+        write_id: id.into(),
+    }
+}
+
+async fn apply(store: &EtcdStore, wanted: Services, id: &str) -> CommitOutcome {
+    let current = load(store).await.expect("load");
+    let planned = plan_change(&current, wanted, &stamp("ada", id)).expect("plan");
+    commit(store, &planned).await.expect("commit")
+}
+
+/// Guards against a catalogue that comes back different from how it was written.
+#[ntex::test]
+async fn applied_catalogue_is_read_back_whole() {
+    let standin = standin();
+    let store = client(&standin).await;
+    let names: Vec<String> = (0..200).map(|number| format!("s{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let outcome = apply(&store, services(&names), "w1").await;
+    assert_eq!(outcome, CommitOutcome::Committed(1));
+    let loaded = load(&store).await.expect("load");
+    assert_eq!(loaded.snapshot.services.len(), 200);
+    let mut numbers: Vec<u32> = loaded
+        .snapshot
+        .services
+        .values()
+        .map(|e| e.number)
+        .collect();
+    numbers.sort_unstable();
+    assert_eq!(numbers, (1..=200).collect::<Vec<u32>>());
+}
+
+/// Guards against a number that packets of a removed service still carry when another service gets it.
+#[ntex::test]
+async fn number_of_a_removed_service_is_not_used_again() {
+    let standin = standin();
+    let store = client(&standin).await;
+    apply(&store, services(&["a", "b"]), "w1").await;
+    apply(&store, services(&["a"]), "w2").await;
+    apply(&store, services(&["a", "c"]), "w3").await;
+    let loaded = load(&store).await.expect("load");
+    assert_eq!(loaded.snapshot.services["a"].number, 1);
+    assert_eq!(loaded.snapshot.services["c"].number, 3);
+}
+
+/// Guards against overwriting the change of another operator.
+#[ntex::test]
+async fn loser_of_a_race_learns_who_won_and_writes_nothing() {
+    let standin = standin();
+    let store = client(&standin).await;
+    let current = load(&store).await.expect("load");
+    let mine = plan_change(&current, services(&["a"]), &stamp("ada", "w1")).expect("plan");
+    let other = plan_change(&current, services(&["b"]), &stamp("bob", "w2")).expect("plan");
+    commit(&store, &other).await.expect("commit");
+    let outcome = commit(&store, &mine).await.expect("commit");
+    let CommitOutcome::LostRace(Some(head)) = outcome else {
+        panic!("the race is lost: {outcome:?}");
+    };
+    assert_eq!(
+        (head.author.as_str(), &head.changed[..]),
+        ("bob", &["b".to_string()][..])
+    );
+    let loaded = load(&store).await.expect("load");
+    assert!(!loaded.snapshot.services.contains_key("a"));
+}
+
+/// Guards against a write that took effect and is reported as a lost race, or made twice.
+#[ntex::test]
+async fn lost_answer_is_recognised_as_its_own_write() {
+    let standin = standin();
+    let store = client(&standin).await;
+    standin.lose_next_answer();
+    let outcome = apply(&store, services(&["a"]), "w1").await;
+    assert_eq!(outcome, CommitOutcome::Committed(1));
+    let history = load_history(&store).await.expect("history");
+    assert_eq!(history.len(), 1);
+}
+
+/// Guards against a command that says "nothing was written" when it cannot know.
+#[ntex::test]
+async fn outage_during_the_commit_is_unknown_and_before_it_is_not_applied() {
+    let mut standin = standin();
+    let store = client(&standin).await;
+    let current = load(&store).await.expect("load");
+    let planned = plan_change(&current, services(&["a"]), &stamp("ada", "w1")).expect("plan");
+    standin.set_mode(StandinMode::Silent);
+    let error = commit(&store, &planned).await.expect_err("silent");
+    assert!(matches!(error, CommitError::Unknown { .. }), "{error}");
+    standin.stop();
+    let fresh = client(&standin).await;
+    let error = commit(&fresh, &planned).await.expect_err("down");
+    assert!(matches!(error, CommitError::NotApplied(_)), "{error}");
+}
+
+/// Guards against a rollback that loses numbers or rewrites history.
+#[ntex::test]
+async fn rollback_is_a_new_revision_with_the_old_content() {
+    let standin = standin();
+    let store = client(&standin).await;
+    apply(&store, services(&["a", "b"]), "w1").await;
+    let first = load(&store).await.expect("load").snapshot;
+    apply(&store, services(&["a"]), "w2").await;
+    apply(&store, services(&["a", "c"]), "w3").await;
+    let current = load(&store).await.expect("load");
+    let history = load_history(&store).await.expect("history");
+    let content = content_at(&current.snapshot, &history, 1).expect("content");
+    assert_eq!(content, first);
+    let planned = plan_rollback(&current, content, &stamp("ada", "w4")).expect("plan");
+    let outcome = commit(&store, &planned).await.expect("commit");
+    assert_eq!(outcome, CommitOutcome::Committed(4));
+    let after = load(&store).await.expect("load");
+    assert_eq!(after.snapshot.services, first.services);
+    assert_eq!(after.head.head.expect("head").next_number, 4);
+    let record = load_history(&store)
+        .await
+        .expect("history")
+        .pop()
+        .expect("record");
+    assert_eq!(record.rollback_to, Some(1));
+}
+
+/// Guards against a rollback to a revision that never was.
+#[test]
+fn content_of_an_unknown_revision_is_refused() {
+    let current = CatalogueSnapshot {
+        revision: 3,
+        ..CatalogueSnapshot::default()
+    };
+    let error = content_at(&current, &[], 2).expect_err("no history");
+    assert_eq!(error, LoadError::NoHistory { revision: 2 });
+}
+
+/// Guards against a restored catalogue that the fleet, which is ahead, ignores.
+#[ntex::test]
+async fn restore_goes_above_the_fleet_and_the_store() {
+    let standin = standin();
+    let store = client(&standin).await;
+    apply(&store, services(&["a"]), "w1").await;
+    let revision = standin.revision();
+    apply(&store, services(&["a", "b"]), "w2").await;
+    let fleet = load(&store).await.expect("load").snapshot;
+    standin.roll_back(revision);
+    let current = load(&store).await.expect("load");
+    assert_eq!(current.snapshot.revision, 1);
+    let planned = plan_restore(&current, fleet.clone(), &stamp("ada", "w3")).expect("plan");
+    let outcome = commit(&store, &planned).await.expect("commit");
+    assert_eq!(outcome, CommitOutcome::Committed(3));
+    let after = load(&store).await.expect("load");
+    assert_eq!(after.snapshot.services, fleet.services);
+    assert_eq!(after.head.head.expect("head").next_number, 3);
+}
+
+/// Guards against a reader that reads all shards for every change, or misses a removal.
+#[ntex::test]
+async fn next_revision_needs_only_the_changed_shards() {
+    let standin = standin();
+    let store = client(&standin).await;
+    apply(&store, services(&["a", "b", "c"]), "w1").await;
+    let have = load(&store).await.expect("load").snapshot;
+    apply(&store, services(&["a", "b"]), "w2").await;
+    let before = standin.counts().reads;
+    let loaded = load_from(&store, &have).await.expect("load");
+    assert_eq!(loaded.snapshot, load(&store).await.expect("load").snapshot);
+    assert_eq!(standin.counts().reads - before, 4);
+}
+
+/// Guards against an apply that makes a revision without a change.
+#[ntex::test]
+async fn unchanged_catalogue_makes_no_revision() {
+    let standin = standin();
+    let store = client(&standin).await;
+    apply(&store, services(&["a"]), "w1").await;
+    let current = load(&store).await.expect("load");
+    let error = plan_change(&current, services(&["a"]), &stamp("ada", "w2"));
+    assert_eq!(error, Err(PlanError::Unchanged));
+}
+
+/// Guards against a change that the store refuses only after a long upload.
+#[ntex::test]
+async fn change_over_the_size_limit_is_refused_before_any_call() {
+    let standin = standin();
+    let store = client(&standin).await;
+    let current = load(&store).await.expect("load");
+    let mut wanted = services(&["a"]);
+    let paths: Vec<String> = (0..40_000)
+        .map(|number| format!(r#"{{"prefix":"/{number}","class":"bulk"}}"#))
+        .collect();
+    let list = format!("[{}]", paths.join(","));
+    let entry = wanted.get_mut("a").expect("entry");
+    entry.path_classes = serde_json::from_str(&list).expect("list");
+    let error = plan_change(&current, wanted, &stamp("ada", "w1")).expect_err("too large");
+    assert!(matches!(error, PlanError::ValueTooLarge { .. }), "{error}");
+}
+
+/// Guards against a damaged value in the store that ends the process or passes as an empty catalogue.
+#[ntex::test]
+async fn damaged_head_is_an_error_that_names_the_key() {
+    let standin = standin();
+    let store = client(&standin).await;
+    standin.put(HEAD_KEY, b"{\"revision\":");
+    let error = load(&store).await.expect_err("damaged");
+    assert!(
+        matches!(&error, LoadError::Value { key, .. } if key == HEAD_KEY),
+        "{error}"
+    );
+    assert!(!matches!(
+        error,
+        LoadError::Store(StoreError::Unknown { .. })
+    ));
+}
