Read the catalogue from an operator's TOML file

Cause: Operators write the catalogue as a file, and a message without line and allowed values costs them time.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry instance, which forwards packets between callers and agents, and the operators' commands.
 
+pub mod catalogue_file;
 pub mod cmd;
 pub mod control;
 pub mod run;
--- a/crates/standins/examples/demo.rs
+++ b/crates/standins/examples/demo.rs
@@ -9,7 +9,9 @@
 use quetzalhill_standins::delay::DelayLine;
 use quetzalhill_standins::deployment::DeploymentPlan;
 use quetzalhill_standins::testbed::Testbed;
-use quetzalhill_standins::workload::{next_id, run_load_into, LoadCounters, LoadPlan, SessionPool, WorkShape};
+use quetzalhill_standins::workload::{
+    next_id, run_load_into, LoadCounters, LoadPlan, SessionPool, WorkShape,
+};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -134,7 +136,9 @@
         };
         let caller = CallerStandin::new(&bed.certificate.root)?;
         for (seed, (service, keyed)) in [("feed", true), ("batch", false)].into_iter().enumerate() {
-            let address = bed.address_of(service).context("the plan has this service")?;
+            let address = bed
+                .address_of(service)
+                .context("the plan has this service")?;
             let pool = SessionPool::open(&caller, address, SESSIONS).await?;
             for session in pool.sessions() {
                 let request = CallRequest {
@@ -145,7 +149,8 @@
                     timeout_ms: Some(5_000),
                     ..CallRequest::default()
                 };
-                load.streams.push(tokio::spawn(async move { session.call(&request).await }));
+                load.streams
+                    .push(tokio::spawn(async move { session.call(&request).await }));
             }
             let plan = LoadPlan {
                 service: service.into(),
@@ -161,7 +166,12 @@
                 seed: seed as u64,
             };
             let counters = Arc::new(LoadCounters::default());
-            let sending = run_load_into(plan, Arc::clone(&pool), line.handle(), Arc::clone(&counters));
+            let sending = run_load_into(
+                plan,
+                Arc::clone(&pool),
+                line.handle(),
+                Arc::clone(&counters),
+            );
             load.loads.push(tokio::spawn(sending));
             load.counters.push(counters);
             load.pools.push(pool);
@@ -186,7 +196,13 @@
             totals.unknown += read(&counters.unknown) + read(&counters.failed);
             totals.wrong += read(&counters.wrong);
             totals.broken += read(&counters.broken);
-            totals.notes.extend(counters.notes.lock().map(|notes| notes.clone()).unwrap_or_default());
+            totals.notes.extend(
+                counters
+                    .notes
+                    .lock()
+                    .map(|notes| notes.clone())
+                    .unwrap_or_default(),
+            );
         }
         for pool in &self.pools {
             totals.flows += pool.opened.load(Ordering::Relaxed);
