--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -56,6 +56,14 @@
     CatalogueInvalid = 4002, Error, "catalogue-invalid";
     /// The store could not be reached.
     StoreUnavailable = 4003, Warn, "store-unavailable";
+    /// The store answers again.
+    StoreAvailable = 4004, Info, "store-available";
+    /// The store has an older catalogue than the one in force, which stays.
+    CatalogueOlder = 4005, Warn, "catalogue-older";
+    /// The entry took a reader slot of its zone.
+    ReaderStarted = 4006, Info, "reader-started";
+    /// The entry does not hold a reader slot any more.
+    ReaderStopped = 4007, Info, "reader-stopped";
     /// A task or thread ended with an error.
     TaskFailed = 5001, Error, "task-failed";
 }
