Add log set-up, admin pages, metrics and the page on events

Cause: Operators need a log that a repeated fault does not fill, health and status over HTTP, and one page that says what to do about each event.

Conclusion: A test compares docs/events.md with the events in the code both ways.

--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,134 @@
+//! Metrics, health and status over HTTP on the admin address.
+//!
+//! The server runs on the thread that calls [`serve`], which is the control thread, so that the callbacks can read
+//! control state without locks.
+
+use ntex::http::{HttpService, StatusCode};
+use ntex::rt::{from_tcp_stream, spawn};
+use ntex::web::types::State;
+use ntex::web::{self, App, HttpResponse, ServiceConfig};
+use ntex::{ServiceFactory, SharedCfg};
+use prometheus::{Encoder, Registry, TextEncoder};
+use serde_json::Value;
+use std::cell::Cell;
+use std::fmt::{Debug, Formatter, Result as FormatResult};
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+/// Connections served at the same time; more are closed, so that a scraper in a loop does not fill the process.
+const CONNECTIONS_MAX: u32 = 32;
+
+/// What the pages show; the callbacks run on the control thread.
+#[derive(Clone)]
+pub struct AdminPages {
+    /// Source of `/metrics`.
+    pub registry: Registry,
+    /// Answers `/readyz`: whether the node takes new flows.
+    pub ready: Rc<dyn Fn() -> bool>,
+    /// Answers `/status`.
+    pub status: Rc<dyn Fn() -> Value>,
+    /// Answers `/catalogue` with the snapshot in force, which `quetzalhill catalogue restore` writes back.
+    pub catalogue: Rc<dyn Fn() -> Value>,
+}
+
+impl Debug for AdminPages {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        f.debug_struct("AdminPages").finish_non_exhaustive()
+    }
+}
+
+/// Counts a connection for as long as it lives.
+struct ConnectionGuard {
+    open: Rc<Cell<u32>>,
+}
+
+impl ConnectionGuard {
+    fn new(open: &Rc<Cell<u32>>) -> Option<Self> {
+        if open.get() >= CONNECTIONS_MAX {
+            return None;
+        }
+        open.set(open.get() + 1);
+        Some(Self { open: open.clone() })
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+/// Serves the pages until the future is dropped.
+///
+/// # Errors
+///
+/// The listener cannot be used. A connection that fails is closed and changes nothing else.
+pub async fn serve(listener: TcpListener, pages: AdminPages) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let app = App::new().state(pages).configure(configure);
+    let service = HttpService::new(app)
+        .pipeline(SharedCfg::default())
+        .await
+        .map_err(|()| io::Error::other("the admin pages cannot be set up"))?;
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let Some(guard) = ConnectionGuard::new(&open) else {
+            continue;
+        };
+        let Ok(io) = stream
+            .into_std()
+            .and_then(|stream| from_tcp_stream(stream, SharedCfg::default()))
+        else {
+            continue;
+        };
+        let service = service.clone();
+        spawn(async move {
+            // The caller of the page sees the failure.
+            let _ = service.call(io).await;
+            drop(guard);
+        })
+        .detach();
+    }
+}
+
+fn configure(config: &mut ServiceConfig) {
+    config
+        .route("/metrics", web::get().to(metrics))
+        .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready))
+        .route("/status", web::get().to(status))
+        .route("/catalogue", web::get().to(catalogue));
+}
+
+async fn metrics(pages: State<AdminPages>) -> HttpResponse {
+    let mut text = Vec::new();
+    let encoder = TextEncoder::new();
+    match encoder.encode(&pages.registry.gather(), &mut text) {
+        Ok(()) => HttpResponse::Ok()
+            .content_type(encoder.format_type())
+            .body(text),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn ready(pages: State<AdminPages>) -> HttpResponse {
+    match (pages.ready)() {
+        true => HttpResponse::Ok().body("ready\n"),
+        false => HttpResponse::build(StatusCode::SERVICE_UNAVAILABLE).body("not ready\n"),
+    }
+}
+
+async fn status(pages: State<AdminPages>) -> HttpResponse {
+    HttpResponse::Ok().json(&(pages.status)())
+}
+
+async fn catalogue(pages: State<AdminPages>) -> HttpResponse {
+    HttpResponse::Ok().json(&(pages.catalogue)())
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,9 @@
-//! What both binaries share: settings, events, keys.
+//! What both binaries share: settings, events, log, metrics, admin pages, keys.
 
+pub mod admin;
 pub mod event;
 pub mod keys;
+pub mod log;
+pub mod metrics;
 pub mod settings;
+pub mod status;
--- /dev/null
+++ b/crates/node/src/log.rs
@@ -0,0 +1,154 @@
+//! The log: plain or JSON lines on the standard error stream.
+//!
+//! Repeated events are limited, because a fault that repeats thousands of times a second must not fill the log or
+//! slow the process down. The next line of the event says how many were left out.
+
+use crate::settings::{LogFormat, LogSettings};
+use anyhow::{anyhow, Context, Result};
+use humantime::format_rfc3339_millis;
+use log::{LevelFilter, Record};
+use serde_json::json;
+use std::collections::HashMap;
+use std::io::Write;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Lines of one event that are written in one window.
+pub const LINES_PER_WINDOW: u32 = 20;
+
+/// Length of a window.
+pub const WINDOW: Duration = Duration::from_secs(10);
+
+/// Events that are told apart; more share one limit, so that the table stays bounded.
+const KEYS_MAX: usize = 512;
+
+/// Key of the events beyond [`KEYS_MAX`].
+const OTHER_KEY: &str = "other";
+
+/// What happens to a line.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LineVerdict {
+    /// The line is written, with the number of lines of its event that were left out before it.
+    Write {
+        /// Lines left out since the last one written.
+        suppressed: u64,
+    },
+    /// The line is left out.
+    Suppress,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct EventWindow {
+    started: Instant,
+    written: u32,
+    suppressed: u64,
+}
+
+/// Limits the lines of each event.
+#[derive(Debug, Default)]
+pub struct RepeatLimit {
+    windows: HashMap<String, EventWindow>,
+}
+
+impl RepeatLimit {
+    /// Decides on a line of the event `key` at `now`.
+    pub fn check(&mut self, key: &str, now: Instant) -> LineVerdict {
+        let known = self.windows.contains_key(key);
+        let key = match known || self.windows.len() < KEYS_MAX {
+            true => key,
+            false => OTHER_KEY,
+        };
+        let window = self.windows.entry(key.into()).or_insert(EventWindow {
+            started: now,
+            written: 0,
+            suppressed: 0,
+        });
+        if now.saturating_duration_since(window.started) >= WINDOW {
+            window.started = now;
+            window.written = 0;
+        }
+        if window.written >= LINES_PER_WINDOW {
+            window.suppressed += 1;
+            return LineVerdict::Suppress;
+        }
+        window.written += 1;
+        let suppressed = std::mem::take(&mut window.suppressed);
+        LineVerdict::Write { suppressed }
+    }
+}
+
+/// Sets up the log of the process.
+///
+/// # Errors
+///
+/// The level is not known, or the log is set up already.
+pub fn init(settings: &LogSettings) -> Result<()> {
+    let level: LevelFilter = settings.level.parse().map_err(|_| {
+        anyhow!(
+            "log.level is {:?}; allowed: error, warn, info, debug, trace, off",
+            settings.level
+        )
+    })?;
+    let format = settings.format;
+    let limit = Mutex::new(RepeatLimit::default());
+    let output = fern::Output::call(move |record| write_record(record, format, &limit));
+    fern::Dispatch::new()
+        .level(level)
+        // The web library logs each connection at the level info.
+        .level_for("ntex_server", level.min(LevelFilter::Warn))
+        .level_for("ntex_rt", level.min(LevelFilter::Warn))
+        .chain(output)
+        .apply()
+        .context("the log is set up already")
+}
+
+fn write_record(record: &Record<'_>, format: LogFormat, limit: &Mutex<RepeatLimit>) {
+    let message = record.args().to_string();
+    let key = event_key(record.target(), &message);
+    let verdict = limit
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .check(key, Instant::now());
+    let LineVerdict::Write { suppressed } = verdict else {
+        return;
+    };
+    let line = format_line(record, &message, suppressed, format, SystemTime::now());
+    // There is nowhere to report a standard error stream that is closed.
+    let _ = std::io::stderr().lock().write_all(line.as_bytes());
+}
+
+/// Returns the number of an event, or the target of another line.
+fn event_key<'a>(target: &'a str, message: &'a str) -> &'a str {
+    match target {
+        "event" => message.split(' ').next().unwrap_or(target),
+        _ => target,
+    }
+}
+
+/// Returns a whole line with its end.
+pub fn format_line(
+    record: &Record<'_>,
+    message: &str,
+    suppressed: u64,
+    format: LogFormat,
+    time: SystemTime,
+) -> String {
+    let time = format_rfc3339_millis(time);
+    let level = record.level();
+    match (format, suppressed) {
+        (LogFormat::Plain, 0) => format!("{time} {level} {message}\n"),
+        (LogFormat::Plain, count) => format!("{time} {level} {message} suppressed={count}\n"),
+        (LogFormat::Json, count) => {
+            let mut line = json!({
+                "time": time.to_string(),
+                "level": level.as_str(),
+                "event": event_key(record.target(), message),
+                "message": message,
+            });
+            if count > 0 {
+                line["suppressed"] = json!(count);
+            }
+            format!("{line}\n")
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/log.rs
@@ -0,0 +1,83 @@
+//! Log lines, their limit, and the page on events.
+
+use log::{Level, Record};
+use quetzalhill_node::event::EventCode;
+use quetzalhill_node::log::{format_line, LineVerdict, RepeatLimit, LINES_PER_WINDOW, WINDOW};
+use quetzalhill_node::settings::LogFormat;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+/// Guards against a repeated fault that fills the log, and against silence about what was left out.
+#[test]
+fn repeated_event_is_limited_and_counted() {
+    let start = Instant::now();
+    let mut limit = RepeatLimit::default();
+    let mut written = 0;
+    for _ in 0..1_000 {
+        if limit.check("QH4003", start) != LineVerdict::Suppress {
+            written += 1;
+        }
+    }
+    assert_eq!(written, LINES_PER_WINDOW);
+    let other = limit.check("QH4001", start);
+    assert_eq!(other, LineVerdict::Write { suppressed: 0 });
+    let later = limit.check("QH4003", start + WINDOW);
+    let suppressed = 1_000 - u64::from(LINES_PER_WINDOW);
+    assert_eq!(later, LineVerdict::Write { suppressed });
+    let after = limit.check("QH4003", start + WINDOW + Duration::from_secs(1));
+    assert_eq!(after, LineVerdict::Write { suppressed: 0 });
+}
+
+/// Guards against a table of limits that grows with the texts of other libraries.
+#[test]
+fn table_of_limits_is_bounded() {
+    let now = Instant::now();
+    let mut limit = RepeatLimit::default();
+    let lines = (0..100_000_u32).map(|number| limit.check(&format!("target{number}"), now));
+    let written = lines
+        .filter(|verdict| *verdict != LineVerdict::Suppress)
+        .count();
+    assert!(written < 1_000, "{written} lines");
+}
+
+/// Guards against JSON lines that a log collector cannot read.
+#[test]
+fn json_line_is_one_object() {
+    let args = format_args!("unused");
+    let record = Record::builder()
+        .args(args)
+        .level(Level::Warn)
+        .target("event")
+        .build();
+    let message = "QH4003 store-unavailable error=\"a \\\"b\\\"\"";
+    let line = format_line(&record, message, 3, LogFormat::Json, UNIX_EPOCH);
+    assert_eq!(line.matches('\n').count(), 1);
+    let value: serde_json::Value = serde_json::from_str(&line).expect("an object");
+    assert_eq!(value["event"], "QH4003");
+    assert_eq!(value["suppressed"], 3);
+    assert_eq!(value["time"], "1970-01-01T00:00:00.000Z");
+    let plain = format_line(&record, message, 0, LogFormat::Plain, UNIX_EPOCH);
+    assert_eq!(plain, format!("1970-01-01T00:00:00.000Z WARN {message}\n"));
+}
+
+/// Guards against events that operators cannot look up, and against rows about events that do not exist.
+#[test]
+fn page_on_events_lists_exactly_the_events() {
+    let page = include_str!("../../../docs/events.md");
+    let mut rows = BTreeMap::new();
+    for line in page.lines().filter(|line| line.starts_with("| QH")) {
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        assert_eq!(cells.len(), 7, "{line}");
+        assert!(!cells[4].is_empty() && !cells[5].is_empty(), "{line}");
+        let row = (cells[2].trim_matches('`').to_string(), cells[3].to_string());
+        assert!(rows.insert(cells[1].to_string(), row).is_none(), "{line}");
+    }
+    let mut events = BTreeMap::new();
+    for code in EventCode::ALL {
+        let level = code.level().as_str().to_lowercase();
+        let row = (code.name().to_string(), level);
+        let number = format!("QH{}", code.number());
+        assert!(events.insert(number, row).is_none(), "{code:?}");
+    }
+    assert_eq!(rows, events);
+}
