Add the operators' commands on the catalogue and the status of the nodes

Cause: Operators control the system only through the catalogue, and need to see what a change does before and after.

Change: `quetzalhill catalogue` checks, compares, applies, shows, lists, rolls back and restores; `quetzalhill status` asks the nodes. Each command has `--json` and documented exit statuses, and a report as a value that tests read. `apply` refuses while the fleet is ahead of the store and while a guard objects. The stand-ins gain a node's admin pages and a site of store, nodes and files.

Conclusion: A lost race, a lost answer, an outage and a store that fell behind each end in a status of their own.

--- a/crates/entry/src/cmd.rs
+++ b/crates/entry/src/cmd.rs
@@ -1,6 +1,9 @@
 //! The commands of the binary `quetzalhill`, one file each.
 
+pub mod catalogue;
+pub mod operator;
 pub mod run;
+pub mod status;
 
 use anyhow::Result;
 use std::process::ExitCode;
@@ -15,6 +18,8 @@
 
 Commands:
     run        Run an entry instance.
+    catalogue  Read and change the catalogue of services.
+    status     Show the status of the nodes.
 ";
 
 /// Exit code of a command line that names no command, as most programs use it.
@@ -24,12 +29,16 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum CommandName {
     Run,
+    Catalogue,
+    Status,
 }
 
 impl CommandName {
     fn parse(name: &str) -> Option<Self> {
         match name {
             "run" => Some(CommandName::Run),
+            "catalogue" => Some(CommandName::Catalogue),
+            "status" => Some(CommandName::Status),
             _ => None,
         }
     }
@@ -57,6 +66,8 @@
 fn run(command: CommandName, argv: &[&str]) -> Result<ExitCode> {
     match command {
         CommandName::Run => run::run(argv),
+        CommandName::Catalogue => catalogue::run(argv),
+        CommandName::Status => status::run(argv),
     }
 }
 
@@ -66,7 +77,16 @@
 ///
 /// Returns the exit code with which the process ends.
 pub fn parse_args<T: argh::FromArgs>(argv: &[&str]) -> Result<T, ExitCode> {
-    let split = argv.len().min(2);
+    parse_args_after(argv, 2)
+}
+
+/// Reads the arguments of a command whose name takes the first `words` of `argv`.
+///
+/// # Errors
+///
+/// Returns the exit code with which the process ends.
+pub fn parse_args_after<T: argh::FromArgs>(argv: &[&str], words: usize) -> Result<T, ExitCode> {
+    let split = argv.len().min(words);
     T::from_args(&argv[..split], &argv[split..]).map_err(|exit| match exit.status {
         Ok(()) => {
             println!("{}", exit.output);
--- /dev/null
+++ b/crates/entry/src/cmd/catalogue/show.rs
@@ -0,0 +1,60 @@
+//! `quetzalhill catalogue show`: prints the catalogue in the store.
+
+use super::parse;
+use crate::catalogue_file::to_toml;
+use crate::cmd::operator::{
+    block_on, time_text, CommandReport, ExitStatus, OperatorSettings, DEFAULT_CONFIG,
+};
+use anyhow::{Context, Result};
+use argh::FromArgs;
+use quetzalhill_store::catalogue::load::load;
+use serde_json::json;
+use std::process::ExitCode;
+
+/// Print the catalogue in the store, in the form that `apply` reads.
+#[derive(Debug, FromArgs)]
+struct ShowArgs {
+    /// operator's settings file
+    #[argh(option, default = "DEFAULT_CONFIG.into()")]
+    config: String,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// The settings cannot be read or the store cannot be asked.
+pub fn run(argv: &[&str]) -> Result<ExitCode> {
+    let args: ShowArgs = match parse(argv) {
+        Ok(args) => args,
+        Err(code) => return Ok(code),
+    };
+    let settings = OperatorSettings::read(&args.config)?;
+    let report = block_on(async move { report(&settings).await })?;
+    Ok(report.print(args.json))
+}
+
+/// Reads the catalogue.
+///
+/// # Errors
+///
+/// The store cannot be asked.
+pub async fn report(settings: &OperatorSettings) -> Result<CommandReport> {
+    let store = settings.open_store().await?;
+    let current = load(&store).await.context("reading the catalogue")?;
+    let json = json!({ "head": current.head.head, "catalogue": current.snapshot });
+    let text = match &current.head.head {
+        Some(head) => format!(
+            "# revision {}, by {} at {}\n\n{}",
+            head.revision,
+            head.author,
+            time_text(head.time_ms),
+            to_toml(&current.snapshot.services)
+        ),
+        None => "# the store holds no catalogue".into(),
+    };
+    Ok(CommandReport::new(ExitStatus::Done, text, json))
+}
--- /dev/null
+++ b/crates/entry/tests/cmd_restore.rs
@@ -0,0 +1,57 @@
+//! The command `quetzalhill catalogue restore`.
+
+use quetzalhill::cmd::catalogue::submit::SubmitOptions;
+use quetzalhill::cmd::catalogue::{apply, restore, show};
+use quetzalhill::cmd::operator::{ExitStatus, OperatorSettings};
+use quetzalhill_standins::site::TestSite;
+
+/// Guards against changes that are lost for good when the store returns to an older copy.
+#[ntex::test]
+async fn copy_of_the_fleet_returns_to_the_store() {
+    let site = TestSite::start(env!("CARGO_TARGET_TMPDIR"), "restore", 1).expect("site");
+    let settings = OperatorSettings::read(&site.config).expect("settings");
+    let options = SubmitOptions::default();
+    let first = site.catalogue("1.toml", &[("a", 1)]).expect("file");
+    apply::report(&settings, &first, &options)
+        .await
+        .expect("applied");
+    let old = site.store.revision();
+    let second = site
+        .catalogue("2.toml", &[("a", 1), ("b", 2)])
+        .expect("file");
+    apply::report(&settings, &second, &options)
+        .await
+        .expect("applied");
+    let shown = show::report(&settings).await.expect("report");
+    site.nodes[0].set_catalogue(shown.json["catalogue"].clone());
+    site.report(2, &["a", "b"], 1);
+
+    let nothing = restore::report(&settings, &options).await.expect("report");
+    assert_eq!(nothing.json["outcome"], "unchanged");
+    site.store.roll_back(old);
+    let refused = apply::report(&settings, &second, &options)
+        .await
+        .expect("report");
+    assert_eq!(refused.status, ExitStatus::Refused);
+    let report = restore::report(&settings, &options).await.expect("report");
+    assert_eq!(
+        (report.status, &report.json["revision"]),
+        (ExitStatus::Done, &3.into())
+    );
+    let shown = show::report(&settings).await.expect("report");
+    assert_eq!(shown.json["catalogue"]["services"]["b"]["number"], 2);
+}
+
+/// Guards against writing an empty catalogue when no node answers.
+#[ntex::test]
+async fn silent_fleet_restores_nothing() {
+    let mut site = TestSite::start(env!("CARGO_TARGET_TMPDIR"), "restore_none", 1).expect("site");
+    let settings = OperatorSettings::read(&site.config).expect("settings");
+    site.nodes[0].stop();
+    let error = restore::report(&settings, &SubmitOptions::default()).await;
+    assert!(error
+        .expect_err("no node")
+        .to_string()
+        .contains("nodes.admin"));
+    assert_eq!(site.store.counts().writes, 0);
+}
--- /dev/null
+++ b/crates/entry/tests/cmd_status.rs
@@ -0,0 +1,54 @@
+//! The command `quetzalhill status`.
+
+use quetzalhill::cmd::operator::{ExitStatus, OperatorSettings};
+use quetzalhill::cmd::status::report;
+use quetzalhill_standins::site::{status, TestSite};
+use serde_json::json;
+
+/// Guards against a node that is silent or behind and not shown, and against a status that needs the store.
+#[ntex::test]
+async fn silent_and_late_nodes_are_counted_without_the_store() {
+    let mut site = TestSite::start(env!("CARGO_TARGET_TMPDIR"), "status", 3).expect("site");
+    let settings = OperatorSettings::read(&site.config).expect("settings");
+    site.store.stop();
+    site.report(5, &["a"], 2);
+    let all = report(&settings).await;
+    assert_eq!(all.status, ExitStatus::Done, "{}", all.text);
+    site.nodes[1].set_status(status(4, json!({})));
+    site.nodes[2].stop();
+    let some = report(&settings).await;
+    assert_eq!(some.status, ExitStatus::Failed);
+    assert_eq!(
+        (&some.json["silent"], &some.json["behind"]),
+        (&1.into(), &1.into())
+    );
+    assert!(
+        some.text
+            .ends_with("3 nodes, 1 without answer, 1 behind revision 5"),
+        "{}",
+        some.text
+    );
+}
+
+/// Guards against settings whose mistakes are not named.
+#[test]
+fn mistake_in_the_settings_is_named() {
+    let site = TestSite::start(env!("CARGO_TARGET_TMPDIR"), "status_settings", 0).expect("site");
+    for (text, named) in [
+        ("[store]\nurls = []\n", "store.urls is empty"),
+        ("[store]\nurls = [\"ftp://x\"]\n", "store.urls is ftp://x"),
+        (
+            "[store]\nurls = [\"http://x\"]\n[guards]\nshare = 2.0\n",
+            "guards.share is 2",
+        ),
+        ("[store]\nurl = \"http://x\"\n", "url"),
+    ] {
+        let path = site.workdir.write("bad.toml", text).expect("file");
+        let error = OperatorSettings::read(&path).expect_err("a mistake");
+        let shown = format!("{error:#}");
+        assert!(
+            shown.contains("bad.toml") && shown.contains(named),
+            "{shown}"
+        );
+    }
+}
