--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod caller;
 pub mod certificate;
 pub mod delay;
+pub mod deployment;
 pub mod fabric;
 pub mod node;
 pub mod payload;
 pub mod site;
 pub mod store;
+pub mod testbed;
 pub mod upstream;
 pub mod workdir;
 pub mod workload;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod key;
 pub mod packet;
 pub mod quic;
+pub mod session;
