Wait in the testbed until every entry routes to every ready endpoint

Cause: the admin pages are not served yet, and the demo has to know when a deployment is ready. Change: readiness is read from the handles of entries and agents.

--- a/crates/standins/src/testbed.rs
+++ b/crates/standins/src/testbed.rs
@@ -13,6 +13,7 @@
 use quetzalhill_core::catalogue::CatalogueSnapshot;
 use quetzalhill_core::dispatch::DispatchPolicy;
 use quetzalhill_core::ids::ServiceName;
+use quetzalhill_core::member::EndpointState;
 use quetzalhill_node::settings::{LogSettings, NodeSettings};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -32,6 +33,9 @@
 const PORT_UPSTREAM: u16 = 24_000;
 const PORT_STORE: u16 = 2379;
 
+/// How long a condition may take to become true.
+const READY_LIMIT: Duration = Duration::from_secs(15);
+
 /// Listeners that one entry may have.
 const LISTENERS_MAX: u16 = 10;
 
@@ -324,46 +328,74 @@
     /// Returns an error if the new entry is not ready within 15 seconds.
     pub fn replace_entry(&mut self, index: usize) -> Result<usize> {
         let fresh = self.add_entry()?;
-        self.wait_ready(self.entries[fresh].settings.node.admin)?;
+        self.wait_until("the new entry is ready", || {
+            self.routes_all(&self.entries[fresh])
+        })?;
         let old = self.entries[index].entry.take();
         self.publish_entries();
         if let Some(old) = old {
-            old.stop();
+            old.stop()?;
         }
         Ok(fresh)
     }
 
-    /// Waits until a node's `/readyz` answers 200.
+    /// Waits until every live entry routes to all endpoints that have not been stopped, and every agent is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes longer than 15 seconds.
+    pub fn wait_all_ready(&self) -> Result<()> {
+        self.wait_until("all nodes are ready", || {
+            self.live_entries().all(|entry| self.routes_all(entry))
+        })
+    }
+
+    fn routes_all(&self, entry: &TestEntry) -> bool {
+        let Some(handle) = &entry.entry else {
+            return true;
+        };
+        let table = handle.state().routes.load();
+        let routed: usize = table
+            .services
+            .iter()
+            .map(|service| service.ready.len())
+            .sum();
+        routed
+            == self
+                .endpoints
+                .iter()
+                .filter(|endpoint| endpoint.is_ready())
+                .count()
+            && routed > 0
+    }
+
+    /// Waits until `condition` holds, which `what` names.
     ///
     /// # Errors
     ///
     /// Returns an error after 15 seconds.
-    pub fn wait_ready(&self, admin: SocketAddrV4) -> Result<()> {
-        let end = Instant::now() + Duration::from_secs(15);
+    pub fn wait_until(&self, what: &str, condition: impl Fn() -> bool) -> Result<()> {
+        let end = Instant::now() + READY_LIMIT;
         while Instant::now() < end {
-            if probe(admin, "/readyz").is_ok_and(|status| status == 200) {
+            if condition() {
                 return Ok(());
             }
             std::thread::sleep(Duration::from_millis(20));
         }
-        bail!("the node with admin address {admin} is not ready after 15 s")
+        bail!(
+            "after {} s it is not true that {what}",
+            READY_LIMIT.as_secs()
+        )
     }
+}
 
-    /// Waits until every live entry and agent is ready.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if one is not ready within 15 seconds.
-    pub fn wait_all_ready(&self) -> Result<()> {
-        for entry in self.live_entries() {
-            self.wait_ready(entry.settings.node.admin)?;
-        }
-        for endpoint in &self.endpoints {
-            if endpoint.agent.is_some() {
-                self.wait_ready(endpoint.settings.node.admin)?;
-            }
-        }
-        Ok(())
+impl TestEndpoint {
+    /// Returns whether the agent runs and does not drain.
+    pub fn is_ready(&self) -> bool {
+        let state = |agent: &AgentHandle| agent.state().view.load().state;
+        self.agent
+            .as_ref()
+            .is_some_and(|agent| state(agent) <= EndpointState::Ready)
     }
 }
 
@@ -371,12 +403,13 @@
     fn drop(&mut self) {
         for endpoint in &mut self.endpoints {
             if let Some(agent) = endpoint.agent.take() {
-                agent.stop();
+                // The test has its result already.
+                let _ = agent.stop_now();
             }
         }
         for entry in &mut self.entries {
             if let Some(entry) = entry.entry.take() {
-                entry.stop();
+                let _ = entry.stop_now();
             }
         }
         // The folder is below the temporary directory; what cannot be removed does no harm.
@@ -400,18 +433,3 @@
         NEXT_BED.fetch_add(1, Ordering::Relaxed),
     )
 }
-
-/// Sends one HTTP request to an admin address and returns the status.
-fn probe(admin: SocketAddrV4, path: &str) -> Result<u16> {
-    use std::io::{Read, Write};
-    let mut stream = std::net::TcpStream::connect_timeout(&admin.into(), Duration::from_secs(1))?;
-    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-    write!(
-        stream,
-        "GET {path} HTTP/1.1\r\nhost: {admin}\r\nconnection: close\r\n\r\n"
-    )?;
-    let mut head = [0; 12];
-    stream.read_exact(&mut head)?;
-    let text = std::str::from_utf8(&head)?;
-    Ok(text[9..12].parse()?)
-}
