Free the slot of open streams and let the request task hand over

Cause: A stream of hours kept one of the few slots of its upstream. An offer to a peer ran in a task that had neither head nor body.

Change: An event stream gives its slot back at its head, any other answer of unknown length when it pauses for a second. Dispatch may decide more than once on a request, and the request's own task carries out offers. CONNECT is refused, and `expect` does not pass. Tests for the drain limit, for open streams, and for a restarted agent that resets old connections.

Conclusion: Open streams and requests share an upstream.

--- a/crates/agent/src/traffic/headers.rs
+++ b/crates/agent/src/traffic/headers.rs
@@ -24,6 +24,9 @@
 /// Urgency of a request (RFC 9218).
 const PRIORITY: &str = "priority";
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Fields that describe one connection and never pass (RFC 9110, section 7.6.1).
 const CONNECTION_FIELDS: [&str; 9] = [
     "connection",
@@ -38,7 +41,9 @@
 ];
 
 /// Fields of a request that the agent sets itself.
-const OWN_FIELDS: [&str; 4] = ["host", "content-length", TIMEOUT_MS, SESSION];
+///
+/// `expect` stays here as well, because the body is sent without waiting for an interim answer.
+const OWN_FIELDS: [&str; 5] = ["host", "content-length", "expect", TIMEOUT_MS, SESSION];
 
 /// Reads what the filter chain has to know of a request.
 pub(crate) fn facts(head: &Parts, ring: &KeyRing, arrived: Instant) -> RequestFacts {
@@ -133,6 +138,12 @@
     fields
 }
 
+/// Returns whether an answer is a stream of events, which lasts as long as the session.
+pub(crate) fn is_event_stream(fields: &HeaderMap) -> bool {
+    let kind = fields.get("content-type").map(HeaderValue::as_bytes);
+    kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM))
+}
+
 /// Returns the fields of a stored answer.
 pub(crate) fn from_stored(answer: &StoredAnswer) -> HeaderMap {
     let mut fields = HeaderMap::new();
--- a/crates/agent/src/traffic/request.rs
+++ b/crates/agent/src/traffic/request.rs
@@ -6,11 +6,14 @@
 use super::scheduler::{RunDecision, RunTicket};
 use super::transport::{StreamEnd, StreamWatch};
 use super::upstream::{read_chunk, BodyReader, BodyStart, UpstreamError};
+use crate::handover;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http::request::Parts;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use ntex::client::ClientResponse;
+use ntex::http::error::PayloadError;
+use ntex::http::Payload;
 use quetzalhill_core::dispatch::{RefusalReason, RequestMeta};
 use quetzalhill_core::ids::ServiceNumber;
 use quetzalhill_core::once::{OnceKey, OnceOutcome, StoredAnswer};
@@ -19,12 +22,15 @@
 };
 use quetzalhill_wire::session;
 use std::rc::Rc;
-use std::time::Instant;
-use tokio::sync::oneshot;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
 
 /// Most bytes of the body of an answer that is kept for copies of a keyed request.
 const STORED_BODY_MAX: usize = 16 * 1024;
 
+/// An answer of unknown length that pauses for this long is a stream.
+const STREAM_PAUSE: Duration = Duration::from_secs(1);
+
 /// A request whose head has been read.
 pub(crate) struct CallerRequest {
     /// Method, path and header fields.
@@ -55,6 +61,12 @@
 
 /// Serves a request; `watch` tells when the caller is gone.
 pub(crate) async fn serve(context: Rc<TrafficContext>, request: CallerRequest, watch: StreamWatch) {
+    if request.head.method == Method::CONNECT {
+        let text = "tunnels are not supported";
+        let writer = request.writer;
+        writer.not_run(StatusCode::NOT_IMPLEMENTED, text).await;
+        return;
+    }
     let verdict = judge(&context, &request);
     let writer = request.writer;
     match verdict {
@@ -161,10 +173,15 @@
         arrived: pending.arrived,
         deadline: plan.deadline,
     };
-    let (run, decision) = context.scheduler.submit(meta);
-    let waited = wait_for_start(decision, &mut pending.reader, &mut start, watch).await;
+    let (run, mut decisions) = context.scheduler.submit(meta);
+    let mut waited = wait_for_decision(&mut decisions, &mut pending, &mut start, &watch).await;
+    while let Some(RunDecision::HandOver(peer)) = waited {
+        let event = handover::offer(run.id(), peer, &pending.head).await;
+        run.offered(event);
+        waited = wait_for_decision(&mut decisions, &mut pending, &mut start, &watch).await;
+    }
     match waited {
-        None => return,
+        None | Some(RunDecision::HandOver(_)) => return,
         Some(RunDecision::Refuse(reason)) => {
             run.refused();
             drop(ticket);
@@ -205,15 +222,15 @@
 }
 
 /// Waits for dispatch; `None` if the caller cancelled the request while it waited.
-async fn wait_for_start(
-    mut decision: oneshot::Receiver<RunDecision>,
-    reader: &mut BodyReader,
+async fn wait_for_decision(
+    decisions: &mut mpsc::UnboundedReceiver<RunDecision>,
+    pending: &mut PendingRequest,
     start: &mut BodyStart,
-    watch: Option<StreamWatch>,
+    watch: &Option<StreamWatch>,
 ) -> Option<RunDecision> {
     let gone = async {
         match watch {
-            Some(watch) => gone(watch).await,
+            Some(watch) => gone(watch.clone()).await,
             None => std::future::pending().await,
         }
     };
@@ -221,9 +238,9 @@
     while let BodyStart::Unread = start {
         tokio::select! {
             biased;
-            decided = &mut decision => return decided.ok(),
+            decided = decisions.recv() => return decided,
             () = &mut gone => return None,
-            read = read_chunk(reader) => match read {
+            read = read_chunk(&mut pending.reader) => match read {
                 Ok(Some(chunk)) => *start = BodyStart::Chunk(chunk),
                 Ok(None) => *start = BodyStart::End,
                 Err(_) => return None,
@@ -232,7 +249,7 @@
     }
     tokio::select! {
         biased;
-        decided = decision => decided.ok(),
+        decided = decisions.recv() => decided,
         () = gone => None,
     }
 }
@@ -249,6 +266,7 @@
     let status = StatusCode::from_u16(response.status().as_u16());
     let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let fields = headers::from_upstream(response.headers());
+    let mut slot = StreamSlot::new(run, &fields);
     let mut copy = ticket.as_ref().map(|_| AnswerCopy::new(status, &fields));
     let mut caller = Some(writer);
     if let Some(writer) = &mut caller {
@@ -257,10 +275,10 @@
         }
     }
     let mut payload = response.take_payload();
-    while let Some(item) = payload.next().await {
+    while let Some(item) = next_chunk(&mut payload, &mut slot).await {
         let Ok(chunk) = item else {
             // The writer resets the stream when it is dropped, and the outcome of a keyed request stays unknown.
-            run.finish(false);
+            slot.finish(false);
             return;
         };
         if let Some(copy) = &mut copy {
@@ -276,7 +294,7 @@
             break;
         }
     }
-    run.finish(!status.is_server_error());
+    slot.finish(!status.is_server_error());
     if let (Some(ticket), Some(copy)) = (&mut ticket, copy) {
         ticket.outcome = copy.outcome();
     }
@@ -287,6 +305,48 @@
     }
 }
 
+/// The upstream's slot of an answer that is being passed on.
+///
+/// A stream lasts as long as a session, and its upstream works only when it sends. It gives its slot back, so that
+/// a few slots carry thousands of streams.
+struct StreamSlot {
+    run: Option<RunTicket>,
+    may_idle: bool,
+}
+
+impl StreamSlot {
+    fn new(run: RunTicket, fields: &HeaderMap) -> Self {
+        let mut slot = Self {
+            run: Some(run),
+            may_idle: headers::content_length(fields).is_none(),
+        };
+        if headers::is_event_stream(fields) {
+            slot.finish(true);
+        }
+        slot
+    }
+
+    fn finish(&mut self, ok: bool) {
+        if let Some(run) = self.run.take() {
+            run.finish(ok);
+        }
+    }
+}
+
+/// Returns the next bytes of an answer; gives the slot back when an answer of unknown length pauses.
+async fn next_chunk(
+    payload: &mut Payload,
+    slot: &mut StreamSlot,
+) -> Option<Result<ntex::util::Bytes, PayloadError>> {
+    if slot.run.is_some() && slot.may_idle {
+        match tokio::time::timeout(STREAM_PAUSE, payload.next()).await {
+            Ok(item) => return item,
+            Err(_) => slot.finish(true),
+        }
+    }
+    payload.next().await
+}
+
 async fn fail(
     context: &TrafficContext,
     run: RunTicket,
--- a/crates/agent/src/traffic/scheduler.rs
+++ b/crates/agent/src/traffic/scheduler.rs
@@ -3,7 +3,6 @@
 //! The scheduler is the one owner of the [`DispatchController`]; requests tell it what happened and wait for what
 //! it decides.
 
-use crate::handover;
 use quetzalhill_core::dispatch::{
     ActionList, DispatchAction, DispatchController, DispatchEvent, RefusalReason, RequestMeta,
 };
@@ -14,13 +13,15 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Instant;
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{mpsc, Notify};
 
 /// What dispatch decided for one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RunDecision {
     /// Send it to the local upstream.
     Start,
+    /// Offer it to a peer; another decision follows if the peer does not take it.
+    HandOver(EndpointId),
     /// Answer that it was not run.
     Refuse(RefusalReason),
 }
@@ -29,7 +30,7 @@
 pub(crate) struct RequestScheduler {
     controller: RefCell<DispatchController>,
     rng: RefCell<SmallRng>,
-    waiting: RefCell<HashMap<RequestId, oneshot::Sender<RunDecision>>>,
+    waiting: RefCell<HashMap<RequestId, mpsc::UnboundedSender<RunDecision>>>,
     in_flight: Cell<u32>,
     timer: Notify,
 }
@@ -66,8 +67,9 @@
     pub(crate) fn submit(
         self: &Rc<Self>,
         meta: RequestMeta,
-    ) -> (RunTicket, oneshot::Receiver<RunDecision>) {
-        let (sender, receiver) = oneshot::channel();
+    ) -> (RunTicket, mpsc::UnboundedReceiver<RunDecision>) {
+        // Dispatch decides on a request once, and once more after each offer that a peer did not take.
+        let (sender, receiver) = mpsc::unbounded_channel();
         let ticket = RunTicket {
             scheduler: self.clone(),
             id: meta.id,
@@ -102,7 +104,7 @@
             match action {
                 DispatchAction::Start(id) => self.decide(id, RunDecision::Start),
                 DispatchAction::Refuse(id, reason) => self.decide(id, RunDecision::Refuse(reason)),
-                DispatchAction::HandOver(id, peer) => self.hand_over(id, peer),
+                DispatchAction::HandOver(id, peer) => self.decide(id, RunDecision::HandOver(peer)),
                 // These speak to peers; the hand-over transport carries them out.
                 DispatchAction::AcceptOffer(_)
                 | DispatchAction::RejectOffer(_)
@@ -113,21 +115,11 @@
     }
 
     fn decide(&self, id: RequestId, decision: RunDecision) {
-        let sender = self.waiting.borrow_mut().remove(&id);
-        if let Some(sender) = sender {
+        if let Some(sender) = self.waiting.borrow().get(&id) {
             // A request that was cancelled meanwhile tells dispatch so itself.
             let _ = sender.send(decision);
         }
     }
-
-    fn hand_over(self: &Rc<Self>, id: RequestId, peer: EndpointId) {
-        let scheduler = self.clone();
-        // A task of its own, because the event must not be handled inside the handling of another.
-        ntex::rt::spawn(async move {
-            let event = handover::offer(id, peer).await;
-            scheduler.handle(event);
-        });
-    }
 }
 
 /// Tells dispatch how a request ended; a dropped ticket counts as cancelled.
@@ -138,6 +130,16 @@
 }
 
 impl RunTicket {
+    /// Returns the identity of the request.
+    pub(crate) fn id(&self) -> RequestId {
+        self.id
+    }
+
+    /// Tells dispatch what became of an offer to a peer.
+    pub(crate) fn offered(&self, event: DispatchEvent) {
+        self.scheduler.handle(event);
+    }
+
     /// Reports that the request ended; `ok` is what it says of the upstream's health.
     pub(crate) fn finish(mut self, ok: bool) {
         self.open = false;
--- a/crates/agent/tests/traffic/answers.rs
+++ b/crates/agent/tests/traffic/answers.rs
@@ -183,6 +183,24 @@
     });
 }
 
+/// Guards against streams of hours that occupy the few slots of an upstream.
+#[test]
+fn open_streams_leave_the_slot_to_requests() {
+    let site = TestSite::start(1, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        for path in ["/events", "/pausing"] {
+            let uri = format!("https://localhost{path}");
+            let request = http::Request::get(uri).body(()).unwrap();
+            let mut stream = caller.requests.clone().send_request(request).await.unwrap();
+            stream.finish().await.unwrap();
+            stream.recv_response().await.unwrap();
+            assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
+            stream.stop_sending(h3::error::Code::H3_REQUEST_CANCELLED);
+        }
+    });
+}
+
 async fn wait_for_abort(log: &UpstreamLog) {
     wait_for(&log.aborted).await;
 }
--- a/crates/agent/tests/traffic/drain.rs
+++ b/crates/agent/tests/traffic/drain.rs
@@ -7,6 +7,31 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+/// Guards against a stop that waits forever for a stream.
+#[test]
+fn drain_ends_at_its_limit() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        let held = caller.get("/hold");
+        let drain = async {
+            while site.log.requests.load(Ordering::SeqCst) == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            site.set_state(EndpointState::Draining);
+            let traffic = &site.traffic;
+            while !traffic.wait_drained(Duration::ZERO) {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::select! {
+            _ = held => unreachable!("the upstream does not answer"),
+            drained = tokio::time::timeout(STEP, drain) => drained.unwrap(),
+        }
+        assert_eq!(site.traffic.flows(), 1);
+    });
+}
+
 /// Guards against a planned stop that breaks an answer in progress, or that never ends.
 #[test]
 fn drain_finishes_what_runs() {
--- a/crates/agent/tests/traffic/packets.rs
+++ b/crates/agent/tests/traffic/packets.rs
@@ -183,3 +183,19 @@
     wait_for(&site.traffic.counters().dropped, 1);
     assert_eq!(site.traffic.counters().forwarded.load(Ordering::Relaxed), 0);
 }
+
+/// Guards against reset tokens that differ between the lives of an agent.
+#[test]
+fn restarted_agent_resets_old_connections() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
+        let site = site.restart(LIFE + 1);
+        let _ = tokio::time::timeout(Duration::from_millis(50), caller.get("/hello")).await;
+        let closed = tokio::time::timeout(STEP, caller.connection.closed()).await;
+        assert_eq!(closed.unwrap(), quinn::ConnectionError::Reset);
+        let again = site.connect().await;
+        assert_eq!(again.get("/hello").await.unwrap().body, "hello");
+    });
+}
--- a/crates/agent/tests/traffic/support.rs
+++ b/crates/agent/tests/traffic/support.rs
@@ -250,6 +250,26 @@
         }
     }
 
+    /// Replaces the agent by a new life at the same addresses, as if the old one had failed.
+    pub(crate) fn restart(self, life: IncarnationNumber) -> Self {
+        let shared = SharedState::new(life, ring(1));
+        shared.publish(AgentView {
+            incarnation: life,
+            ..AgentView::clone(&self.shared.view.load())
+        });
+        // The old life's farewell must not reach the caller.
+        self.shared.ring.store(Arc::new(ring(9)));
+        self.traffic.stop();
+        let (sender, events) = tokio::sync::mpsc::channel(16);
+        let traffic = traffic::start(&self.settings, shared.clone(), sender).unwrap();
+        Self {
+            shared,
+            events,
+            traffic,
+            ..self
+        }
+    }
+
     pub(crate) fn set_state(&self, state: EndpointState) {
         let view = AgentView {
             state,
--- a/crates/agent/tests/traffic/upstream.rs
+++ b/crates/agent/tests/traffic/upstream.rs
@@ -110,6 +110,8 @@
                 answer(&mut stream, b"slow")
             }
             "/stream" => stream_parts(&mut stream, Duration::from_millis(20)),
+            "/events" => event_stream(&mut stream, &mut reader, log),
+            "/pausing" => pausing_stream(&mut stream, &mut reader, log),
             "/long-stream" => stream_parts(&mut stream, Duration::from_millis(700)),
             "/early" => {
                 let _ =
@@ -118,11 +120,7 @@
             }
             "/die" => return,
             "/hold" => {
-                // The agent closes the connection when the caller is gone.
-                let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
-                if matches!(reader.read(&mut [0]), Ok(0) | Err(_)) {
-                    log.aborted.fetch_add(1, Ordering::SeqCst);
-                }
+                wait_for_close(&stream, &mut reader, log);
                 return;
             }
             _ => answer(&mut stream, b"hello"),
@@ -133,6 +131,35 @@
     }
 }
 
+/// Waits until the agent closes the connection, because the caller is gone.
+fn wait_for_close(stream: &TcpStream, reader: &mut impl Read, log: &UpstreamLog) {
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(20)));
+    if matches!(reader.read(&mut [0]), Ok(0)) {
+        log.aborted.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+fn event_stream(
+    stream: &mut TcpStream,
+    reader: &mut impl Read,
+    log: &UpstreamLog,
+) -> std::io::Result<()> {
+    stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n")?;
+    stream.write_all(b"transfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n")?;
+    wait_for_close(stream, reader, log);
+    Err(std::io::ErrorKind::ConnectionAborted.into())
+}
+
+fn pausing_stream(
+    stream: &mut TcpStream,
+    reader: &mut impl Read,
+    log: &UpstreamLog,
+) -> std::io::Result<()> {
+    stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n")?;
+    wait_for_close(stream, reader, log);
+    Err(std::io::ErrorKind::ConnectionAborted.into())
+}
+
 fn stream_parts(stream: &mut TcpStream, pause: Duration) -> std::io::Result<()> {
     stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")?;
     for part in ["one ", "two ", "three"] {
