Test the agent behind a real entry

Cause: The agent had only met a stand-in for an entry.

Change: One test starts an entry and an agent as a whole, sends requests through both, and stops the agent while a request runs.

Conclusion: Readiness, packets and the graceful stop fit together.

--- /dev/null
+++ b/crates/agent/tests/traffic/entry.rs
@@ -0,0 +1,120 @@
+//! The agent behind a real entry, both started and stopped as a whole.
+
+use crate::support::{block_on, certificate, free_port, service, TestCaller, STEP};
+use crate::upstream;
+use quetzalhill::settings::{EntrySection, EntrySettings, ListenSettings, StoreSection};
+use quetzalhill_agent::settings::{AgentSection, AgentSettings};
+use quetzalhill_core::catalogue::{CatalogueSnapshot, LimitSet};
+use quetzalhill_core::member::EndpointState;
+use quetzalhill_node::settings::{LogSettings, NodeSettings};
+use std::net::SocketAddrV4;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+fn node(key: &str) -> NodeSettings {
+    NodeSettings {
+        zone: "a".into(),
+        control: free_port(),
+        admin: free_port(),
+        control_key: key.into(),
+        previous_key: None,
+    }
+}
+
+fn entry_settings(key: &str, listen: SocketAddrV4) -> EntrySettings {
+    EntrySettings {
+        node: node(key),
+        log: LogSettings::default(),
+        entry: EntrySection {
+            listen: vec![ListenSettings {
+                bind: listen,
+                address: None,
+            }],
+            data: free_port(),
+            seeds: Vec::new(),
+            threads: 1,
+            linger_s: 0,
+        },
+        store: StoreSection::default(),
+    }
+}
+
+fn agent_settings(key: &str, entry: SocketAddrV4, upstream: SocketAddrV4) -> AgentSettings {
+    let (certificate, private_key) = certificate();
+    AgentSettings {
+        node: node(key),
+        log: LogSettings::default(),
+        agent: AgentSection {
+            service: "feed".into(),
+            packets: free_port(),
+            peer: free_port(),
+            upstream,
+            slots: 4,
+            entries: vec![entry],
+            certificate,
+            private_key,
+            flows: 100,
+            policy: Default::default(),
+            drain_limit_s: 5,
+        },
+    }
+}
+
+fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + STEP;
+    while !condition() {
+        assert!(Instant::now() < end, "not reached in time: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Guards against entry and agent that disagree on packets, readiness or the graceful stop.
+#[test]
+fn request_passes_through_entry_and_agent() {
+    let (upstream, log) = upstream::start();
+    let (chain, _) = certificate();
+    let key = chain.replace("chain", "control");
+    std::fs::write(&key, format!("1 {}\n", "5a".repeat(32))).unwrap();
+    let listen = free_port();
+    let entry_settings = entry_settings(&key, listen);
+    let control = entry_settings.node.control;
+    let entry = quetzalhill::run::start(entry_settings).unwrap();
+    let mut feed = service(LimitSet::default());
+    feed.addresses.push(listen);
+    entry.catalogue().adopt(CatalogueSnapshot {
+        revision: 1,
+        services: [("feed".to_string(), feed)].into(),
+    });
+    let settings = agent_settings(&key, control, upstream);
+    let agent = quetzalhill_agent::run::start(settings.clone()).unwrap();
+    wait_until("the endpoint is ready", || {
+        let view = agent.state().view.load();
+        view.state == EndpointState::Ready && view.service.is_some()
+    });
+    wait_until("the entry routes to it", || {
+        let table = entry.state().routes.load();
+        table
+            .services
+            .first()
+            .is_some_and(|route| route.ready.len() == 1)
+    });
+    block_on(async {
+        let caller = TestCaller::connect(listen, &settings.agent.certificate).await;
+        assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
+        assert_eq!(caller.get("/large").await.unwrap().body.len(), 300_000);
+        let before = log.requests.load(Ordering::SeqCst);
+        let stop = async {
+            while log.requests.load(Ordering::SeqCst) == before {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let stopped = std::thread::spawn(move || agent.stop());
+            let closed = tokio::time::timeout(STEP, caller.connection.closed()).await;
+            assert!(closed.is_ok(), "the connection stays open");
+            stopped
+        };
+        let (answer, stopped) = tokio::join!(caller.get("/slow"), stop);
+        assert_eq!(answer.unwrap().body, "slow");
+        stopped.join().unwrap().unwrap();
+    });
+    entry.stop().unwrap();
+}
--- a/crates/agent/tests/traffic/main.rs
+++ b/crates/agent/tests/traffic/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod drain;
+mod entry;
 mod once;
 mod packets;
 mod support;
--- a/crates/agent/tests/traffic/support.rs
+++ b/crates/agent/tests/traffic/support.rs
@@ -48,7 +48,7 @@
         .unwrap())
 }
 
-fn service(limits: LimitSet) -> ServiceEntry {
+pub(crate) fn service(limits: LimitSet) -> ServiceEntry {
     ServiceEntry {
         number: SERVICE,
         owner: "owner".into(),
@@ -60,7 +60,7 @@
 }
 
 /// Certificate and key of one test in files below the target folder.
-fn certificate() -> (String, String) {
+pub(crate) fn certificate() -> (String, String) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -280,8 +280,40 @@
 
     /// Connects an HTTP/3 client through the entry.
     pub(crate) async fn connect(&self) -> TestCaller {
+        let certificate = &self.settings.agent.certificate;
+        TestCaller::connect(self.entry.service_address, certificate).await
+    }
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: String,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("", |value| value.to_str().unwrap())
+    }
+}
+
+/// An HTTP/3 client.
+pub(crate) struct TestCaller {
+    pub(crate) requests: SendRequest<h3_quinn::OpenStreams, Bytes>,
+    pub(crate) connection: quinn::Connection,
+    drive: tokio::task::JoinHandle<()>,
+    _endpoint: quinn::Endpoint,
+}
+
+impl TestCaller {
+    /// Connects to a service whose certificate is in a file.
+    pub(crate) async fn connect(address: SocketAddrV4, certificate: &str) -> Self {
         let mut roots = rustls::RootCertStore::empty();
-        let chain = CertificateDer::from_pem_file(&self.settings.agent.certificate).unwrap();
+        let chain = CertificateDer::from_pem_file(certificate).unwrap();
         roots.add(chain).unwrap();
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let mut tls = rustls::ClientConfig::builder_with_provider(provider)
@@ -293,7 +325,7 @@
         let crypto = Arc::new(QuicClientConfig::try_from(tls).unwrap());
         let mut endpoint = quinn::Endpoint::client("127.0.0.1:0".parse().unwrap()).unwrap();
         endpoint.set_default_client_config(quinn::ClientConfig::new(crypto));
-        let target = SocketAddr::V4(self.entry.service_address);
+        let target = SocketAddr::V4(address);
         let connecting = endpoint.connect(target, "localhost").unwrap();
         let connection = tokio::time::timeout(STEP, connecting)
             .await
@@ -311,33 +343,7 @@
             _endpoint: endpoint,
         }
     }
-}
-
-/// What a caller got.
-#[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: String,
-}
 
-impl Answer {
-    pub(crate) fn header(&self, name: &str) -> &str {
-        self.headers
-            .get(name)
-            .map_or("", |value| value.to_str().unwrap())
-    }
-}
-
-/// An HTTP/3 client.
-pub(crate) struct TestCaller {
-    pub(crate) requests: SendRequest<h3_quinn::OpenStreams, Bytes>,
-    pub(crate) connection: quinn::Connection,
-    drive: tokio::task::JoinHandle<()>,
-    _endpoint: quinn::Endpoint,
-}
-
-impl TestCaller {
     /// Sends a request and reads the answer; an answer that is cut short is an error.
     pub(crate) async fn send(
         &self,
