Add links with a one-way delay and exact work times to the stand-ins

Cause: timers of the web framework tick every 16 ms, so that work of 20 ms took up to 36; delays between agents had no place. Change: upstream waits on a delay line; links forward datagrams and connections with a delay and can be cut. Conclusion: needed before latencies can be compared.

--- /dev/null
+++ b/crates/standins/src/link.rs
@@ -0,0 +1,181 @@
+//! Stand-in for the distance between two instances: forwards datagrams and TCP connections with a one-way delay.
+
+use crate::delay::{DelayHandle, DelayLine};
+use anyhow::{Context, Result};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, oneshot};
+
+const DATAGRAM_MAX: usize = 65_536;
+const CHUNK_BYTES: usize = 16_384;
+
+/// A delayed way to one address; datagrams go one way, connections both ways.
+pub struct LinkStandin {
+    address: SocketAddrV4,
+    cut: Arc<AtomicBool>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+    _line: DelayLine,
+}
+
+struct LinkState {
+    target: SocketAddrV4,
+    delay: Duration,
+    line: DelayHandle,
+    cut: Arc<AtomicBool>,
+}
+
+impl LinkStandin {
+    /// Starts a link on `address` (UDP and TCP) to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn start(address: SocketAddrV4, target: SocketAddrV4, delay: Duration) -> Result<Self> {
+        let datagrams =
+            std::net::UdpSocket::bind(address).with_context(|| format!("link {address}"))?;
+        datagrams.set_nonblocking(true)?;
+        let listener =
+            std::net::TcpListener::bind(address).with_context(|| format!("link {address}"))?;
+        listener.set_nonblocking(true)?;
+        let line = DelayLine::start();
+        let cut = Arc::new(AtomicBool::new(false));
+        let state = Arc::new(LinkState {
+            target,
+            delay,
+            line: line.handle(),
+            cut: Arc::clone(&cut),
+        });
+        let (stop, stopped) = oneshot::channel();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let thread = thread::spawn(move || {
+            runtime.block_on(async {
+                let forward = async {
+                    tokio::try_join!(
+                        forward_datagrams(datagrams, Arc::clone(&state)),
+                        accept_connections(listener, Arc::clone(&state)),
+                    )
+                };
+                tokio::select! {
+                    result = forward => {
+                        if let Err(error) = result {
+                            log::error!("link {address}: {error:#}");
+                        }
+                    }
+                    _ = stopped => {}
+                }
+            });
+        });
+        Ok(Self {
+            address,
+            cut,
+            stop: Some(stop),
+            thread: Some(thread),
+            _line: line,
+        })
+    }
+
+    /// Returns the address to use in place of the target's.
+    pub fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
+    /// Drops everything from now on, or forwards again.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+}
+
+impl Drop for LinkStandin {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn forward_datagrams(front: std::net::UdpSocket, state: Arc<LinkState>) -> Result<()> {
+    let front = UdpSocket::from_std(front)?;
+    let back = Arc::new(std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?);
+    back.set_nonblocking(true)?;
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    loop {
+        let Ok((length, _)) = front.recv_from(&mut buffer).await else {
+            continue;
+        };
+        if state.cut.load(Ordering::Relaxed) {
+            continue;
+        }
+        let packet = buffer[..length].to_vec();
+        let socket = Arc::clone(&back);
+        let target: SocketAddr = state.target.into();
+        state.line.at(Instant::now() + state.delay, move || {
+            // A full socket buffer loses the datagram, as a network would.
+            let _ = socket.send_to(&packet, target);
+        });
+    }
+}
+
+async fn accept_connections(listener: std::net::TcpListener, state: Arc<LinkState>) -> Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    loop {
+        let Ok((near, _)) = listener.accept().await else {
+            continue;
+        };
+        tokio::spawn(join_connections(near, Arc::clone(&state)));
+    }
+}
+
+async fn join_connections(near: TcpStream, state: Arc<LinkState>) {
+    let Ok(far) = TcpStream::connect(state.target).await else {
+        return;
+    };
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    tokio::join!(
+        copy_delayed(near_read, far_write, &state),
+        copy_delayed(far_read, near_write, &state),
+    );
+}
+
+/// Copies until either side closes; chunks keep their order and each arrives one delay later.
+async fn copy_delayed(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, state: &LinkState) {
+    let (sender, mut due) = mpsc::unbounded_channel::<Vec<u8>>();
+    let read = async {
+        let mut buffer = vec![0; CHUNK_BYTES];
+        while let Ok(length) = from.read(&mut buffer).await {
+            if length == 0 || state.cut.load(Ordering::Relaxed) {
+                break;
+            }
+            let chunk = buffer[..length].to_vec();
+            let sender = sender.clone();
+            state.line.at(Instant::now() + state.delay, move || {
+                let _ = sender.send(chunk);
+            });
+        }
+        drop(sender);
+    };
+    let write = async {
+        while let Some(chunk) = due.recv().await {
+            if to.write_all(&chunk).await.is_err() {
+                break;
+            }
+        }
+        // The peer may have closed already.
+        let _ = to.shutdown().await;
+    };
+    tokio::join!(read, write);
+}
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -4,19 +4,23 @@
 //! - `/stream?id=N&ms=N&count=N` sends `count` events of 64 bytes, one every `ms`, as `text/event-stream`.
 //! - `/health` answers 200, or 503 while the upstream drains.
 
+use crate::delay::{DelayHandle, DelayLine};
 use crate::payload::body_of;
 use anyhow::{Context, Result};
-use ntex::time::Millis;
 use ntex::util::Bytes;
 use ntex::web::{self, App, HttpRequest, HttpResponse};
 use std::collections::HashMap;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener};
 use std::sync::{mpsc, Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
 
 /// Bytes of one event of a stream.
 pub const EVENT_BYTES: usize = 64;
 
+/// How long a hanging upstream keeps a request, in milliseconds.
+const HANG_MS: u32 = 3_600_000;
+
 /// How the upstream behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum UpstreamMode {
@@ -58,9 +62,21 @@
     service: String,
     mode: Mutex<UpstreamMode>,
     record: Mutex<UpstreamRecord>,
+    line: DelayHandle,
 }
 
 impl UpstreamState {
+    /// Waits `ms` milliseconds, more exactly than the runtime's timers, which tick every 16 ms.
+    async fn wait(&self, ms: u32) {
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        let due = Instant::now() + Duration::from_millis(ms.into());
+        self.line.at(due, move || {
+            let _ = sender.send(());
+        });
+        // The line drops the sender when the upstream stops.
+        let _ = receiver.await;
+    }
+
     fn record(&self) -> MutexGuard<'_, UpstreamRecord> {
         self.record.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -76,6 +92,7 @@
     state: Arc<UpstreamState>,
     system: ntex::rt::System,
     thread: Option<JoinHandle<()>>,
+    _line: DelayLine,
 }
 
 impl UpstreamStandin {
@@ -90,7 +107,9 @@
         let SocketAddr::V4(address) = listener.local_addr()? else {
             anyhow::bail!("upstream address {address} is not IPv4");
         };
+        let line = DelayLine::start();
         let state = Arc::new(UpstreamState {
+            line: line.handle(),
             service: service.into(),
             mode: Mutex::default(),
             record: Mutex::default(),
@@ -104,6 +123,7 @@
             state,
             system,
             thread: Some(thread),
+            _line: line,
         })
     }
 
@@ -244,9 +264,9 @@
     let mode = state.mode();
     match mode {
         UpstreamMode::Failing => return HttpResponse::InternalServerError().finish(),
-        UpstreamMode::Hanging => ntex::time::sleep(Millis(3_600_000)).await,
-        UpstreamMode::Cold => ntex::time::sleep(Millis(query.ms.saturating_mul(3))).await,
-        _ => ntex::time::sleep(Millis(query.ms)).await,
+        UpstreamMode::Hanging => state.wait(HANG_MS).await,
+        UpstreamMode::Cold => state.wait(query.ms.saturating_mul(3)).await,
+        _ => state.wait(query.ms).await,
     }
     guard.finished = true;
     let body = body_of(query.id, query.bytes);
@@ -268,7 +288,9 @@
     let query = WorkQuery::of(&request);
     let guard = RunGuard::start(state.get_ref(), &query);
     let body = body_of(query.id, EVENT_BYTES);
+    let waiter = Arc::clone(state.get_ref());
     let events = futures_util::stream::unfold((0, guard), move |(sent, mut guard)| {
+        let state = Arc::clone(&waiter);
         let event = Bytes::from(body.clone());
         async move {
             if sent == query.count {
@@ -277,7 +299,7 @@
                 return None;
             }
             if sent > 0 {
-                ntex::time::sleep(Millis(query.ms)).await;
+                state.wait(query.ms).await;
             }
             Some((Ok::<_, std::io::Error>(event), (sent + 1, guard)))
         }
