Test the lost race of apply and the wait without nodes

Cause: A wait without any node in the settings reported that the change is in force everywhere.

A test holds what the loser of a race is told.

Conclusion: Success is reported only after a node has confirmed it.

--- a/crates/entry/src/cmd/catalogue/submit.rs
+++ b/crates/entry/src/cmd/catalogue/submit.rs
@@ -166,7 +166,10 @@
     text.push_str(&format!(", in force on {in_force} of {nodes} nodes"));
     json["in_force"] = json!(in_force);
     json["nodes"] = json!(nodes);
-    let status = match in_force == nodes {
+    if nodes == 0 {
+        text.push_str("; nodes.admin in the settings names none to ask");
+    }
+    let status = match nodes > 0 && in_force == nodes {
         true => ExitStatus::Done,
         false => ExitStatus::WaitEnded,
     };
--- a/crates/entry/tests/cmd_apply.rs
+++ b/crates/entry/tests/cmd_apply.rs
@@ -1,11 +1,14 @@
 //! The command `quetzalhill catalogue apply`.
 
+use quetzalhill::catalogue_file::parse;
 use quetzalhill::cmd::catalogue::apply::{report, run};
-use quetzalhill::cmd::catalogue::submit::SubmitOptions;
+use quetzalhill::cmd::catalogue::submit::{submit, SubmitOptions};
 use quetzalhill::cmd::operator::{ExitStatus, OperatorSettings};
 use quetzalhill_core::catalogue::guard::GuardKind;
 use quetzalhill_standins::site::TestSite;
 use quetzalhill_standins::store::StandinMode;
+use quetzalhill_store::catalogue::load::load;
+use quetzalhill_store::catalogue::plan::plan_change;
 use std::fs;
 use std::time::Duration;
 
@@ -122,6 +125,18 @@
     );
 }
 
+/// Guards against a wait that reports success because there was nobody to ask.
+#[ntex::test]
+async fn wait_without_nodes_is_not_done() {
+    let (site, settings) = site("apply_wait_none", 0);
+    let file = site.catalogue("c.toml", &[("a", 1)]).expect("file");
+    let mut waiting = options();
+    waiting.wait = Some(Duration::from_secs(5));
+    let result = report(&settings, &file, &waiting).await.expect("report");
+    assert_eq!(result.status, ExitStatus::WaitEnded);
+    assert!(result.text.contains("nodes.admin"), "{}", result.text);
+}
+
 /// Guards against a lost answer that is reported as a failure.
 #[ntex::test]
 async fn lost_answer_is_found_to_be_written() {
@@ -133,6 +148,31 @@
     assert_eq!(result.json["revision"], 1);
 }
 
+/// Guards against overwriting a colleague's change, and against a loser who is not told whose it was.
+#[ntex::test]
+async fn loser_of_a_race_learns_who_changed_what() {
+    let (site, settings) = site("apply_race", 0);
+    let mine = site.catalogue("mine.toml", &[("a", 1)]).expect("file");
+    let theirs = site.catalogue("theirs.toml", &[("b", 2)]).expect("file");
+    let before = fs::read_to_string(&mine).expect("file");
+    let store = settings.open_store().await.expect("store");
+    let current = load(&store).await.expect("load");
+    let services = parse(&mine, &before).expect("valid");
+    let planned = plan_change(&current, services, &options().stamp()).expect("plan");
+    let mut other = options();
+    other.author = "bob".into();
+    report(&settings, &theirs, &other).await.expect("applied");
+    let result = submit(&settings, &store, &planned, &options()).await;
+    assert_eq!(result.status, ExitStatus::LostRace);
+    assert!(
+        result.text.starts_with("bob changed b at "),
+        "{}",
+        result.text
+    );
+    assert_eq!(result.json["head"]["revision"], 1);
+    assert_eq!(fs::read_to_string(&mine).expect("file"), before);
+}
+
 /// Guards against an outage that is reported as success, and against a changed file after any failure.
 #[ntex::test]
 async fn outage_is_an_error_and_leaves_the_file() {
