--- a/crates/entry/src/cmd/run.rs
+++ b/crates/entry/src/cmd/run.rs
@@ -30,6 +30,7 @@
         Err(code) => return Ok(code),
     };
     let settings: EntrySettings = read(&args.settings, check)?;
+    quetzalhill_node::log::init(&settings.log)?;
     // The handlers stand before the threads start, so that an early signal is not lost.
     let mut signals = Signals::new([SIGINT, SIGTERM]).context("signal handlers")?;
     let entry = run::start(settings)?;
