--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,3 +6,5 @@
 pub mod control;
 pub mod key;
 pub mod packet;
+pub mod quic;
+pub mod session;
