Let an ejection that is over leave the timer of a draining agent

Cause: While an agent drained, nothing ended the ejection of its own upstream, so that the next deadline stayed in the past and the runtime's timer would fire without pause. Change: Every event looks at the local ejection. Conclusion: The timer is always due later than the event that was handled.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -254,6 +254,8 @@
     }
 
     fn update_ejections(&mut self, now: Instant) {
+        // An ejection that is over has to leave `next_deadline`, even while the endpoint drains.
+        self.eject.state(LOCAL_ENDPOINT, now);
         for view in &mut self.peers.views {
             view.ejected = match self.eject.state(view.id, now) {
                 EjectState::Serving => false,
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -209,8 +209,7 @@
     let before = result.p99(&jobs, |job| job.at < 4.0);
     let after = result.p99(&jobs, |job| job.at >= 8.0);
     println!("p99 before the peak {before:.4}, from 2 s after it {after:.4}");
-    // Two samples of the same distribution differ by this much at some 3,000 requests.
-    assert!(after <= before * 1.10, "{after} {before}");
+    assert!(after <= before, "{after} {before}");
 }
 
 /// Guards against retries that multiply the load of a partial failure.
