Add the bench that measures dispatch policies in real time

Cause: policies have to be compared with each other and with a central queue under the same load, through the real entries and agents. Change: bench library (phases, figures with targets, table, JSON and an HTML page with plots) and its example.

--- /dev/null
+++ b/crates/standins/examples/bench.rs
@@ -0,0 +1,72 @@
+//! Measures the dispatch policies of a deployment in real time on loopback and compares them with their targets.
+
+use anyhow::{Context, Result};
+use argh::FromArgs;
+use quetzalhill_standins::bench::{measure_policy, report, BenchPolicy};
+use quetzalhill_standins::deployment::read_plan;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Measure the dispatch policies of a deployment. Takes about a minute for each of five policies.
+#[derive(FromArgs)]
+struct BenchArgs {
+    /// deployment file, such as deployments/lucky-slip.toml
+    #[argh(positional)]
+    deployment: String,
+
+    /// file to which the figures are written as JSON
+    #[argh(option)]
+    json: Option<String>,
+
+    /// folder to which a page with plots is written
+    #[argh(option)]
+    report: Option<String>,
+
+    /// length of the steady phases in seconds, 6 unless given
+    #[argh(option, default = "6")]
+    seconds: u64,
+
+    /// measure only this policy and the central queue
+    #[argh(option)]
+    policy: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let args: BenchArgs = argh::from_env();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bench: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &BenchArgs) -> Result<()> {
+    let plan = read_plan(&args.deployment)?;
+    let wanted = |policy: &BenchPolicy| {
+        let named = args
+            .policy
+            .as_deref()
+            .is_none_or(|name| name == policy.name());
+        named || *policy == BenchPolicy::Central
+    };
+    let mut figures = Vec::new();
+    for policy in BenchPolicy::ALL.into_iter().filter(wanted) {
+        let say = |phase: &str| eprintln!("{:<15} {phase}", policy.name());
+        let length = Duration::from_secs(args.seconds);
+        figures.push(measure_policy(&plan, policy, length, &say)?);
+    }
+    println!("deployment {}", plan.name);
+    print!("{}", report::table(&report::all_rows(&figures)));
+    if let Some(file) = &args.json {
+        let text = serde_json::to_string_pretty(&figures)?;
+        std::fs::write(file, text).with_context(|| format!("JSON file {file}"))?;
+    }
+    if let Some(folder) = &args.report {
+        let title = format!("quetzalhill: {}", plan.name);
+        report::write_page(Path::new(folder), &title, &figures)?;
+    }
+    Ok(())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every stand-in runs as threads with its own sockets on loopback, so that the real entries and agents meet it
 //! through the network. See docs/design.md, section 3.
 
+pub mod bench;
 pub mod caller;
 pub mod certificate;
 pub mod delay;
