--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -3,12 +3,18 @@
 use crate::settings::AgentSettings;
 use crate::shared::{AgentView, SharedState, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
-use quetzalhill_core::ids::id_of;
+use quetzalhill_core::catalogue::CatalogueSnapshot;
+use quetzalhill_core::ids::{address_of, id_of};
 use quetzalhill_core::member::announce::AnnounceController;
 use quetzalhill_core::member::message::{MemberMessage, OutgoingMessage};
 use quetzalhill_core::member::{EndpointRecord, EndpointState};
+use quetzalhill_core::replicate::{
+    AdoptOutcome, CatalogueAction, CatalogueChange, CatalogueController,
+};
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::fetch;
 use quetzalhill_wire::control::ControlMessage;
+use quetzalhill_wire::fetch::FetchRequest;
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -22,6 +28,11 @@
 /// Time for which the last announcements are repeated before the thread ends.
 const LEAVE_TIME: Duration = Duration::from_millis(600);
 
+/// Stands for the catalogue's own validation until the catalogue module has it.
+fn accept_any(_: &CatalogueSnapshot) -> Result<(), String> {
+    Ok(())
+}
+
 /// A running control thread.
 #[derive(Debug)]
 pub struct ControlHandle {
@@ -92,13 +103,17 @@
                 .name("control")
                 .build(ntex::rt::DefaultRuntime);
             let result = system.block_on(async move {
+                let scope = Some(announce.record().service.clone());
+                let (fetched, changes) = mpsc::channel(1);
                 let control = ControlLoop {
                     shared,
                     socket: UdpSocket::from_std(socket)?,
                     announce,
+                    catalogue: CatalogueController::new(accept_any, scope, Instant::now()),
+                    fetched,
                     rng: SmallRng::from_os_rng(),
                 };
-                control.run(wanted, events).await
+                control.run(wanted, events, changes).await
             });
             if let Err(error) = result {
                 emit(
@@ -118,6 +133,8 @@
     shared: Arc<SharedState>,
     socket: UdpSocket,
     announce: AnnounceController,
+    catalogue: CatalogueController,
+    fetched: mpsc::Sender<Option<CatalogueChange>>,
     rng: SmallRng,
 }
 
@@ -126,18 +143,20 @@
         mut self,
         mut wanted: watch::Receiver<EndpointState>,
         mut events: mpsc::Receiver<TrafficEvent>,
+        mut changes: mpsc::Receiver<Option<CatalogueChange>>,
     ) -> std::io::Result<()> {
         let mut buffer = vec![0; DATAGRAM_MAX + 1];
         let mut events_open = true;
         let mut end: Option<Instant> = None;
         loop {
+            self.start_fetch();
             let now = Instant::now();
             if end.is_some_and(|deadline| deadline <= now) {
                 return Ok(());
             }
             let mut deadline = self.announce.next_deadline();
-            if let Some(end) = end {
-                deadline = deadline.min(end);
+            for other in [end, self.catalogue.next_deadline()].into_iter().flatten() {
+                deadline = deadline.min(other);
             }
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
@@ -150,6 +169,7 @@
                     Some(event) => self.traffic(event),
                     None => events_open = false,
                 },
+                Some(change) = changes.recv() => self.adopt(change),
                 changed = wanted.changed(), if end.is_none() => {
                     let state = match changed {
                         Ok(()) => *wanted.borrow_and_update(),
@@ -192,21 +212,59 @@
         let Ok(ControlMessage::Member(message)) = ControlMessage::open(&ring, datagram) else {
             return;
         };
-        let MemberMessage::AnnounceAck(mut reply) = *message else {
+        let MemberMessage::AnnounceAck(reply) = *message else {
             return;
         };
-        let now = Instant::now();
-        let service = reply.service.take();
-        let stamp = reply.stamp;
-        let mut changed = self.announce.receive(from, reply, now).view;
-        if service.is_some() {
-            changed |= self.announce.set_service(stamp.revision, service, now);
+        let change = self.announce.receive(from, reply, Instant::now());
+        if let Some((peer, stamp)) = change.newer {
+            self.catalogue.seen(peer, stamp);
         }
-        if changed {
+        if change.view {
             self.publish();
         }
     }
 
+    fn start_fetch(&mut self) {
+        let action = self.catalogue.tick(Instant::now(), &mut self.rng);
+        let Some(CatalogueAction::Fetch {
+            peer,
+            from,
+            deadline,
+        }) = action
+        else {
+            return;
+        };
+        let ring = self.shared.ring.load_full();
+        let fetched = self.fetched.clone();
+        let service = Some(self.announce.record().service.clone());
+        ntex::rt::spawn(async move {
+            let request = FetchRequest { from, service };
+            let change = fetch::fetch(address_of(peer), &request, &ring, deadline).await;
+            // Fails only when the control thread ends.
+            let _ = fetched.send(change.ok()).await;
+        });
+    }
+
+    fn adopt(&mut self, change: Option<CatalogueChange>) {
+        let now = Instant::now();
+        let revision = change.as_ref().map_or(0, |change| change.revision);
+        match self.catalogue.fetched(change, now, &mut self.rng) {
+            AdoptOutcome::InForce => {
+                emit(EventCode::CatalogueInForce, &[("revision", &revision)]);
+                let name = &self.announce.record().service;
+                let service = self.catalogue.snapshot().services.get(name).cloned();
+                self.announce.set_service(revision, service, now);
+                self.publish();
+            }
+            AdoptOutcome::Invalid(reason) => emit(
+                EventCode::CatalogueInvalid,
+                &[("revision", &revision), ("reason", &reason)],
+            ),
+            // Counted by the controller and repeated by it.
+            AdoptOutcome::Stale | AdoptOutcome::Mismatch => {}
+        }
+    }
+
     /// Publishes the view if it differs from the one that the traffic thread has.
     fn publish(&mut self) {
         let record = self.announce.record();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod dispatch;
 pub mod ids;
 pub mod member;
+pub mod replicate;
 pub mod route;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -11,8 +11,18 @@
 
 pub mod announce;
 pub mod controller;
+mod endpoints;
+mod entries;
+mod health;
+mod index;
+mod merge;
 pub mod message;
+mod probe;
 pub mod routes;
+mod sponsor;
+mod spread;
+mod sync;
+mod zones;
 
 /// What an endpoint says of itself; ordered so that a later state of one incarnation wins.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -98,3 +108,10 @@
     /// Where the entry receives packets from agents.
     pub data: SocketAddrV4,
 }
+
+impl EntryRecord {
+    /// Returns the address of the entry's control socket.
+    pub fn address(&self) -> SocketAddrV4 {
+        address_of(self.id)
+    }
+}
--- a/crates/core/src/member/announce.rs
+++ b/crates/core/src/member/announce.rs
@@ -1,16 +1,16 @@
 //! Decides to which entries an agent announces its endpoint, and merges what they answer.
 
 use super::message::{AnnounceBeat, AnnounceReply, CatalogueStamp, MemberMessage, OutgoingMessage};
+use super::sponsor::{set_digest, sponsor_score};
 use super::{EndpointRecord, EndpointState, EntryRecord, RecordVersion};
 use crate::catalogue::ServiceEntry;
-use crate::ids::{address_of, id_of, DigestValue, EntryId, RevisionNumber, ServiceNumber};
+use crate::ids::{address_of, id_of, EntryId, RevisionNumber, ServiceNumber};
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::Rng;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Time between two announcements to one entry.
 pub const BEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -201,7 +201,13 @@
         let mut ranked: Vec<_> = self
             .contacts
             .iter()
-            .map(|(&id, contact)| (contact.rank(&self.record, now), self.score(id), id))
+            .map(|(&id, contact)| {
+                (
+                    contact.rank(&self.record, now),
+                    sponsor_score(id, self.record.id),
+                    id,
+                )
+            })
             .collect();
         ranked.sort_unstable();
         ranked.iter().take(SPONSORS).map(|&(_, _, id)| id).collect()
@@ -216,13 +222,9 @@
         silent.map(|(&id, _)| id).choose(rng)
     }
 
-    fn score(&self, id: EntryId) -> u64 {
-        xxh3_64_with_seed(&id.to_le_bytes(), self.record.id)
-    }
-
     fn announce(&mut self, id: EntryId, refresh: bool, now: Instant) -> OutgoingMessage {
         let version = self.record.version();
-        let digest = peers_digest(self.peers.values());
+        let digest = set_digest(self.peers.values());
         self.beat += 1;
         let mut record = Some(self.record.clone());
         let mut first = true;
@@ -318,7 +320,7 @@
     }
 
     fn learn_peers(&mut self, peers: Vec<EndpointRecord>) -> bool {
-        let before = peers_digest(self.peers.values());
+        let before = set_digest(self.peers.values());
         let mut merged = BTreeMap::new();
         for peer in peers {
             if peer.id == self.record.id || peer.service != self.record.service {
@@ -331,7 +333,7 @@
             merged.insert(kept.id, kept);
         }
         self.peers = merged;
-        before != peers_digest(self.peers.values())
+        before != set_digest(self.peers.values())
     }
 }
 
@@ -368,23 +370,3 @@
         }
     }
 }
-
-/// Returns the digest of the versions of a service's endpoints, in the order of their ids.
-pub fn peers_digest<'a>(peers: impl Iterator<Item = &'a EndpointRecord>) -> DigestValue {
-    let mut digest = 0;
-    for peer in peers {
-        digest ^= record_digest(peer);
-    }
-    digest
-}
-
-/// Returns the digest of one record's identity and version.
-pub fn record_digest(record: &EndpointRecord) -> DigestValue {
-    let mut bytes = [0_u8; 21];
-    bytes[..8].copy_from_slice(&record.id.to_le_bytes());
-    bytes[8..16].copy_from_slice(&record.incarnation.to_le_bytes());
-    bytes[16..20].copy_from_slice(&record.sequence.to_le_bytes());
-    // CAST: The enum has four values.
-    bytes[20] = record.state as u8;
-    xxh3_64(&bytes)
-}
--- /dev/null
+++ b/crates/core/src/member/merge.rs
@@ -0,0 +1,277 @@
+//! Merging of updates about entries and zones.
+
+use super::controller::MemberController;
+use super::entries::EntrySlot;
+use super::health::SuspicionTimer;
+use super::index::{entry_digest, RecordKey};
+use super::message::{EntryStatus, MemberUpdate};
+use super::zones::ZoneStatement;
+use super::EntryRecord;
+use crate::ids::EntryId;
+use std::time::{Duration, Instant};
+
+/// Seconds for which a removed record is kept, so that an old copy of it is not taken for news.
+pub(super) const TOMBSTONE_S: u16 = 3_600;
+
+/// Shortest time to refute a suspicion, for each decimal digit of the number of entries.
+const SUSPICION_TIME: Duration = Duration::from_secs(4);
+
+/// Shortest time to refute a suspicion from another zone; the loss of the whole zone is noticed before.
+const FAR_SUSPICION_TIME: Duration = Duration::from_secs(12);
+
+/// Longest time to refute a suspicion, as a multiple of the shortest.
+const SUSPICION_STRETCH: u32 = 6;
+
+/// Independent confirmations that make the time the shortest.
+const CONFIRMATIONS: usize = 3;
+
+/// Returns the seconds until a deadline, at least one and at most a tombstone's time.
+pub(super) fn seconds_until(deadline: Option<Instant>, now: Instant) -> u16 {
+    let Some(deadline) = deadline else {
+        return 0;
+    };
+    let left = deadline.saturating_duration_since(now).as_secs();
+    u16::try_from(left)
+        .unwrap_or(TOMBSTONE_S)
+        .clamp(1, TOMBSTONE_S)
+}
+
+/// Returns when a tombstone is forgotten that another node keeps for `remaining_s` seconds.
+pub(super) fn forget_time(remaining_s: u16, now: Instant) -> Instant {
+    now + Duration::from_secs(u64::from(remaining_s.min(TOMBSTONE_S)))
+}
+
+impl MemberController {
+    /// Merges one update and, if it is news and `spread` is set, passes it on.
+    pub(super) fn learn(&mut self, update: MemberUpdate, spread: bool, now: Instant) {
+        match update {
+            MemberUpdate::Entry {
+                record,
+                status,
+                by,
+                remaining_s,
+            } => self.learn_entry(record, status, by, remaining_s, spread, now),
+            MemberUpdate::Endpoint {
+                record,
+                remaining_s,
+            } => {
+                self.learn_endpoint(record, remaining_s, spread, now);
+            }
+            MemberUpdate::Silent {
+                id,
+                incarnation,
+                beat,
+                by,
+            } => self.learn_silence(id, incarnation, beat, by, now),
+            MemberUpdate::Heard {
+                id,
+                incarnation,
+                beat,
+            } => self.learn_beat(id, incarnation, beat, now),
+            MemberUpdate::Zone {
+                zone,
+                observer,
+                version,
+                unreachable,
+            } => {
+                if observer != self.own.zone || zone == self.own.zone {
+                    return;
+                }
+                let statement = ZoneStatement {
+                    zone,
+                    version,
+                    unreachable,
+                };
+                if self.zones.learn(&statement, now) {
+                    self.spread_zone(Some(statement));
+                }
+            }
+        }
+    }
+
+    fn learn_entry(
+        &mut self,
+        record: EntryRecord,
+        status: EntryStatus,
+        by: EntryId,
+        remaining_s: u16,
+        spread: bool,
+        now: Instant,
+    ) {
+        if record.id == self.own.id {
+            self.refute(&record, status);
+            return;
+        }
+        let known = self.entries.slots.get(&record.id);
+        let known = known.map(|slot| (slot.record.incarnation, slot.status));
+        match (known, status) {
+            (None, EntryStatus::Left) if remaining_s == 0 => return,
+            (Some((incarnation, _)), EntryStatus::Alive) if record.incarnation <= incarnation => {
+                return
+            }
+            (Some((incarnation, old)), EntryStatus::Left)
+                if record.incarnation < incarnation || old == EntryStatus::Left =>
+            {
+                return
+            }
+            (Some((incarnation, old)), EntryStatus::Suspect) => {
+                if record.incarnation < incarnation {
+                    return;
+                }
+                if record.incarnation == incarnation {
+                    if old != EntryStatus::Left {
+                        self.suspect_entry(record.id, by, spread, now);
+                    }
+                    return;
+                }
+            }
+            _ => {}
+        }
+        let id = record.id;
+        let stored = match status {
+            EntryStatus::Left => EntryStatus::Left,
+            EntryStatus::Alive | EntryStatus::Suspect => EntryStatus::Alive,
+        };
+        let forget_at = match stored {
+            EntryStatus::Left => Some(forget_time(remaining_s, now)),
+            _ => None,
+        };
+        self.store_entry(record, stored, forget_at);
+        if spread {
+            self.spread_entry(id, by, now);
+        }
+        if status == EntryStatus::Suspect {
+            self.suspect_entry(id, by, spread, now);
+        }
+    }
+
+    /// Raises the own incarnation above one that others hold for suspect, removed or newer than this life.
+    fn refute(&mut self, record: &EntryRecord, status: EntryStatus) {
+        let own = self.own.incarnation;
+        let stale = match status {
+            EntryStatus::Alive => record.incarnation <= own,
+            EntryStatus::Suspect | EntryStatus::Left => record.incarnation < own,
+        };
+        if stale {
+            return;
+        }
+        if record.incarnation == own {
+            self.health.worsen();
+        }
+        let digest = entry_digest(&self.own, false);
+        self.index.remove(RecordKey::Entry(self.own.id), digest);
+        self.own.incarnation = record.incarnation + 1;
+        self.index_own();
+        self.spread_own();
+    }
+
+    pub(super) fn index_own(&mut self) {
+        let digest = entry_digest(&self.own, false);
+        self.index.add(RecordKey::Entry(self.own.id), digest);
+    }
+
+    pub(super) fn spread_own(&mut self) {
+        let update = self.own_update();
+        self.spread.push(update);
+    }
+
+    pub(super) fn own_update(&self) -> MemberUpdate {
+        MemberUpdate::Entry {
+            record: self.own.clone(),
+            status: EntryStatus::Alive,
+            by: self.own.id,
+            remaining_s: 0,
+        }
+    }
+
+    fn store_entry(&mut self, record: EntryRecord, status: EntryStatus, forget: Option<Instant>) {
+        let key = RecordKey::Entry(record.id);
+        if let Some(old) = self.entries.slots.get(&record.id) {
+            let left = old.status == EntryStatus::Left;
+            self.index.remove(key, entry_digest(&old.record, left));
+        }
+        let left = status == EntryStatus::Left;
+        self.index.add(key, entry_digest(&record, left));
+        let slot = EntrySlot {
+            record,
+            status,
+            suspicion: None,
+            forget_at: forget,
+        };
+        self.entries.slots.insert(slot.record.id, slot);
+    }
+
+    fn spread_entry(&mut self, id: EntryId, by: EntryId, now: Instant) {
+        let Some(slot) = self.entries.slots.get(&id) else {
+            return;
+        };
+        self.spread.push(MemberUpdate::Entry {
+            record: slot.record.clone(),
+            status: slot.status,
+            by,
+            remaining_s: seconds_until(slot.forget_at, now),
+        });
+    }
+
+    /// Starts or confirms the suspicion of an entry.
+    pub(super) fn suspect_entry(&mut self, id: EntryId, by: EntryId, spread: bool, now: Instant) {
+        let others = self.entries.live().count();
+        // CAST: The logarithm of a count is a small positive number.
+        let digits = ((others + 1).max(10) as f64).log10();
+        let mut shortest = SUSPICION_TIME.mul_f64(digits);
+        let Some(slot) = self.entries.slots.get_mut(&id) else {
+            return;
+        };
+        if slot.record.zone != self.own.zone {
+            shortest = shortest.max(FAR_SUSPICION_TIME);
+        }
+        let news = match (&mut slot.suspicion, slot.status) {
+            (_, EntryStatus::Left) => false,
+            (Some(timer), _) => timer.confirm(by),
+            (None, _) => {
+                let earliest = now + shortest;
+                let latest = now + shortest * SUSPICION_STRETCH;
+                let needed = CONFIRMATIONS.min(others.saturating_sub(1));
+                slot.suspicion = Some(SuspicionTimer::new(by, earliest, latest, needed));
+                slot.status = EntryStatus::Suspect;
+                true
+            }
+        };
+        if news && spread {
+            self.spread_entry(id, by, now);
+        }
+    }
+
+    /// Removes suspects at their deadline and forgets those that were removed long ago.
+    pub(super) fn sweep_entries(&mut self, now: Instant) {
+        let mut removed = Vec::new();
+        let mut forgotten = Vec::new();
+        for (&id, slot) in &self.entries.slots {
+            if slot.forget_at.is_some_and(|deadline| deadline <= now) {
+                forgotten.push(id);
+                continue;
+            }
+            let Some(timer) = &slot.suspicion else {
+                continue;
+            };
+            if timer.deadline() <= now && !self.is_frozen(&slot.record.zone, now) {
+                removed.push(id);
+            }
+        }
+        for id in removed {
+            let Some(slot) = self.entries.slots.get(&id) else {
+                continue;
+            };
+            let record = slot.record.clone();
+            let forget_at = forget_time(TOMBSTONE_S, now);
+            self.store_entry(record, EntryStatus::Left, Some(forget_at));
+            self.spread_entry(id, self.own.id, now);
+        }
+        for id in forgotten {
+            if let Some(slot) = self.entries.slots.remove(&id) {
+                let digest = entry_digest(&slot.record, true);
+                self.index.remove(RecordKey::Entry(id), digest);
+            }
+        }
+    }
+}
--- a/crates/core/src/member/message.rs
+++ b/crates/core/src/member/message.rs
@@ -1,8 +1,7 @@
 //! Messages of membership, as decisions see them; the wire package encodes them.
 
 use super::{EndpointRecord, EntryRecord, RecordVersion};
-use crate::catalogue::ServiceEntry;
-use crate::ids::{DigestValue, EndpointId, EntryId, IncarnationNumber, RevisionNumber};
+use crate::ids::{DigestValue, EndpointId, EntryId, IncarnationNumber, RevisionNumber, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 
@@ -47,8 +46,6 @@
     pub entries: Vec<EntryRecord>,
     /// Endpoints of the agent's service, if the digest of the announcement differs.
     pub peers: Option<Vec<EndpointRecord>>,
-    /// The service, if the agent's revision is older and the entry fits a datagram.
-    pub service: Option<ServiceEntry>,
 }
 
 /// What entries believe of each other.
@@ -65,16 +62,89 @@
 /// A fact that entries tell each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum MemberUpdate {
-    /// An entry and what the named entry believes of it.
-    Entry(EntryRecord, EntryStatus, EntryId),
+    /// What an entry believes of another entry.
+    Entry {
+        /// The entry that is described.
+        record: EntryRecord,
+        /// What is believed of it.
+        status: EntryStatus,
+        /// The entry that believes it.
+        by: EntryId,
+        /// Seconds until a record with status `Left` is forgotten.
+        remaining_s: u16,
+    },
     /// An endpoint.
-    Endpoint(EndpointRecord),
-    /// The named entry has not heard an endpoint since this beat.
-    Silent(EndpointId, RecordVersion, u64, EntryId),
-    /// Some entry has heard this beat of an endpoint.
-    Heard(EndpointId, IncarnationNumber, u64),
+    Endpoint {
+        /// The endpoint's record.
+        record: EndpointRecord,
+        /// Seconds until a record with state `Left` is forgotten.
+        remaining_s: u16,
+    },
+    /// An entry has not heard an endpoint since a beat.
+    Silent {
+        /// The endpoint.
+        id: EndpointId,
+        /// Life of the agent.
+        incarnation: IncarnationNumber,
+        /// Last beat heard.
+        beat: u64,
+        /// The entry that heard it.
+        by: EntryId,
+    },
+    /// Some entry has heard a beat of an endpoint.
+    Heard {
+        /// The endpoint.
+        id: EndpointId,
+        /// Life of the agent.
+        incarnation: IncarnationNumber,
+        /// The beat.
+        beat: u64,
+    },
+    /// Whether the entries of one zone hear the entries of another zone.
+    Zone {
+        /// The zone that is described.
+        zone: ZoneName,
+        /// The zone that hears it or not.
+        observer: ZoneName,
+        /// Orders the statements of an observer zone.
+        version: u32,
+        /// Whether nothing has been heard.
+        unreachable: bool,
+    },
+}
+
+impl MemberUpdate {
+    /// Returns a number of bytes that the encoded update does not exceed.
+    pub fn size_limit(&self) -> usize {
+        match self {
+            MemberUpdate::Entry { record, .. } => ENTRY_BYTES + record.zone.len(),
+            MemberUpdate::Endpoint { record, .. } => {
+                ENDPOINT_BYTES + record.zone.len() + record.service.len()
+            }
+            MemberUpdate::Silent { .. } | MemberUpdate::Heard { .. } => BEAT_BYTES,
+            MemberUpdate::Zone { zone, observer, .. } => ZONE_BYTES + zone.len() + observer.len(),
+        }
+    }
 }
 
+/// Most bytes of an encoded [`MemberUpdate::Entry`] without its zone.
+const ENTRY_BYTES: usize = 48;
+
+/// Most bytes of an encoded [`MemberUpdate::Endpoint`] without its names.
+const ENDPOINT_BYTES: usize = 56;
+
+/// Most bytes of an encoded [`MemberUpdate::Silent`] or [`MemberUpdate::Heard`].
+const BEAT_BYTES: usize = 42;
+
+/// Most bytes of an encoded [`MemberUpdate::Zone`] without its names.
+const ZONE_BYTES: usize = 16;
+
+/// Most bytes of a datagram of membership, so that it passes every usual path unfragmented.
+pub const MEMBER_DATAGRAM_MAX: usize = 1_200;
+
+/// Bytes of a datagram that updates may take; the rest holds the head, a page of digests excepted.
+pub const UPDATE_BUDGET: usize = MEMBER_DATAGRAM_MAX - 100;
+
 /// What a probe and its answers share.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct GossipHead {
@@ -114,15 +184,15 @@
     Gossip(GossipHead),
     /// Compares records; the receiver answers where they differ.
     Digest(GossipHead, DigestPage),
-    /// All records of a part, to be merged; the receiver answers with what is newer or missing here if asked.
+    /// All records of a part; the receiver merges them.
     Delta {
-        /// Sender and the records.
+        /// Sender and records.
         head: GossipHead,
         /// Bits of the bucket number that all records share.
         prefix: u16,
         /// Number of those bits.
         depth: u8,
-        /// Whether an answer is wanted.
+        /// Whether the receiver answers with records that are newer there or missing here.
         answer: bool,
     },
 }
--- /dev/null
+++ b/crates/core/src/member/probe.rs
@@ -0,0 +1,213 @@
+//! Probes of other entries, direct and through a third one.
+
+use super::controller::{send, ActionList, MemberController, FIRST_CONTACT, PROBE_INTERVAL};
+use super::message::{EntryStatus, MemberMessage, MemberUpdate};
+use crate::ids::EntryId;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Time for a direct answer before other entries are asked to probe.
+const DIRECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Entries that are asked to probe.
+const HELPERS: usize = 3;
+
+#[derive(Debug)]
+enum ProbeKind {
+    Own {
+        /// When other entries are asked; none after they have been.
+        indirect_at: Option<Instant>,
+    },
+    Relayed {
+        origin: EntryId,
+        number: u32,
+    },
+}
+
+#[derive(Debug)]
+struct OpenProbe {
+    target: EntryId,
+    kind: ProbeKind,
+    fail_at: Instant,
+}
+
+/// Probes without an answer and the order of the next ones.
+#[derive(Debug, Default)]
+pub(super) struct ProbeState {
+    last_number: u32,
+    open: BTreeMap<u32, OpenProbe>,
+    round: Vec<EntryId>,
+}
+
+impl ProbeState {
+    /// Returns when an open probe needs attention.
+    pub(super) fn next_deadline(&self) -> Option<Instant> {
+        let deadlines = self.open.values().map(|probe| match probe.kind {
+            ProbeKind::Own {
+                indirect_at: Some(deadline),
+            } => deadline.min(probe.fail_at),
+            _ => probe.fail_at,
+        });
+        deadlines.min()
+    }
+
+    fn open(&mut self, probe: OpenProbe) -> u32 {
+        self.last_number = self.last_number.wrapping_add(1).max(FIRST_CONTACT + 1);
+        self.open.insert(self.last_number, probe);
+        self.last_number
+    }
+}
+
+impl MemberController {
+    /// Starts the probe of the next entry of the own zone and of some entries of other zones.
+    pub(super) fn start_probes(
+        &mut self,
+        now: Instant,
+        rng: &mut SmallRng,
+        actions: &mut ActionList,
+    ) {
+        if self.probes.round.is_empty() {
+            let zone = self.own.zone.clone();
+            let live = self.entries.live_in(&zone).map(|record| record.id);
+            self.probes.round = live.collect();
+            self.probes.round.shuffle(rng);
+        }
+        let mut targets = self.zone_targets(rng);
+        targets.extend(self.probes.round.pop());
+        for target in targets {
+            let live = |status| status != EntryStatus::Left;
+            if !self
+                .entries
+                .slots
+                .get(&target)
+                .is_some_and(|slot| live(slot.status))
+            {
+                continue;
+            }
+            let number = self.probes.open(OpenProbe {
+                target,
+                kind: ProbeKind::Own {
+                    indirect_at: Some(now + self.health.scale(DIRECT_LIMIT)),
+                },
+                fail_at: now + self.health.scale(PROBE_INTERVAL).mul_f64(0.95),
+            });
+            let message = self.ping(number, target);
+            actions.push(send(target, message));
+        }
+    }
+
+    /// Chooses any live entry in each of some other zones, if this entry keeps contact with them.
+    fn zone_targets(&self, rng: &mut SmallRng) -> Vec<EntryId> {
+        if !self.entries.is_bridge(&self.own) {
+            return Vec::new();
+        }
+        let mut zones = self.entries.other_zones(&self.own.zone);
+        zones.shuffle(rng);
+        let mut targets = Vec::new();
+        for zone in zones.iter().take(super::controller::ZONE_FANOUT) {
+            targets.extend(self.entries.choose(zone, self.own.id, 1, rng));
+        }
+        targets
+    }
+
+    /// Tells a suspected target first that it is suspected, so that it can refute.
+    fn ping(&mut self, number: u32, target: EntryId) -> MemberMessage {
+        let mut head = self.head();
+        if let Some(update) = self.suspicion_of(target) {
+            head.updates.insert(0, update);
+        }
+        MemberMessage::Ping(number, head)
+    }
+
+    fn suspicion_of(&self, target: EntryId) -> Option<MemberUpdate> {
+        let slot = self.entries.slots.get(&target)?;
+        if slot.status != EntryStatus::Suspect {
+            return None;
+        }
+        Some(MemberUpdate::Entry {
+            record: slot.record.clone(),
+            status: EntryStatus::Suspect,
+            by: self.own.id,
+            remaining_s: 0,
+        })
+    }
+
+    /// Asks others about targets that have not answered, and suspects those that nobody reaches.
+    pub(super) fn tick_probes(
+        &mut self,
+        now: Instant,
+        rng: &mut SmallRng,
+        actions: &mut ActionList,
+    ) {
+        let mut ask = Vec::new();
+        let mut failed = Vec::new();
+        for (&number, probe) in &mut self.probes.open {
+            if probe.fail_at <= now {
+                failed.push(number);
+                continue;
+            }
+            let ProbeKind::Own { indirect_at } = &mut probe.kind else {
+                continue;
+            };
+            if indirect_at.is_some_and(|deadline| deadline <= now) {
+                *indirect_at = None;
+                ask.push((number, probe.target));
+            }
+        }
+        for (number, target) in ask {
+            let zone = self.own.zone.clone();
+            for helper in self.entries.choose(&zone, target, HELPERS, rng) {
+                let message = MemberMessage::PingReq(number, target, self.bare_head());
+                actions.push(send(helper, message));
+            }
+        }
+        for number in failed {
+            let Some(probe) = self.probes.open.remove(&number) else {
+                continue;
+            };
+            if matches!(probe.kind, ProbeKind::Relayed { .. }) {
+                continue;
+            }
+            self.health.worsen();
+            self.suspect_entry(probe.target, self.own.id, true, now);
+        }
+    }
+
+    /// Closes the probe that an answer belongs to.
+    pub(super) fn answered(&mut self, number: u32, target: EntryId, actions: &mut ActionList) {
+        let Some(probe) = self.probes.open.get(&number) else {
+            return;
+        };
+        if probe.target != target {
+            return;
+        }
+        match probe.kind {
+            ProbeKind::Own { .. } => self.health.improve(),
+            ProbeKind::Relayed { origin, number } => {
+                let message = MemberMessage::Ack(number, target, self.bare_head());
+                actions.push(send(origin, message));
+            }
+        }
+        self.probes.open.remove(&number);
+    }
+
+    /// Probes an entry on behalf of another one.
+    pub(super) fn relay_probe(
+        &mut self,
+        number: u32,
+        target: EntryId,
+        origin: EntryId,
+        now: Instant,
+        actions: &mut ActionList,
+    ) {
+        let own = self.probes.open(OpenProbe {
+            target,
+            kind: ProbeKind::Relayed { origin, number },
+            fail_at: now + PROBE_INTERVAL,
+        });
+        let message = self.ping(own, target);
+        actions.push(send(target, message));
+    }
+}
--- a/crates/core/src/member/routes.rs
+++ b/crates/core/src/member/routes.rs
@@ -2,16 +2,19 @@
 
 use super::{EndpointRecord, EndpointState};
 use crate::catalogue::CatalogueSnapshot;
+use crate::ids::ZoneName;
 use crate::route::{RouteTable, ServiceRoute};
 use std::collections::HashMap;
 
 /// Returns the table for this catalogue and these endpoints.
 ///
 /// An endpoint is routed to only when it is ready and its agent has the same number for the service, because an
-/// agent drops packets that carry another number.
+/// agent drops packets that carry another number. Endpoints of unreachable zones are used only where a service has
+/// no others.
 pub fn build_table<'a>(
     catalogue: &CatalogueSnapshot,
     records: impl Iterator<Item = &'a EndpointRecord>,
+    unreachable: &[ZoneName],
 ) -> RouteTable {
     let mut table = RouteTable::default();
     let mut index_of = HashMap::new();
@@ -28,6 +31,7 @@
             ready: Vec::new(),
         });
     }
+    let mut far = vec![Vec::new(); table.services.len()];
     for record in records {
         if record.state != EndpointState::Ready {
             continue;
@@ -39,9 +43,15 @@
         if record.number != route.number || route.number == 0 {
             continue;
         }
-        route.ready.push(record.id);
+        match unreachable.contains(&record.zone) {
+            true => far[index].push(record.id),
+            false => route.ready.push(record.id),
+        }
     }
-    for route in &mut table.services {
+    for (route, far) in table.services.iter_mut().zip(far) {
+        if route.ready.is_empty() {
+            route.ready = far;
+        }
         route.ready.sort_unstable();
     }
     table
--- /dev/null
+++ b/crates/core/tests/member/catalogue.rs
@@ -0,0 +1,98 @@
+//! Replication of the catalogue.
+
+use crate::fleet::{snapshot, Fleet, Network};
+use quetzalhill_core::replicate::catalogue_digest;
+use std::time::Duration;
+
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// Target for an accepted change, requirement 8 of docs/design.md.
+const CHANGE_LIMIT: Duration = Duration::from_secs(5);
+
+fn all_have(fleet: &Fleet, revision: u64) -> bool {
+    let mut nodes = fleet.entries();
+    nodes.all(|node| node.catalogue.stamp().revision == revision)
+}
+
+/// Guards against a change that is late or reverts while views of it are lost, late, repeated and out of order.
+#[test]
+fn change_is_in_force_everywhere_in_time_and_stays() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::with(seed, 30, 0, 3);
+        fleet.run(START_LIMIT);
+        fleet.network = Network {
+            loss: 0.3,
+            duplicates: 0.2,
+            delay_ms: 1..300,
+            ..Network::default()
+        };
+        for revision in 1..=5 {
+            // The second reader has the change before, at the same time or later.
+            fleet.adopt(0, snapshot(revision));
+            fleet.adopt(1, snapshot(revision.saturating_sub(1)));
+            let mut highest = vec![0; 30];
+            let mut reached = false;
+            for _ in 0..50 {
+                fleet.run(CHANGE_LIMIT / 50);
+                for (seen, node) in highest.iter_mut().zip(fleet.entries()) {
+                    let revision = node.catalogue.stamp().revision;
+                    assert!(revision >= *seen, "seed {seed}: reverted");
+                    *seen = revision;
+                }
+                reached |= all_have(&fleet, revision);
+            }
+            assert!(reached, "seed {seed}, revision {revision}");
+            for node in fleet.entries() {
+                assert_eq!(**node.catalogue.snapshot(), snapshot(revision));
+            }
+        }
+    }
+}
+
+/// Guards against an invalid catalogue that replaces the last good one on any entry.
+#[test]
+fn invalid_snapshot_keeps_the_last_good_one() {
+    let mut fleet = Fleet::with(1, 6, 0, 2);
+    fleet.run(START_LIMIT);
+    fleet.adopt(0, snapshot(3));
+    fleet.run(CHANGE_LIMIT);
+    let mut invalid = snapshot(4);
+    invalid.services.get_mut("feed").expect("one service").owner = String::new();
+    fleet.adopt(0, invalid);
+    fleet.adopt(0, snapshot(2));
+    fleet.run(CHANGE_LIMIT);
+    assert!(all_have(&fleet, 3));
+    let counters = fleet.entry(0).catalogue.counters();
+    assert_eq!((counters.invalid, counters.stale), (1, 1));
+    fleet.adopt(0, snapshot(5));
+    fleet.run(CHANGE_LIMIT);
+    assert!(all_have(&fleet, 5));
+}
+
+/// Guards against an entry that starts without the store and stays without a catalogue.
+#[test]
+fn starting_entry_fetches_from_a_peer() {
+    let mut fleet = Fleet::with(1, 3, 0, 1);
+    fleet.adopt(0, snapshot(9));
+    fleet.run(START_LIMIT);
+    fleet.add_entry(3, "zone-0", 1);
+    let took = fleet.run_until(CHANGE_LIMIT, |fleet| all_have(fleet, 9));
+    assert!(took.is_some());
+}
+
+/// Guards against a digest that does not show a difference.
+#[test]
+fn digest_depends_on_the_content() {
+    let mut other = snapshot(1);
+    other
+        .services
+        .get_mut("feed")
+        .expect("one service")
+        .limits
+        .queue += 1;
+    assert_ne!(catalogue_digest(&snapshot(1)), catalogue_digest(&other));
+    assert_eq!(
+        catalogue_digest(&snapshot(1)),
+        catalogue_digest(&snapshot(1))
+    );
+}
--- /dev/null
+++ b/crates/core/tests/member/endpoints.rs
@@ -0,0 +1,151 @@
+//! Endpoints join, leave and fail.
+
+use crate::fleet::{agent_address, complete, entry_address, ready_count, state_of, Fleet, Network};
+use quetzalhill_core::member::EndpointState;
+use std::time::Duration;
+
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// Target for a leaving endpoint, requirement 6 of docs/design.md.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Guards against new flows to an endpoint that leaves while half of all messages are lost.
+#[test]
+fn leaving_endpoint_is_out_of_every_table_in_time() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::with(seed, 30, 30, 3);
+        fleet.run(START_LIMIT);
+        fleet.network.loss = 0.5;
+        fleet.set_state(4, EndpointState::Draining);
+        let out = |fleet: &Fleet| {
+            let mut nodes = fleet.entries();
+            nodes.all(|node| state_of(node, 4) == Some(EndpointState::Draining))
+        };
+        let took = fleet.run_until(LEAVE_LIMIT, out);
+        assert!(took.is_some(), "seed {seed}");
+    }
+}
+
+/// Guards against gossip that is too slow where the agent does not know all entries.
+#[test]
+fn leaving_endpoint_is_out_of_every_table_of_a_large_fleet_in_time() {
+    let mut fleet = Fleet::with(3, 150, 150, 3);
+    fleet.run(2 * START_LIMIT);
+    assert!(complete(&fleet, 150, 150));
+    fleet.network.loss = 0.5;
+    fleet.set_state(4, EndpointState::Draining);
+    let out = |fleet: &Fleet| {
+        let mut nodes = fleet.entries();
+        nodes.all(|node| state_of(node, 4) == Some(EndpointState::Draining))
+    };
+    assert!(fleet.run_until(LEAVE_LIMIT, out).is_some());
+}
+
+/// Guards against a failed endpoint that stays in route tables.
+#[test]
+fn failed_endpoint_is_removed() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::with(seed, 12, 24, 3);
+        fleet.run(START_LIMIT);
+        fleet.kill(agent_address(5));
+        let gone = |fleet: &Fleet| fleet.entries().all(|node| ready_count(node) == 23);
+        let took = fleet.run_until(Duration::from_secs(10), gone);
+        assert!(took.is_some(), "seed {seed}");
+    }
+}
+
+/// Guards against an endpoint that nobody removes because the entries that heard it failed with it.
+#[test]
+fn endpoint_that_fails_with_its_entries_is_removed() {
+    let mut fleet = Fleet::with(2, 12, 24, 3);
+    fleet.run(START_LIMIT);
+    // All but one entry of the zone.
+    for number in [0, 3, 6] {
+        fleet.kill(entry_address(number));
+    }
+    fleet.kill(agent_address(0));
+    let gone = |fleet: &Fleet| fleet.entries().all(|node| ready_count(node) == 23);
+    let took = fleet.run_until(Duration::from_secs(120), gone);
+    assert!(took.is_some());
+}
+
+/// Guards against an old record that returns after its endpoint was removed, brought by late messages or by an
+/// entry that was away.
+#[test]
+fn removed_endpoint_does_not_return() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::with(seed, 12, 24, 3);
+        fleet.run(START_LIMIT);
+        fleet.network = Network {
+            loss: 0.1,
+            duplicates: 0.3,
+            delay_ms: 1..3_000,
+            cut: vec!["zone-2".into()],
+        };
+        fleet.set_state(0, EndpointState::Draining);
+        fleet.run(Duration::from_secs(5));
+        fleet.set_state(0, EndpointState::Left);
+        fleet.run(Duration::from_secs(5));
+        fleet.kill(agent_address(0));
+        fleet.run(Duration::from_secs(20));
+        fleet.network.cut.clear();
+        fleet.network.delay_ms = 1..100;
+        fleet.run(Duration::from_secs(30));
+        for node in fleet.entries() {
+            assert_eq!(state_of(node, 0), Some(EndpointState::Left), "seed {seed}");
+        }
+        for _ in 0..60 {
+            fleet.run(Duration::from_secs(1));
+            for node in fleet.entries() {
+                assert_eq!(state_of(node, 0), Some(EndpointState::Left), "seed {seed}");
+            }
+        }
+    }
+}
+
+/// Guards against tombstones that entries teach each other for ever.
+#[test]
+fn tombstones_are_forgotten() {
+    let mut fleet = Fleet::with(1, 3, 3, 1);
+    fleet.run(START_LIMIT);
+    fleet.set_state(0, EndpointState::Left);
+    fleet.run(Duration::from_secs(5));
+    fleet.kill(agent_address(0));
+    fleet.run(Duration::from_secs(3_700));
+    for node in fleet.entries() {
+        assert_eq!(state_of(node, 0), None);
+    }
+}
+
+/// Guards against an endpoint that restarts with a clock that went back and is taken for its old life.
+#[test]
+fn restarted_endpoint_returns() {
+    let mut fleet = Fleet::new(1);
+    for number in 0..3 {
+        fleet.add_entry(number, "zone-0", 1);
+    }
+    fleet.add_agent(0, "zone-0", 1_000, &[entry_address(0)]);
+    fleet.run(START_LIMIT);
+    fleet.kill(agent_address(0));
+    fleet.run(Duration::from_secs(20));
+    fleet.add_agent(0, "zone-0", 900, &[entry_address(0)]);
+    let took = fleet.run_until(Duration::from_secs(5), |fleet| complete(fleet, 3, 1));
+    assert!(took.is_some());
+    assert_eq!(fleet.agent(0).announce.record().incarnation, 1_001);
+}
+
+/// Guards against an agent that keeps to entries that no longer answer.
+#[test]
+fn agent_changes_to_other_entries() {
+    let mut fleet = Fleet::with(1, 6, 1, 1);
+    fleet.run(START_LIMIT);
+    for number in 0..5 {
+        fleet.kill(entry_address(number));
+    }
+    fleet.run(Duration::from_secs(60));
+    let now = fleet.now;
+    let live = fleet.agent(0).announce.live_entries(now);
+    assert_eq!(live.len(), 1, "{live:?}");
+    let mut left = fleet.entries();
+    assert!(left.all(|node| ready_count(node) == 1));
+}
--- /dev/null
+++ b/crates/core/tests/member/main.rs
@@ -0,0 +1,7 @@
+//! Membership and catalogue replication in virtual time under loss, delay, duplication and reordering.
+
+mod catalogue;
+mod endpoints;
+mod entries;
+mod fleet;
+mod traffic;
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -4,25 +4,40 @@
 use crate::shared::SharedState;
 use anyhow::{anyhow, Context, Result};
 use quetzalhill_core::catalogue::CatalogueSnapshot;
-use quetzalhill_core::ids::id_of;
-use quetzalhill_core::member::controller::MemberController;
-use quetzalhill_core::member::message::{CatalogueStamp, MemberMessage, OutgoingMessage};
+use quetzalhill_core::ids::{address_of, id_of, RevisionNumber};
+use quetzalhill_core::member::controller::{ActionList, MemberAction, MemberController};
+use quetzalhill_core::member::message::OutgoingMessage;
 use quetzalhill_core::member::routes::build_table;
 use quetzalhill_core::member::EntryRecord;
+use quetzalhill_core::replicate::{
+    AdoptOutcome, CatalogueAction, CatalogueChange, CatalogueController,
+};
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::fetch;
 use quetzalhill_wire::control::ControlMessage;
+use quetzalhill_wire::fetch::FetchRequest;
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime};
-use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch, Semaphore};
 
-/// Longest time the control thread sleeps.
-const IDLE_LIMIT: Duration = Duration::from_secs(1);
+/// Catalogue fetches that are answered at the same time.
+const FETCHES_MAX: usize = 16;
+
+/// Time to wait after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Stands for the catalogue's own validation until the catalogue module has it.
+fn accept_any(_: &CatalogueSnapshot) -> Result<(), String> {
+    Ok(())
+}
 
 /// Hands catalogue snapshots to the control thread; works from every thread, also from the control thread.
 #[derive(Clone, Debug)]
@@ -91,6 +106,10 @@
         .with_context(|| format!("binding the control socket {address}"))?;
     socket.set_nonblocking(true)?;
     let bound = local_v4(&socket)?;
+    let listener = std::net::TcpListener::bind(bound)
+        .with_context(|| format!("binding the control listener {bound}"))?;
+    listener.set_nonblocking(true)?;
+    let seeds = settings.entry.seeds.clone();
     let own = EntryRecord {
         id: id_of(bound),
         incarnation: wall_millis(),
@@ -110,9 +129,23 @@
             let result = system.block_on(async move {
                 tasks(for_tasks);
                 let socket = UdpSocket::from_std(socket)?;
-                ControlLoop::new(own, shared, socket)
-                    .run(catalogue, stop)
-                    .await
+                let listener = TcpListener::from_std(listener)?;
+                let now = Instant::now();
+                let controller = CatalogueController::new(accept_any, None, now);
+                let controller = Rc::new(RefCell::new(controller));
+                let server = serve_fetches(listener, shared.clone(), controller.clone());
+                ntex::rt::spawn(server);
+                let (fetched, changes) = mpsc::channel(1);
+                let control = ControlLoop {
+                    shared,
+                    socket,
+                    member: MemberController::new(own, &seeds, now),
+                    catalogue: controller,
+                    published: (0, 0),
+                    rng: SmallRng::from_os_rng(),
+                    fetched,
+                };
+                control.run(catalogue, stop, changes).await
             });
             if let Err(error) = result {
                 emit(
@@ -142,37 +175,28 @@
     since.map_or(1, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
 }
 
+type SharedCatalogue = Rc<RefCell<CatalogueController>>;
+
 struct ControlLoop {
     shared: Arc<SharedState>,
     socket: UdpSocket,
     member: MemberController,
-    catalogue: Arc<CatalogueSnapshot>,
-    published: u64,
+    catalogue: SharedCatalogue,
+    published: (u64, RevisionNumber),
     rng: SmallRng,
+    fetched: mpsc::Sender<Option<CatalogueChange>>,
 }
 
 impl ControlLoop {
-    fn new(own: EntryRecord, shared: Arc<SharedState>, socket: UdpSocket) -> Self {
-        Self {
-            shared,
-            socket,
-            member: MemberController::new(own, Instant::now()),
-            catalogue: Arc::default(),
-            published: 0,
-            rng: SmallRng::from_os_rng(),
-        }
-    }
-
     async fn run(
         mut self,
-        mut catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+        mut snapshots: watch::Receiver<Arc<CatalogueSnapshot>>,
         mut stop: watch::Receiver<bool>,
+        mut changes: mpsc::Receiver<Option<CatalogueChange>>,
     ) -> std::io::Result<()> {
         let mut buffer = vec![0; DATAGRAM_MAX + 1];
         loop {
-            let now = Instant::now();
-            let deadline = self.member.next_deadline().unwrap_or(now + IDLE_LIMIT);
-            let deadline = deadline.min(now + IDLE_LIMIT);
+            let deadline = self.next_deadline();
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => {
                     // An ICMP error of an earlier send shows up here and concerns one peer only.
@@ -180,23 +204,42 @@
                         self.receive(&buffer[..size], from).await;
                     }
                 }
-                changed = catalogue.changed() => {
+                changed = snapshots.changed() => {
                     if changed.is_err() {
                         return Ok(());
                     }
-                    let snapshot = catalogue.borrow_and_update().clone();
-                    self.adopt(snapshot);
+                    let snapshot = CatalogueSnapshot::clone(&snapshots.borrow_and_update());
+                    let revision = snapshot.revision;
+                    let outcome = self.catalogue.borrow_mut().adopt(snapshot);
+                    self.adopted(revision, outcome);
+                }
+                Some(change) = changes.recv() => {
+                    let revision = change.as_ref().map_or(0, |change| change.revision);
+                    let now = Instant::now();
+                    let outcome = self.catalogue.borrow_mut().fetched(change, now, &mut self.rng);
+                    self.adopted(revision, outcome);
+                }
+                _ = stop.changed() => {
+                    let actions = self.member.leave(&mut self.rng);
+                    self.perform(actions).await;
+                    return Ok(());
                 }
-                _ = stop.changed() => return Ok(()),
                 () = tokio::time::sleep_until(deadline.into()) => {
-                    let messages = self.member.tick(Instant::now(), &mut self.rng);
-                    self.send(messages).await;
+                    let actions = self.member.tick(Instant::now(), &mut self.rng);
+                    self.perform(actions).await;
                 }
             }
+            self.start_fetch();
             self.publish();
         }
     }
 
+    fn next_deadline(&self) -> Instant {
+        let member = self.member.next_deadline();
+        let catalogue = self.catalogue.borrow().next_deadline();
+        catalogue.map_or(member, |deadline| deadline.min(member))
+    }
+
     async fn receive(&mut self, datagram: &[u8], from: SocketAddr) {
         let SocketAddr::V4(from) = from else {
             return;
@@ -205,75 +248,113 @@
         let Ok(ControlMessage::Member(message)) = ControlMessage::open(&ring, datagram) else {
             return;
         };
-        let behind = self.behind(&message);
-        let mut messages = self
-            .member
-            .receive(from, *message, Instant::now(), &mut self.rng);
-        if let Some(id) = behind {
-            self.attach_service(id, &mut messages);
-        }
-        self.send(messages).await;
+        let now = Instant::now();
+        let actions = self.member.receive(from, *message, now, &mut self.rng);
+        self.perform(actions).await;
     }
 
-    /// Returns the endpoint whose agent has an older catalogue.
-    fn behind(&self, message: &MemberMessage) -> Option<u64> {
-        match message {
-            MemberMessage::Announce(beat) if beat.revision < self.catalogue.revision => {
-                Some(beat.id)
+    async fn perform(&mut self, actions: ActionList) {
+        for action in actions {
+            match action {
+                MemberAction::Send(outgoing) => self.send(outgoing).await,
+                MemberAction::CatalogueSeen(peer, stamp) => {
+                    self.catalogue.borrow_mut().seen(peer, stamp);
+                }
             }
-            _ => None,
         }
     }
 
-    fn attach_service(&self, id: u64, messages: &mut [OutgoingMessage]) {
-        let Some(record) = self.member.endpoints().find(|record| record.id == id) else {
-            return;
-        };
-        for outgoing in messages {
-            if let MemberMessage::AnnounceAck(reply) = &mut outgoing.message {
-                reply.service = self.catalogue.services.get(&record.service).cloned();
+    fn adopted(&mut self, revision: RevisionNumber, outcome: AdoptOutcome) {
+        match outcome {
+            AdoptOutcome::InForce => {
+                emit(EventCode::CatalogueInForce, &[("revision", &revision)]);
+                let stamp = self.catalogue.borrow().stamp();
+                self.member.set_stamp(stamp);
             }
+            AdoptOutcome::Invalid(reason) => emit(
+                EventCode::CatalogueInvalid,
+                &[("revision", &revision), ("reason", &reason)],
+            ),
+            // Counted by the controller and repeated by it.
+            AdoptOutcome::Stale | AdoptOutcome::Mismatch => {}
         }
     }
 
-    fn adopt(&mut self, snapshot: Arc<CatalogueSnapshot>) {
-        if snapshot.revision <= self.catalogue.revision {
+    fn start_fetch(&mut self) {
+        let action = self
+            .catalogue
+            .borrow_mut()
+            .tick(Instant::now(), &mut self.rng);
+        let Some(CatalogueAction::Fetch {
+            peer,
+            from,
+            deadline,
+        }) = action
+        else {
             return;
-        }
-        emit(
-            EventCode::CatalogueInForce,
-            &[("revision", &snapshot.revision)],
-        );
-        self.member.set_stamp(CatalogueStamp {
-            revision: snapshot.revision,
-            digest: 0,
+        };
+        let ring = self.shared.ring.load_full();
+        let fetched = self.fetched.clone();
+        ntex::rt::spawn(async move {
+            let request = FetchRequest {
+                from,
+                service: None,
+            };
+            let change = fetch::fetch(address_of(peer), &request, &ring, deadline).await;
+            // Fails only when the control thread ends.
+            let _ = fetched.send(change.ok()).await;
         });
-        self.catalogue = snapshot;
-        self.store_table();
     }
 
     fn publish(&mut self) {
-        if self.published == self.member.changes() {
+        let snapshot = self.catalogue.borrow().snapshot().clone();
+        let current = (self.member.changes(), snapshot.revision);
+        if self.published == current {
             return;
         }
-        self.published = self.member.changes();
-        self.store_table();
-    }
-
-    fn store_table(&self) {
-        let table = build_table(&self.catalogue, self.member.endpoints());
+        self.published = current;
+        let unreachable: Vec<_> = self.member.unreachable_zones().cloned().collect();
+        let table = build_table(&snapshot, self.member.endpoints(), &unreachable);
         self.shared.routes.store(Arc::new(table));
     }
 
-    async fn send(&self, messages: Vec<OutgoingMessage>) {
+    async fn send(&self, outgoing: OutgoingMessage) {
         let ring = self.shared.ring.load_full();
-        for outgoing in messages {
-            let Ok(datagram) = ControlMessage::Member(Box::new(outgoing.message)).seal(&ring)
-            else {
-                continue;
+        let message = ControlMessage::Member(Box::new(outgoing.message));
+        let Ok(datagram) = message.seal(&ring) else {
+            return;
+        };
+        // A datagram that can't be sent counts as lost; every exchange is repeated.
+        let _ = self.socket.send_to(&datagram, outgoing.to).await;
+    }
+}
+
+/// Answers the catalogue fetches of other nodes, a bounded number at the same time.
+async fn serve_fetches(
+    listener: TcpListener,
+    shared: Arc<SharedState>,
+    catalogue: SharedCatalogue,
+) {
+    let slots = Arc::new(Semaphore::new(FETCHES_MAX));
+    loop {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            // The process may be out of file descriptors for a while.
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let ring = shared.ring.load_full();
+        let catalogue = catalogue.clone();
+        ntex::rt::spawn(async move {
+            let change_for = |request: FetchRequest| {
+                let scope = request.service.as_deref();
+                catalogue.borrow().change_since(request.from, scope)
             };
-            // A datagram that can't be sent counts as lost; every exchange is repeated.
-            let _ = self.socket.send_to(&datagram, outgoing.to).await;
-        }
+            // The asking node repeats a fetch that fails.
+            let _ = fetch::serve(stream, &ring, change_for).await;
+            drop(slot);
+        });
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! What both binaries share: settings, events, keys.
 
 pub mod event;
+pub mod fetch;
 pub mod keys;
 pub mod settings;
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,309 @@
+//! Authenticated frames over a TCP connection between our processes.
+//!
+//! Each side first sends a hello with a random nonce. Every frame is a length, a postcard body and a tag over
+//! both nonces, the direction, a sequence number and the body. So a frame can't be changed, repeated, reordered or
+//! played back on another connection. See docs/design.md, section 5.
+
+use crate::key::{ControlKey, KeyRing, TAG_BYTES};
+use crate::packet::{PREFIX_BYTES, WIRE_VERSION};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::fmt;
+use std::io;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Most bytes of a frame's body.
+pub const FRAME_MAX: usize = 64 * 1024;
+
+/// Kind byte of a connection's hello.
+pub const KIND_STREAM: u8 = 3;
+
+/// Bytes of a nonce.
+pub const NONCE_BYTES: usize = 16;
+
+const LENGTH_BYTES: usize = 4;
+const HELLO_BYTES: usize = PREFIX_BYTES + NONCE_BYTES;
+
+/// Random bytes that differ in each connection; the caller has to draw them from a secure source.
+pub type ConnectionNonce = [u8; NONCE_BYTES];
+
+/// Why a connection can't go on.
+#[derive(Debug)]
+pub enum FrameError {
+    /// The connection failed.
+    Io(io::Error),
+    /// The connection was closed within a frame or hello.
+    Closed,
+    /// The hello has another version, another kind or an unknown key.
+    Hello,
+    /// The frame is longer than [`FRAME_MAX`].
+    Long,
+    /// The tag does not match.
+    Tag,
+    /// The body does not decode or encode.
+    Body,
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FrameError::Io(error) => write!(f, "the connection failed: {error}"),
+            FrameError::Closed => f.write_str("the connection was closed"),
+            FrameError::Hello => f.write_str("the hello has another version, kind or key"),
+            FrameError::Long => write!(f, "the frame is longer than {FRAME_MAX} bytes"),
+            FrameError::Tag => f.write_str("the tag of the frame does not match"),
+            FrameError::Body => f.write_str("the body of the frame does not decode"),
+        }
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+impl From<io::Error> for FrameError {
+    fn from(error: io::Error) -> Self {
+        FrameError::Io(error)
+    }
+}
+
+/// Which side of a connection opened it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FrameSide {
+    /// Opened the connection.
+    Client,
+    /// Accepted the connection.
+    Server,
+}
+
+impl FrameSide {
+    fn other(self) -> Self {
+        match self {
+            FrameSide::Client => FrameSide::Server,
+            FrameSide::Server => FrameSide::Client,
+        }
+    }
+}
+
+/// Makes and checks the tags of one direction.
+#[derive(Debug)]
+pub struct FrameSeal {
+    key: ControlKey,
+    nonces: [u8; 2 * NONCE_BYTES],
+    sender: FrameSide,
+    sequence: u64,
+}
+
+impl FrameSeal {
+    fn next_tag(&mut self, body: &[u8]) -> [u8; TAG_BYTES] {
+        let sender = match self.sender {
+            FrameSide::Client => [1],
+            FrameSide::Server => [2],
+        };
+        let sequence = self.sequence.to_le_bytes();
+        self.sequence += 1;
+        self.key.tag(&[&self.nonces, &sender, &sequence, body])
+    }
+
+    /// Returns the bytes of the next frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body does not encode or is longer than [`FRAME_MAX`].
+    pub fn encode<T: Serialize>(&mut self, message: &T) -> Result<Vec<u8>, FrameError> {
+        let head = vec![0; LENGTH_BYTES];
+        let mut frame = postcard::to_extend(message, head).map_err(|_| FrameError::Body)?;
+        let length = frame.len() - LENGTH_BYTES;
+        if length > FRAME_MAX {
+            return Err(FrameError::Long);
+        }
+        // CAST: The length was found to be at most `FRAME_MAX`.
+        frame[..LENGTH_BYTES].copy_from_slice(&(length as u32).to_le_bytes());
+        let tag = self.next_tag(&frame[LENGTH_BYTES..]);
+        frame.extend_from_slice(&tag);
+        Ok(frame)
+    }
+
+    /// Decodes the frame at the start of `bytes`; `None` until it is complete. Also returns the frame's length.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the frame is too long, its tag does not match or its body does not decode. The connection has to be
+    /// closed then.
+    pub fn decode<T: DeserializeOwned>(
+        &mut self,
+        bytes: &[u8],
+    ) -> Result<Option<(T, usize)>, FrameError> {
+        let Some(length) = bytes.first_chunk::<LENGTH_BYTES>() else {
+            return Ok(None);
+        };
+        let length = usize::try_from(u32::from_le_bytes(*length)).unwrap_or(usize::MAX);
+        if length > FRAME_MAX {
+            return Err(FrameError::Long);
+        }
+        let body_end = LENGTH_BYTES + length;
+        let end = body_end + TAG_BYTES;
+        if bytes.len() < end {
+            return Ok(None);
+        }
+        let body = &bytes[LENGTH_BYTES..body_end];
+        if self.next_tag(body) != bytes[body_end..end] {
+            return Err(FrameError::Tag);
+        }
+        let message = postcard::from_bytes(body).map_err(|_| FrameError::Body)?;
+        Ok(Some((message, end)))
+    }
+}
+
+/// Receives the frames of one direction.
+#[derive(Debug)]
+pub struct FrameReader<R> {
+    stream: R,
+    seal: FrameSeal,
+    buffer: Vec<u8>,
+}
+
+impl<R: AsyncRead + Unpin> FrameReader<R> {
+    /// Returns the next message, or `None` after the peer has closed the connection between two frames.
+    ///
+    /// The future can be dropped at any time without losing bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails or a frame is not valid; the connection has to be closed then.
+    pub async fn read<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+        loop {
+            if let Some((message, end)) = self.seal.decode(&self.buffer)? {
+                self.buffer.drain(..end);
+                return Ok(Some(message));
+            }
+            if self.stream.read_buf(&mut self.buffer).await? > 0 {
+                continue;
+            }
+            return match self.buffer.is_empty() {
+                true => Ok(None),
+                false => Err(FrameError::Closed),
+            };
+        }
+    }
+}
+
+/// Sends the frames of one direction.
+#[derive(Debug)]
+pub struct FrameWriter<W> {
+    stream: W,
+    seal: FrameSeal,
+}
+
+impl<W: AsyncWrite + Unpin> FrameWriter<W> {
+    /// Sends one message. A future that is dropped before it is done leaves the connection unusable.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails or the message is too long.
+    pub async fn write<T: Serialize>(&mut self, message: &T) -> Result<(), FrameError> {
+        let frame = self.seal.encode(message)?;
+        self.stream.write_all(&frame).await?;
+        Ok(())
+    }
+
+    /// Closes the direction.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails.
+    pub async fn close(&mut self) -> Result<(), FrameError> {
+        self.stream.shutdown().await?;
+        Ok(())
+    }
+}
+
+/// Exchanges hellos and returns both directions; `side` says whether this process opened the connection.
+///
+/// The client's key counts for both directions. Callers have to bound the time, because a stranger may connect and
+/// send nothing.
+///
+/// # Errors
+///
+/// Fails if the connection fails or the peer's hello is not valid.
+pub async fn handshake<R, W>(
+    mut reader: R,
+    mut writer: W,
+    side: FrameSide,
+    ring: &KeyRing,
+    nonce: ConnectionNonce,
+) -> Result<(FrameReader<R>, FrameWriter<W>), FrameError>
+where
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
+    let (key, client, server) = match side {
+        FrameSide::Client => {
+            let key = ring.current();
+            write_hello(&mut writer, key, &nonce).await?;
+            let (_, server) = read_hello(&mut reader, ring).await?;
+            (key.clone(), nonce, server)
+        }
+        FrameSide::Server => {
+            let (key, client) = read_hello(&mut reader, ring).await?;
+            write_hello(&mut writer, &key, &nonce).await?;
+            (key, client, nonce)
+        }
+    };
+    let seal = |sender| FrameSeal::new(key.clone(), client, server, sender);
+    let frames = FrameReader {
+        stream: reader,
+        seal: seal(side.other()),
+        buffer: Vec::new(),
+    };
+    let sender = FrameWriter {
+        stream: writer,
+        seal: seal(side),
+    };
+    Ok((frames, sender))
+}
+
+impl FrameSeal {
+    /// Makes the seal of the direction in which `sender` sends.
+    pub fn new(
+        key: ControlKey,
+        client: ConnectionNonce,
+        server: ConnectionNonce,
+        sender: FrameSide,
+    ) -> Self {
+        let mut nonces = [0; 2 * NONCE_BYTES];
+        nonces[..NONCE_BYTES].copy_from_slice(&client);
+        nonces[NONCE_BYTES..].copy_from_slice(&server);
+        Self {
+            key,
+            nonces,
+            sender,
+            sequence: 0,
+        }
+    }
+}
+
+async fn write_hello<W: AsyncWrite + Unpin>(
+    writer: &mut W,
+    key: &ControlKey,
+    nonce: &ConnectionNonce,
+) -> Result<(), FrameError> {
+    let mut hello = [0; HELLO_BYTES];
+    hello[..PREFIX_BYTES].copy_from_slice(&[WIRE_VERSION, KIND_STREAM, key.number()]);
+    hello[PREFIX_BYTES..].copy_from_slice(nonce);
+    writer.write_all(&hello).await?;
+    Ok(())
+}
+
+async fn read_hello<R: AsyncRead + Unpin>(
+    reader: &mut R,
+    ring: &KeyRing,
+) -> Result<(ControlKey, ConnectionNonce), FrameError> {
+    let mut hello = [0; HELLO_BYTES];
+    reader.read_exact(&mut hello).await?;
+    if hello[0] != WIRE_VERSION || hello[1] != KIND_STREAM {
+        return Err(FrameError::Hello);
+    }
+    let key = ring.find(hello[2]).ok_or(FrameError::Hello)?.clone();
+    let mut nonce = [0; NONCE_BYTES];
+    nonce.copy_from_slice(&hello[PREFIX_BYTES..]);
+    Ok((key, nonce))
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,5 +4,7 @@
 
 pub mod cid;
 pub mod control;
+pub mod fetch;
+pub mod frame;
 pub mod key;
 pub mod packet;
