--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod event;
+pub mod fetch;
 pub mod keys;
 pub mod log;
 pub mod metrics;
