--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod member;
 pub mod once;
 pub mod packet;
+pub mod replicate;
 pub mod request;
 pub mod retry;
 pub mod route;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod cid;
 pub mod control;
+pub mod fetch;
+pub mod frame;
 pub mod key;
 pub mod packet;
 pub mod quic;
