--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,11 @@
 
 pub mod catalogue;
 pub mod dispatch;
+pub mod flow;
 pub mod ids;
 pub mod member;
+pub mod once;
+pub mod packet;
 pub mod replicate;
+pub mod request;
 pub mod route;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod frame;
 pub mod key;
 pub mod packet;
+pub mod quic;
+pub mod session;
