--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -3,6 +3,7 @@
 use crate::settings::AgentSettings;
 use crate::shared::{AgentView, SharedState, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
+use quetzalhill_core::catalogue::validate::validate;
 use quetzalhill_core::catalogue::CatalogueSnapshot;
 use quetzalhill_core::ids::{address_of, id_of};
 use quetzalhill_core::member::announce::AnnounceController;
@@ -28,9 +29,13 @@
 /// Time for which the last announcements are repeated before the thread ends.
 const LEAVE_TIME: Duration = Duration::from_millis(600);
 
-/// Stands for the catalogue's own validation until the catalogue module has it.
-fn accept_any(_: &CatalogueSnapshot) -> Result<(), String> {
-    Ok(())
+/// Validates a snapshot and joins everything that is wrong into one reason.
+fn check_snapshot(snapshot: &CatalogueSnapshot) -> Result<(), String> {
+    let Err(errors) = validate(snapshot) else {
+        return Ok(());
+    };
+    let reasons: Vec<_> = errors.iter().map(ToString::to_string).collect();
+    Err(reasons.join("; "))
 }
 
 /// A running control thread.
@@ -109,7 +114,7 @@
                     shared,
                     socket: UdpSocket::from_std(socket)?,
                     announce,
-                    catalogue: CatalogueController::new(accept_any, scope, Instant::now()),
+                    catalogue: CatalogueController::new(check_snapshot, scope, Instant::now()),
                     fetched,
                     rng: SmallRng::from_os_rng(),
                 };
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,6 +3,7 @@
 use crate::settings::EntrySettings;
 use crate::shared::SharedState;
 use anyhow::{anyhow, Context, Result};
+use quetzalhill_core::catalogue::validate::validate;
 use quetzalhill_core::catalogue::CatalogueSnapshot;
 use quetzalhill_core::ids::{address_of, id_of, RevisionNumber};
 use quetzalhill_core::member::controller::{ActionList, MemberAction, MemberController};
@@ -34,9 +35,13 @@
 /// Time to wait after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Stands for the catalogue's own validation until the catalogue module has it.
-fn accept_any(_: &CatalogueSnapshot) -> Result<(), String> {
-    Ok(())
+/// Validates a snapshot and joins everything that is wrong into one reason.
+fn check_snapshot(snapshot: &CatalogueSnapshot) -> Result<(), String> {
+    let Err(errors) = validate(snapshot) else {
+        return Ok(());
+    };
+    let reasons: Vec<_> = errors.iter().map(ToString::to_string).collect();
+    Err(reasons.join("; "))
 }
 
 /// Hands catalogue snapshots to the control thread; works from every thread, also from the control thread.
@@ -131,7 +136,7 @@
                 let socket = UdpSocket::from_std(socket)?;
                 let listener = TcpListener::from_std(listener)?;
                 let now = Instant::now();
-                let controller = CatalogueController::new(accept_any, None, now);
+                let controller = CatalogueController::new(check_snapshot, None, now);
                 let controller = Rc::new(RefCell::new(controller));
                 let server = serve_fetches(listener, shared.clone(), controller.clone());
                 ntex::rt::spawn(server);
