--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -90,7 +90,7 @@
         service: settings.agent.service.clone(),
         number: 0,
         zone: settings.node.zone.clone(),
-        peer: settings.agent.peer,
+        peer: settings.agent.announced_peer(),
         state: EndpointState::Starting,
         slots: settings.agent.slots,
     };
@@ -274,6 +274,7 @@
             revision: self.announce.revision(),
             service: self.announce.service().cloned(),
             peers: self.announce.ready_peers(),
+            other_peers: self.announce.other_peers(),
             entries: self.announce.live_entries(Instant::now()),
         };
         let old = self.shared.view.load_full();
--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -1,12 +1,18 @@
 //! Hand-over of requests to other agents of the service.
+//!
+//! A request goes to a peer because dispatch offers it, or because its session names the peer as its home. The
+//! receiving side runs it with the same code as a request of its own callers. See docs/design.md, section 5.
 
-use http::request::Parts;
-use quetzalhill_core::dispatch::DispatchEvent;
-use quetzalhill_core::ids::{EndpointId, RequestId};
+mod body;
+mod connection;
+pub(crate) mod control;
+mod exchange;
+pub(crate) mod home;
+mod link;
+mod message;
+pub(crate) mod offer;
+pub(crate) mod pool;
+pub(crate) mod serve;
 
-/// Offers a request to a peer and returns what dispatch has to know.
-///
-/// There is no transport between agents yet, so every offer counts as not taken, and dispatch decides again.
-pub(crate) async fn offer(id: RequestId, peer: EndpointId, _head: &Parts) -> DispatchEvent {
-    DispatchEvent::OfferRejected(id, peer)
-}
+pub(crate) use body::PeerBody;
+pub(crate) use link::PeerLink;
--- /dev/null
+++ b/crates/agent/src/handover/serve.rs
@@ -0,0 +1,294 @@
+//! Requests that peers pass to this agent.
+
+use super::body::{BodyItem, PeerBody};
+use super::connection::{accept, next, PeerConnection, PeerReader};
+use super::link::PeerLink;
+use super::message::to_parts;
+use crate::traffic::answer::AnswerWriter;
+use crate::traffic::body::{BodyReader, BodyStart};
+use crate::traffic::context::TrafficContext;
+use crate::traffic::counters::count;
+use crate::traffic::headers;
+use crate::traffic::request::{self, CallerRequest};
+use crate::traffic::run::{run_here, StartedRequest};
+use crate::traffic::scheduler::{RunDecision, RunTicket};
+use crate::traffic::transport::{StreamEnd, StreamWatch};
+use futures_util::FutureExt;
+use http::request::Parts;
+use quetzalhill_core::dispatch::{DispatchEvent, RequestMeta};
+use quetzalhill_wire::frame::FrameError;
+use quetzalhill_wire::handover::{
+    HandoverReply, HandoverRequest, HandoverTarget, HomeRequest, RequestBody, RequestOffer,
+};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, Notify};
+
+/// Most connections of peers; more are closed at once.
+const CONNECTIONS_MAX: u32 = 4_096;
+
+/// Pause after a connection could not be accepted, for example because no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Accepts connections of peers; runs until the system stops.
+pub(crate) async fn listen(context: Rc<TrafficContext>, listener: TcpListener) {
+    let open = Rc::new(());
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if Rc::strong_count(&open) > usize::try_from(CONNECTIONS_MAX).unwrap_or(usize::MAX) {
+            continue;
+        }
+        let guard = open.clone();
+        let context = context.clone();
+        ntex::rt::spawn(async move {
+            let _guard = guard;
+            let served = serve_connection(&context, stream).await;
+            if served.is_err_and(|error| is_invalid(&error)) {
+                count(&context.peer_counters.bad_frames);
+            }
+        });
+    }
+}
+
+fn is_invalid(error: &FrameError) -> bool {
+    match error {
+        FrameError::Io(_) | FrameError::Closed => false,
+        FrameError::Hello | FrameError::Long | FrameError::Tag | FrameError::Body => true,
+    }
+}
+
+/// Serves one request after the other until the peer closes the connection.
+async fn serve_connection(
+    context: &Rc<TrafficContext>,
+    stream: TcpStream,
+) -> Result<(), FrameError> {
+    let ring = context.shared.ring.load_full();
+    let PeerConnection { mut reader, writer } = accept(stream, &ring).await?;
+    let link = PeerLink::new(writer);
+    loop {
+        let message = next::<HandoverRequest>(&mut reader).await?;
+        let _guard = context.exchange_guard();
+        link.begin();
+        match message {
+            // The rest of a body or a withdrawal whose request has ended meanwhile.
+            HandoverRequest::Body(_) | HandoverRequest::BodyEnd | HandoverRequest::Withdraw => {
+                continue
+            }
+            HandoverRequest::Cancel => return Ok(()),
+            HandoverRequest::Offer(offer) => {
+                serve_offer(context, &link, &mut reader, *offer).await?;
+            }
+            HandoverRequest::Home(home) => {
+                serve_home(context, &link, &mut reader, *home).await?;
+            }
+        }
+        if !link.is_complete() {
+            return Ok(());
+        }
+    }
+}
+
+/// Returns the reader of a body and the way to fill it if the body follows.
+fn incoming(body: RequestBody) -> (BodyStart, BodyReader, Option<mpsc::Sender<BodyItem>>) {
+    match body {
+        RequestBody::Empty => (BodyStart::End, BodyReader::Whole(None), None),
+        RequestBody::Whole(bytes) => (BodyStart::Unread, BodyReader::Whole(Some(bytes)), None),
+        RequestBody::Streamed => {
+            let (sender, body) = PeerBody::new();
+            (BodyStart::Unread, BodyReader::Peer(body), Some(sender))
+        }
+    }
+}
+
+/// Reads what the peer sends while its request waits or runs, until the peer cancels it or is gone.
+async fn pump(
+    reader: &mut PeerReader,
+    mut body: Option<mpsc::Sender<BodyItem>>,
+    withdrawn: &Notify,
+) -> Result<(), FrameError> {
+    loop {
+        let item = match next::<HandoverRequest>(reader).await? {
+            HandoverRequest::Body(chunk) => BodyItem::Chunk(chunk),
+            HandoverRequest::BodyEnd => BodyItem::End,
+            HandoverRequest::Withdraw => {
+                withdrawn.notify_one();
+                continue;
+            }
+            HandoverRequest::Cancel => return Ok(()),
+            HandoverRequest::Offer(_) | HandoverRequest::Home(_) => return Err(FrameError::Body),
+        };
+        let Some(sender) = &body else {
+            continue;
+        };
+        // The upstream may answer before it has read the whole body.
+        if sender.send(item).await.is_err() {
+            body = None;
+        }
+    }
+}
+
+async fn serve_offer(
+    context: &Rc<TrafficContext>,
+    link: &Rc<PeerLink>,
+    reader: &mut PeerReader,
+    offer: RequestOffer,
+) -> Result<(), FrameError> {
+    let RequestOffer { target, body, .. } = &offer;
+    if !is_for_us(context, target) {
+        count(&context.peer_counters.refused);
+        return link.finish(HandoverReply::Reject).await;
+    }
+    let (start, body, sender) = incoming(body.clone());
+    let withdrawn = Notify::new();
+    tokio::select! {
+        served = run_offer(context, link, offer, start, body, &withdrawn) => served,
+        // Dropping the other half tells dispatch and closes the connection to the upstream.
+        ended = pump(reader, sender, &withdrawn) => ended,
+    }
+}
+
+fn is_for_us(context: &TrafficContext, target: &HandoverTarget) -> bool {
+    target.to == context.endpoint()
+        && target.incarnation == context.view().incarnation
+        && target.service == context.service_number()
+}
+
+async fn run_offer(
+    context: &Rc<TrafficContext>,
+    link: &Rc<PeerLink>,
+    offer: RequestOffer,
+    start: BodyStart,
+    reader: BodyReader,
+    withdrawn: &Notify,
+) -> Result<(), FrameError> {
+    let meta = meta(&offer);
+    let deadline = meta.deadline;
+    let head = to_parts(offer.head);
+    let submitted = context.scheduler.take_offer(offer.target.from, meta);
+    let (Some(head), Some((run, decisions))) = (head, submitted) else {
+        count(&context.peer_counters.refused);
+        return link.finish(HandoverReply::Reject).await;
+    };
+    let Some(run) = wait_for_start(link, run, decisions, withdrawn).await? else {
+        count(&context.peer_counters.refused);
+        return link.finish(HandoverReply::Reject).await;
+    };
+    link.send(HandoverReply::Started).await?;
+    count(&context.peer_counters.taken);
+    let request = StartedRequest {
+        run,
+        head,
+        start,
+        reader,
+        writer: AnswerWriter::to_peer(link.clone()),
+        deadline,
+        ticket: None,
+    };
+    run_here(context, request).await;
+    Ok(())
+}
+
+fn meta(offer: &RequestOffer) -> RequestMeta {
+    let now = Instant::now();
+    let age = Duration::from_micros(offer.age_us);
+    let left = Duration::from_micros(offer.left_us);
+    RequestMeta {
+        id: offer.id,
+        class: offer.class,
+        owner: offer.owner.clone(),
+        arrived: now.checked_sub(age).unwrap_or(now),
+        deadline: now.checked_add(left).unwrap_or(now),
+        work_key: offer.work_key,
+    }
+}
+
+/// Waits until dispatch starts the request; `None` if it is not taken, given back or withdrawn.
+async fn wait_for_start(
+    link: &PeerLink,
+    run: RunTicket,
+    mut decisions: mpsc::UnboundedReceiver<RunDecision>,
+    withdrawn: &Notify,
+) -> Result<Option<RunTicket>, FrameError> {
+    loop {
+        let decision = tokio::select! {
+            biased;
+            decision = decisions.recv() => decision,
+            // The dropped ticket tells dispatch.
+            () = withdrawn.notified() => return Ok(None),
+        };
+        match decision {
+            Some(RunDecision::Accept) => link.send(HandoverReply::Accept).await?,
+            Some(RunDecision::Start) => return Ok(Some(run)),
+            Some(RunDecision::Reject | RunDecision::Refuse(_)) => {
+                run.refused();
+                return Ok(None);
+            }
+            // A request that a peer offered is not offered a second time.
+            Some(RunDecision::HandOver(peer)) => {
+                run.offered(DispatchEvent::OfferRejected(run.id(), peer));
+            }
+            Some(RunDecision::Withdraw) => {}
+            None => return Ok(None),
+        }
+    }
+}
+
+async fn serve_home(
+    context: &Rc<TrafficContext>,
+    link: &Rc<PeerLink>,
+    reader: &mut PeerReader,
+    home: HomeRequest,
+) -> Result<(), FrameError> {
+    let target = &home.target;
+    let ours = target.to == context.endpoint() && target.service == context.service_number();
+    let (true, Some(mut head)) = (ours, to_parts(home.head)) else {
+        // The peer answers its caller that the outcome is unknown.
+        return link.finish(HandoverReply::Reject).await;
+    };
+    count(&context.peer_counters.home);
+    // The body of a request for its home need not wait for a slot.
+    link.send(HandoverReply::Started).await?;
+    set_timeout(&mut head, home.left_us);
+    let (_, body, sender) = incoming(home.body);
+    let (gone, ended) = oneshot::channel();
+    let request = CallerRequest {
+        head,
+        reader: body,
+        writer: AnswerWriter::to_peer(link.clone()),
+        number: target.service,
+        arrived: Instant::now(),
+        passed: true,
+    };
+    let serving = request::serve(context.clone(), request, watch(ended));
+    tokio::pin!(serving);
+    let withdrawn = Notify::new();
+    let ended = tokio::select! {
+        () = &mut serving => return Ok(()),
+        ended = pump(reader, sender, &withdrawn) => ended,
+    };
+    // The outcome is kept for copies even if this caller is gone.
+    let _ = gone.send(());
+    serving.await;
+    ended
+}
+
+fn set_timeout(head: &mut Parts, left_us: u64) {
+    let left = left_us.div_ceil(1_000);
+    head.headers.insert(headers::TIMEOUT_MS, left.into());
+}
+
+/// Completes when the peer has cancelled the request or is gone.
+fn watch(ended: oneshot::Receiver<()>) -> StreamWatch {
+    async move {
+        match ended.await {
+            Ok(()) => StreamEnd::Lost,
+            Err(_) => StreamEnd::Acknowledged,
+        }
+    }
+    .boxed_local()
+    .shared()
+}
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 
+/// Least `agent.health_interval_ms`, so that the questions take next to nothing of the upstream.
+const HEALTH_INTERVAL_MIN_MS: u32 = 10;
+
 /// Section `[agent]`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -16,8 +19,17 @@
     pub packets: SocketAddrV4,
     /// Where load reports (UDP) and handed-over requests (TCP) from peers arrive.
     pub peer: SocketAddrV4,
+    /// Address that is announced to peers in place of `peer`, where addresses are translated on the way.
+    #[serde(default)]
+    pub advertise_peer: Option<SocketAddrV4>,
     /// The upstream, which speaks HTTP/1.1.
     pub upstream: SocketAddrV4,
+    /// Path that answers whether the upstream is healthy.
+    #[serde(default = "default_health_path")]
+    pub health_path: String,
+    /// Milliseconds between two questions for the upstream's health.
+    #[serde(default = "default_health_interval")]
+    pub health_interval_ms: u32,
     /// Requests that the upstream runs at the same time.
     pub slots: u16,
     /// Control addresses of some entries, for the first contact.
@@ -50,6 +62,21 @@
     pub agent: AgentSection,
 }
 
+impl AgentSection {
+    /// Returns the address at which peers reach this agent.
+    pub fn announced_peer(&self) -> SocketAddrV4 {
+        self.advertise_peer.unwrap_or(self.peer)
+    }
+}
+
+fn default_health_path() -> String {
+    "/health".into()
+}
+
+fn default_health_interval() -> u32 {
+    1_000
+}
+
 fn default_flows() -> u32 {
     4_000
 }
@@ -75,6 +102,20 @@
     if agent.slots == 0 {
         return Err(SettingError::new("agent.slots", agent.slots, "1 to 65535"));
     }
+    if !agent.health_path.starts_with('/') {
+        return Err(SettingError::new(
+            "agent.health_path",
+            &agent.health_path,
+            "a path that begins with /",
+        ));
+    }
+    if agent.health_interval_ms < HEALTH_INTERVAL_MIN_MS {
+        return Err(SettingError::new(
+            "agent.health_interval_ms",
+            agent.health_interval_ms,
+            "10 to 4294967295",
+        ));
+    }
     if agent.entries.is_empty() {
         return Err(SettingError::new(
             "agent.entries",
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -21,6 +21,8 @@
     pub service: Option<ServiceEntry>,
     /// Other endpoints of the service that are ready.
     pub peers: Vec<EndpointRecord>,
+    /// Other endpoints of the service that start or drain; they still remember keys.
+    pub other_peers: Vec<EndpointRecord>,
     /// Entries that are alive.
     pub entries: Vec<EntryRecord>,
 }
@@ -46,6 +48,7 @@
                 revision: 0,
                 service: None,
                 peers: Vec::new(),
+                other_peers: Vec::new(),
                 entries: Vec::new(),
             }),
             ring: ArcSwap::from_pointee(ring),
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -1,24 +1,30 @@
 //! The traffic thread: packets, connections, requests and the upstream.
 
-mod answer;
+pub(crate) mod answer;
+pub(crate) mod body;
 mod connection;
-mod context;
+pub(crate) mod context;
 pub mod counters;
-mod headers;
+pub(crate) mod headers;
 mod health;
+mod once;
 mod paths;
 mod quic;
-mod request;
-mod scheduler;
+pub(crate) mod relay;
+pub(crate) mod request;
+pub(crate) mod run;
+pub(crate) mod scheduler;
 pub mod socket;
-mod transport;
+pub(crate) mod transport;
 mod upstream;
 
+use crate::handover::control::PeerSocket;
+use crate::handover::serve;
 use crate::settings::{AgentSection, AgentSettings};
 use crate::shared::{SharedState, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
-use context::TrafficContext;
-use counters::PacketCounters;
+use context::{ContextParts, TrafficContext};
+use counters::{PacketCounters, PeerCounters};
 use ntex::rt::{DefaultRuntime, System};
 use quetzalhill_core::catalogue::LimitSet;
 use quetzalhill_core::dispatch::{DispatchController, DispatchEvent};
@@ -29,7 +35,7 @@
 use quinn::{Endpoint, TokioRuntime};
 use scheduler::RequestScheduler;
 use socket::PacketSocket;
-use std::net::UdpSocket;
+use std::net::{TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{sync_channel, SyncSender};
@@ -55,6 +61,7 @@
     stop: watch::Sender<bool>,
     drained: Arc<DrainSignal>,
     counters: Arc<PacketCounters>,
+    peer_counters: Arc<PeerCounters>,
     flows: Arc<AtomicU32>,
     thread: Option<JoinHandle<()>>,
 }
@@ -77,6 +84,11 @@
         &self.counters
     }
 
+    /// Returns the counters of what passes between this agent and its peers.
+    pub fn peer_counters(&self) -> &Arc<PeerCounters> {
+        &self.peer_counters
+    }
+
     /// Returns the number of open flows.
     pub fn flows(&self) -> u32 {
         self.flows.load(Ordering::Relaxed)
@@ -122,13 +134,21 @@
     }
 }
 
+/// Sockets on the address for peers.
+struct PeerListeners {
+    datagrams: UdpSocket,
+    connections: TcpListener,
+}
+
 struct TrafficParts {
     agent: AgentSection,
     shared: Arc<SharedState>,
     events: mpsc::Sender<TrafficEvent>,
     counters: Arc<PacketCounters>,
+    peer_counters: Arc<PeerCounters>,
     flows: Arc<AtomicU32>,
     socket: UdpSocket,
+    peers: PeerListeners,
     drained: Arc<DrainSignal>,
 }
 
@@ -144,7 +164,9 @@
 ) -> Result<TrafficHandle> {
     let agent = settings.agent.clone();
     let socket = bind(&agent)?;
+    let peers = bind_peers(&agent)?;
     let counters = Arc::new(PacketCounters::default());
+    let peer_counters = Arc::new(PeerCounters::default());
     let flows = Arc::new(AtomicU32::new(0));
     let drained = Arc::new(DrainSignal::default());
     let parts = TrafficParts {
@@ -152,8 +174,10 @@
         shared,
         events,
         counters: counters.clone(),
+        peer_counters: peer_counters.clone(),
         flows: flows.clone(),
         socket,
+        peers,
         drained: drained.clone(),
     };
     let (stop, stopped) = watch::channel(false);
@@ -169,6 +193,7 @@
         stop,
         drained,
         counters,
+        peer_counters,
         flows,
         thread: Some(thread),
     })
@@ -192,6 +217,18 @@
     Ok(socket.into())
 }
 
+fn bind_peers(agent: &AgentSection) -> Result<PeerListeners> {
+    let name = || format!("agent.peer {}", agent.peer);
+    let datagrams = UdpSocket::bind(agent.peer).with_context(name)?;
+    let connections = TcpListener::bind(agent.peer).with_context(name)?;
+    datagrams.set_nonblocking(true).with_context(name)?;
+    connections.set_nonblocking(true).with_context(name)?;
+    Ok(PeerListeners {
+        datagrams,
+        connections,
+    })
+}
+
 fn run_thread(
     parts: TrafficParts,
     report: &SyncSender<Result<()>>,
@@ -206,7 +243,8 @@
     system.block_on(async move {
         let drain_limit = Duration::from_secs(parts.agent.drain_limit_s.into());
         let drained = parts.drained.clone();
-        let (endpoint, context) = match prepare(parts).await {
+        let prepared = prepare(parts).await;
+        let (endpoint, context, listener) = match prepared {
             Ok(prepared) => prepared,
             Err(error) => {
                 let _ = report.send(Err(error));
@@ -215,6 +253,8 @@
         };
         let _ = report.send(Ok(()));
         ntex::rt::spawn(context.scheduler.clone().run_timer());
+        ntex::rt::spawn(context.pool.clone().keep_warm());
+        ntex::rt::spawn(serve::listen(context.clone(), listener));
         ntex::rt::spawn(health::probe(context.clone()));
         ntex::rt::spawn(follow_view(context.clone(), drain_limit, drained));
         tokio::select! {
@@ -228,7 +268,9 @@
     ended.set();
 }
 
-async fn prepare(parts: TrafficParts) -> Result<(Endpoint, Rc<TrafficContext>)> {
+async fn prepare(
+    parts: TrafficParts,
+) -> Result<(Endpoint, Rc<TrafficContext>, tokio::net::TcpListener)> {
     let agent = parts.agent;
     let server = quic::server_config(&agent)?;
     let io = tokio::net::UdpSocket::from_std(parts.socket).context("packet socket")?;
@@ -253,16 +295,28 @@
         .map_or_else(LimitSet::default, |service| service.limits.clone());
     let controller = DispatchController::new(agent.policy, agent.slots, limits);
     let once = OnceController::new(id_of(own), view.incarnation, OnceLimits::default());
-    let context = TrafficContext::new(
+    let datagrams =
+        tokio::net::UdpSocket::from_std(parts.peers.datagrams).context("peer socket")?;
+    let peers = PeerSocket::new(
+        datagrams,
+        id_of(own),
+        parts.shared.clone(),
+        parts.peer_counters.clone(),
+    );
+    let scheduler = RequestScheduler::new(controller, peers.clone());
+    ntex::rt::spawn(peers.run(scheduler.clone()));
+    let context = TrafficContext::new(ContextParts {
         own,
-        parts.shared,
-        parts.events,
-        RequestScheduler::new(controller),
+        shared: parts.shared,
+        events: parts.events,
+        scheduler,
         once,
-        UpstreamClient::new(agent.upstream).await?,
-        parts.flows,
-    );
-    Ok((endpoint, context))
+        upstream: UpstreamClient::new(agent.upstream).await?,
+        flows: parts.flows,
+        peer_counters: parts.peer_counters,
+    });
+    let listener = tokio::net::TcpListener::from_std(parts.peers.connections)?;
+    Ok((endpoint, context, listener))
 }
 
 async fn accept(endpoint: &Endpoint, context: &Rc<TrafficContext>) {
@@ -317,7 +371,7 @@
     emit(EventCode::AgentDraining, &[("endpoint", &context.own)]);
     context.scheduler.handle(DispatchEvent::DrainStarted);
     context.draining.send_replace(true);
-    while context.flows.load(Ordering::Relaxed) > 0 {
+    while context.flows.load(Ordering::Relaxed) > 0 || context.exchanges() > 0 {
         if Instant::now() >= end {
             let flows = context.flows.load(Ordering::Relaxed);
             let requests = context.scheduler.in_flight();
--- a/crates/agent/src/traffic/answer.rs
+++ b/crates/agent/src/traffic/answer.rs
@@ -2,10 +2,13 @@
 
 use super::headers;
 use super::transport::CallerSend;
+use crate::handover::PeerLink;
 use bytes::Bytes;
-use h3::error::{Code, StreamError};
+use h3::error::Code;
 use h3::server::RequestStream;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use quetzalhill_wire::handover::AnswerOutcome;
+use std::rc::Rc;
 
 /// Text of the outcome header for requests that were not run.
 const NOT_RUN: &str = "not-run";
@@ -16,37 +19,64 @@
 /// Seconds after which a caller may try again.
 const RETRY_AFTER_S: &str = "1";
 
-/// Sending half of a caller's request.
+/// The caller, or the peer that passed its request, is gone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct CallerGone;
+
+/// Whom an answer goes to.
+enum AnswerPath {
+    Caller(Box<RequestStream<CallerSend, Bytes>>),
+    Peer(Rc<PeerLink>),
+}
+
+/// Sending half of a request.
 ///
-/// QUIC ends a dropped stream as if it were complete, so that an answer that was cut short has to be reset.
+/// QUIC ends a dropped stream as if it were complete, so that an answer that was cut short has to be reset. A peer
+/// learns it from the end of the connection.
 pub(crate) struct AnswerWriter {
-    stream: RequestStream<CallerSend, Bytes>,
+    path: AnswerPath,
     complete: bool,
 }
 
 impl AnswerWriter {
-    /// Takes over the sending half of a request.
+    /// Takes over the sending half of a caller's request.
     pub(crate) fn new(stream: RequestStream<CallerSend, Bytes>) -> Self {
         Self {
-            stream,
+            path: AnswerPath::Caller(Box::new(stream)),
+            complete: false,
+        }
+    }
+
+    /// Answers a request that a peer passed.
+    pub(crate) fn to_peer(link: Rc<PeerLink>) -> Self {
+        Self {
+            path: AnswerPath::Peer(link),
             complete: false,
         }
     }
 
-    /// Sends status and header fields.
+    /// Sends status and header fields of an answer with this outcome.
     ///
     /// # Errors
     ///
     /// Returns an error if the caller is gone.
     pub(crate) async fn head(
         &mut self,
+        outcome: AnswerOutcome,
         status: StatusCode,
         fields: HeaderMap,
-    ) -> Result<(), StreamError> {
+    ) -> Result<(), CallerGone> {
+        let stream = match &mut self.path {
+            AnswerPath::Caller(stream) => stream,
+            AnswerPath::Peer(link) => {
+                let sent = link.head(outcome, status, &fields).await;
+                return sent.map_err(|_| CallerGone);
+            }
+        };
         let mut response = Response::new(());
         *response.status_mut() = status;
         *response.headers_mut() = fields;
-        self.stream.send_response(response).await
+        stream.send_response(response).await.map_err(|_| CallerGone)
     }
 
     /// Sends bytes of the body, as fast as the caller takes them.
@@ -54,8 +84,11 @@
     /// # Errors
     ///
     /// Returns an error if the caller is gone.
-    pub(crate) async fn data(&mut self, data: Bytes) -> Result<(), StreamError> {
-        self.stream.send_data(data).await
+    pub(crate) async fn data(&mut self, data: Bytes) -> Result<(), CallerGone> {
+        match &mut self.path {
+            AnswerPath::Caller(stream) => stream.send_data(data).await.map_err(|_| CallerGone),
+            AnswerPath::Peer(link) => link.data(data).await.map_err(|_| CallerGone),
+        }
     }
 
     /// Ends a complete answer.
@@ -63,21 +96,29 @@
     /// # Errors
     ///
     /// Returns an error if the caller is gone.
-    pub(crate) async fn finish(mut self) -> Result<(), StreamError> {
-        self.stream.finish().await?;
+    pub(crate) async fn finish(mut self) -> Result<(), CallerGone> {
+        match &mut self.path {
+            AnswerPath::Caller(stream) => stream.finish().await.map_err(|_| CallerGone)?,
+            AnswerPath::Peer(link) => link.end().await.map_err(|_| CallerGone)?,
+        }
         self.complete = true;
         Ok(())
     }
 
-    /// Rejects a request without an answer; it was not run.
-    pub(crate) fn reject(mut self) {
-        self.stream.stop_stream(Code::H3_REQUEST_REJECTED);
-        self.complete = true;
+    /// Sends a whole answer of the upstream; a caller that is gone needs none.
+    pub(crate) async fn whole(self, status: StatusCode, fields: HeaderMap, body: Bytes) {
+        self.send_whole(AnswerOutcome::Answered, status, fields, body)
+            .await;
     }
 
-    /// Sends a whole answer; a caller that is gone needs none.
-    pub(crate) async fn whole(mut self, status: StatusCode, fields: HeaderMap, body: Bytes) {
-        if self.head(status, fields).await.is_err() {
+    async fn send_whole(
+        mut self,
+        outcome: AnswerOutcome,
+        status: StatusCode,
+        fields: HeaderMap,
+        body: Bytes,
+    ) {
+        if self.head(outcome, status, fields).await.is_err() {
             return;
         }
         if !body.is_empty() && self.data(body).await.is_err() {
@@ -89,12 +130,14 @@
     /// Answers that the request was not run.
     pub(crate) async fn not_run(self, status: StatusCode, reason: &str) {
         let fields = [(headers::OUTCOME, NOT_RUN), ("retry-after", RETRY_AFTER_S)];
-        self.explain(status, &fields, reason).await;
+        self.explain(AnswerOutcome::NotRun, status, &fields, reason)
+            .await;
     }
 
     /// Answers that the request may have run.
     pub(crate) async fn unknown(self, status: StatusCode, reason: &str) {
-        self.explain(status, &[(headers::OUTCOME, UNKNOWN)], reason)
+        let fields = [(headers::OUTCOME, UNKNOWN)];
+        self.explain(AnswerOutcome::Unknown, status, &fields, reason)
             .await;
     }
 
@@ -102,11 +145,18 @@
     pub(crate) async fn session_needed(self, token: &str) {
         let fields = [(headers::OUTCOME, NOT_RUN), (headers::SESSION, token)];
         let reason = "send the request again with the session";
-        self.explain(StatusCode::PRECONDITION_REQUIRED, &fields, reason)
+        let status = StatusCode::PRECONDITION_REQUIRED;
+        self.explain(AnswerOutcome::NotRun, status, &fields, reason)
             .await;
     }
 
-    async fn explain(self, status: StatusCode, fields: &[(&'static str, &str)], reason: &str) {
+    async fn explain(
+        self,
+        outcome: AnswerOutcome,
+        status: StatusCode,
+        fields: &[(&'static str, &str)],
+        reason: &str,
+    ) {
         let mut map = HeaderMap::new();
         for (name, value) in fields {
             if let Ok(value) = HeaderValue::from_str(value) {
@@ -115,14 +165,17 @@
         }
         map.insert("content-type", HeaderValue::from_static("text/plain"));
         let body = Bytes::from(format!("{reason}\n"));
-        self.whole(status, map, body).await;
+        self.send_whole(outcome, status, map, body).await;
     }
 }
 
 impl Drop for AnswerWriter {
     fn drop(&mut self) {
-        if !self.complete {
-            self.stream.stop_stream(Code::H3_INTERNAL_ERROR);
+        if self.complete {
+            return;
+        }
+        if let AnswerPath::Caller(stream) = &mut self.path {
+            stream.stop_stream(Code::H3_INTERNAL_ERROR);
         }
     }
 }
--- a/crates/agent/src/traffic/connection.rs
+++ b/crates/agent/src/traffic/connection.rs
@@ -1,6 +1,7 @@
 //! One connection of a caller.
 
 use super::answer::AnswerWriter;
+use super::body::BodyReader;
 use super::context::TrafficContext;
 use super::request::{self, CallerRequest};
 use super::transport::{CallerTransport, WatchSlot};
@@ -20,6 +21,10 @@
 /// number; with 0 the frame would call a request that runs "not processed".
 const GOAWAY_ROOM: usize = 1;
 
+/// Time from GOAWAY, or from the last answer after it, to the end of a connection. A request that left the caller
+/// before it read GOAWAY arrives within a round trip.
+const GOAWAY_LINGER: Duration = Duration::from_millis(300);
+
 /// How long a caller may take to acknowledge the end of an answer.
 const ACKNOWLEDGE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -29,6 +34,7 @@
 #[derive(Default)]
 struct ActiveRequests {
     count: Cell<u32>,
+    begun: Cell<u64>,
     ended: Notify,
 }
 
@@ -37,6 +43,7 @@
 impl ActiveGuard {
     fn new(active: &Rc<ActiveRequests>) -> Self {
         active.count.set(active.count.get() + 1);
+        active.begun.set(active.begun.get() + 1);
         Self(active.clone())
     }
 }
@@ -80,37 +87,32 @@
         return;
     };
     let active = Rc::new(ActiveRequests::default());
-    if !accept_until_drain(&context, &mut server, &slot, &active, number).await {
-        return;
+    let mut draining = context.draining.subscribe();
+    tokio::select! {
+        () = accept_requests(&context, &mut server, &slot, &active, number) => return,
+        _ = draining.wait_for(|&draining| draining) => {}
     }
     if server.shutdown(GOAWAY_ROOM).await.is_err() {
         return;
     }
+    // Dispatch hands requests that the caller sent before it read GOAWAY to peers.
     tokio::select! {
-        () = reject_requests(&mut server) => {}
+        () = accept_requests(&context, &mut server, &slot, &active, number) => {}
         () = quiet(&active) => {}
     }
 }
 
-/// Accepts requests; returns true when the drain starts and false when the connection ends.
-async fn accept_until_drain(
+/// Accepts requests until the connection ends.
+async fn accept_requests(
     context: &Rc<TrafficContext>,
     server: &mut ServerConnection,
     slot: &WatchSlot,
     active: &Rc<ActiveRequests>,
     number: ServiceNumber,
-) -> bool {
-    let mut draining = context.draining.subscribe();
-    loop {
-        let accepted = tokio::select! {
-            accepted = server.accept() => accepted,
-            _ = draining.wait_for(|&draining| draining) => return true,
-        };
-        let Ok(Some(resolver)) = accepted else {
-            return false;
-        };
+) {
+    while let Ok(Some(resolver)) = server.accept().await {
         let Some(watch) = slot.take() else {
-            return false;
+            return;
         };
         let guard = ActiveGuard::new(active);
         let context = context.clone();
@@ -135,26 +137,24 @@
     let (writer, reader) = stream.split();
     Some(CallerRequest {
         head,
-        reader,
+        reader: BodyReader::Caller(reader),
         writer: AnswerWriter::new(writer),
         number,
         arrived: Instant::now(),
+        passed: false,
     })
 }
 
-/// Rejects what arrives after GOAWAY; the HTTP/3 library lets the first stream of that range through.
-async fn reject_requests(server: &mut ServerConnection) {
-    while let Ok(Some(resolver)) = server.accept().await {
-        let Some(request) = resolve(resolver, 0).await else {
-            continue;
-        };
-        request.writer.reject();
-    }
-}
-
-/// Waits until no request is active and the callers have acknowledged all answers.
+/// Waits until no request is active, the callers have acknowledged all answers, and none has followed for a while.
 async fn quiet(active: &ActiveRequests) {
-    while active.count.get() > 0 {
-        active.ended.notified().await;
+    loop {
+        while active.count.get() > 0 {
+            active.ended.notified().await;
+        }
+        let begun = active.begun.get();
+        tokio::time::sleep(GOAWAY_LINGER).await;
+        if active.begun.get() == begun {
+            return;
+        }
     }
 }
--- a/crates/agent/src/traffic/context.rs
+++ b/crates/agent/src/traffic/context.rs
@@ -1,9 +1,11 @@
 //! What all tasks of the traffic thread share.
 
+use super::counters::PeerCounters;
 use super::scheduler::RequestScheduler;
 use super::upstream::UpstreamClient;
+use crate::handover::pool::ConnectionPool;
 use crate::shared::{AgentView, SharedState, TrafficEvent};
-use quetzalhill_core::ids::{id_of, incarnation_bits, EndpointId, RequestId};
+use quetzalhill_core::ids::{id_of, incarnation_bits, EndpointId, RequestId, ServiceNumber};
 use quetzalhill_core::once::OnceController;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
@@ -12,6 +14,26 @@
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch, Notify};
 
+/// What [`TrafficContext`] is made of.
+pub(crate) struct ContextParts {
+    /// Packet socket of this agent.
+    pub(crate) own: SocketAddrV4,
+    /// What the control thread publishes.
+    pub(crate) shared: Arc<SharedState>,
+    /// Events for the control thread.
+    pub(crate) events: mpsc::Sender<TrafficEvent>,
+    /// Dispatch.
+    pub(crate) scheduler: Rc<RequestScheduler>,
+    /// Outcomes of keyed requests.
+    pub(crate) once: OnceController,
+    /// The upstream.
+    pub(crate) upstream: UpstreamClient,
+    /// Open flows.
+    pub(crate) flows: Arc<AtomicU32>,
+    /// What passes between this agent and its peers.
+    pub(crate) peer_counters: Arc<PeerCounters>,
+}
+
 /// Owners of the state of the traffic thread.
 pub(crate) struct TrafficContext {
     /// Packet socket of this agent.
@@ -30,6 +52,11 @@
     pub(crate) flows: Arc<AtomicU32>,
     /// Becomes true when the drain starts.
     pub(crate) draining: watch::Sender<bool>,
+    /// Connections to peers.
+    pub(crate) pool: Rc<ConnectionPool>,
+    /// What passes between this agent and its peers.
+    pub(crate) peer_counters: Arc<PeerCounters>,
+    exchanges: Cell<u32>,
     next_request: Cell<u64>,
     healthy: Cell<Option<bool>>,
     unhealthy: Notify,
@@ -37,24 +64,19 @@
 
 impl TrafficContext {
     /// Puts the owners together.
-    pub(crate) fn new(
-        own: SocketAddrV4,
-        shared: Arc<SharedState>,
-        events: mpsc::Sender<TrafficEvent>,
-        scheduler: Rc<RequestScheduler>,
-        once: OnceController,
-        upstream: UpstreamClient,
-        flows: Arc<AtomicU32>,
-    ) -> Rc<Self> {
+    pub(crate) fn new(parts: ContextParts) -> Rc<Self> {
         Rc::new(Self {
-            own,
-            shared,
-            events,
-            scheduler,
-            once: RefCell::new(once),
-            upstream,
-            flows,
+            own: parts.own,
+            pool: ConnectionPool::new(parts.shared.clone()),
+            shared: parts.shared,
+            events: parts.events,
+            scheduler: parts.scheduler,
+            once: RefCell::new(parts.once),
+            upstream: parts.upstream,
+            flows: parts.flows,
             draining: watch::Sender::new(false),
+            peer_counters: parts.peer_counters,
+            exchanges: Cell::new(0),
             next_request: Cell::new(0),
             healthy: Cell::new(None),
             unhealthy: Notify::new(),
@@ -66,6 +88,23 @@
         id_of(self.own)
     }
 
+    /// Returns the number of the service in the catalogue; 0 while it is unknown.
+    pub(crate) fn service_number(&self) -> ServiceNumber {
+        let view = self.shared.view.load();
+        view.service.as_ref().map_or(0, |service| service.number)
+    }
+
+    /// Returns how many requests of peers are in progress.
+    pub(crate) fn exchanges(&self) -> u32 {
+        self.exchanges.get()
+    }
+
+    /// Counts a request of a peer for as long as the guard lives.
+    pub(crate) fn exchange_guard(self: &Rc<Self>) -> ExchangeGuard {
+        self.exchanges.set(self.exchanges.get() + 1);
+        ExchangeGuard(self.clone())
+    }
+
     /// Returns the view in force.
     pub(crate) fn view(&self) -> Arc<AgentView> {
         self.shared.view.load_full()
@@ -103,3 +142,13 @@
         }
     }
 }
+
+/// Counts a request of a peer.
+pub(crate) struct ExchangeGuard(Rc<TrafficContext>);
+
+impl Drop for ExchangeGuard {
+    fn drop(&mut self) {
+        let exchanges = &self.0.exchanges;
+        exchanges.set(exchanges.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/traffic/relay.rs
@@ -0,0 +1,123 @@
+//! An answer on its way to the caller, of which a copy is kept for a keyed request.
+
+use super::answer::AnswerWriter;
+use super::once::OnceTicket;
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use quetzalhill_core::once::{OnceOutcome, StoredAnswer};
+use quetzalhill_wire::handover::AnswerOutcome;
+
+/// Most bytes of the body of an answer that is kept for copies of a keyed request.
+const STORED_BODY_MAX: usize = 16 * 1024;
+
+/// Passes an answer on, whoever gives it.
+pub(crate) struct AnswerRelay {
+    caller: Option<AnswerWriter>,
+    keyed: bool,
+    copy: Option<AnswerCopy>,
+    outcome: AnswerOutcome,
+}
+
+impl AnswerRelay {
+    /// Prepares the answer to a request; the answer to a keyed one is kept.
+    pub(crate) fn new(writer: AnswerWriter, keyed: bool) -> Self {
+        Self {
+            caller: Some(writer),
+            keyed,
+            copy: None,
+            outcome: AnswerOutcome::Answered,
+        }
+    }
+
+    /// Returns the way to the caller of an answer that has not begun.
+    pub(crate) fn into_writer(self) -> Option<AnswerWriter> {
+        self.caller
+    }
+
+    /// Passes status and header fields on.
+    pub(crate) async fn head(
+        &mut self,
+        outcome: AnswerOutcome,
+        status: StatusCode,
+        fields: HeaderMap,
+    ) {
+        self.outcome = outcome;
+        self.copy = self.keyed.then(|| AnswerCopy::new(status, &fields));
+        let Some(writer) = &mut self.caller else {
+            return;
+        };
+        if writer.head(outcome, status, fields).await.is_err() {
+            self.caller = None;
+        }
+    }
+
+    /// Passes bytes of the body on; returns false once neither the caller nor the copy wants more.
+    pub(crate) async fn data(&mut self, chunk: Bytes) -> bool {
+        if let Some(copy) = &mut self.copy {
+            copy.push(&chunk);
+        }
+        if let Some(writer) = &mut self.caller {
+            if writer.data(chunk).await.is_err() {
+                self.caller = None;
+            }
+        }
+        let wanted = self.copy.as_ref().is_some_and(|copy| !copy.large);
+        self.caller.is_some() || wanted
+    }
+
+    /// Ends a complete answer and records what became of a keyed request.
+    pub(crate) async fn finish(self, mut ticket: Option<OnceTicket>) {
+        if let Some(ticket) = &mut ticket {
+            ticket.set(match (self.outcome, self.copy) {
+                (AnswerOutcome::Answered, Some(copy)) => copy.outcome(),
+                (AnswerOutcome::NotRun, _) => OnceOutcome::NotRun,
+                (AnswerOutcome::Answered | AnswerOutcome::Unknown, _) => OnceOutcome::Lost,
+            });
+        }
+        drop(ticket);
+        if let Some(writer) = self.caller {
+            // A caller that is gone needs no end of its answer.
+            let _ = writer.finish().await;
+        }
+    }
+}
+
+/// Collects a small answer for copies of a keyed request.
+struct AnswerCopy {
+    answer: StoredAnswer,
+    large: bool,
+}
+
+impl AnswerCopy {
+    fn new(status: StatusCode, fields: &HeaderMap) -> Self {
+        let headers = fields
+            .iter()
+            .map(|(name, value)| (name.as_str().into(), value.as_bytes().into()))
+            .collect();
+        Self {
+            answer: StoredAnswer {
+                status: status.as_u16(),
+                headers,
+                body: Vec::new(),
+            },
+            large: false,
+        }
+    }
+
+    fn push(&mut self, chunk: &[u8]) {
+        if self.answer.body.len() + chunk.len() > STORED_BODY_MAX {
+            self.large = true;
+            self.answer.body = Vec::new();
+        }
+        if !self.large {
+            self.answer.body.extend_from_slice(chunk);
+        }
+    }
+
+    fn outcome(self) -> OnceOutcome {
+        match self.large {
+            true => OnceOutcome::AnsweredLarge,
+            false => OnceOutcome::Answered(self.answer),
+        }
+    }
+}
--- a/crates/agent/src/traffic/request.rs
+++ b/crates/agent/src/traffic/request.rs
@@ -1,36 +1,29 @@
 //! One request of a caller, from its head to the end of its answer.
 
 use super::answer::AnswerWriter;
+use super::body::{read_chunk, BodyReader, BodyStart};
 use super::context::TrafficContext;
 use super::headers;
+use super::once::OnceTicket;
+use super::run::{run_here, StartedRequest};
 use super::scheduler::{RunDecision, RunTicket};
 use super::transport::{StreamEnd, StreamWatch};
-use super::upstream::{read_chunk, BodyReader, BodyStart, UpstreamError};
-use crate::handover;
+use crate::handover::home::{self, ForeignRequest};
+use crate::handover::offer;
 use bytes::Bytes;
-use futures_util::StreamExt;
 use http::request::Parts;
-use http::{HeaderMap, Method, StatusCode};
-use ntex::client::ClientResponse;
-use ntex::http::error::PayloadError;
-use ntex::http::Payload;
+use http::{Method, StatusCode};
 use quetzalhill_core::dispatch::{RefusalReason, RequestMeta};
 use quetzalhill_core::ids::ServiceNumber;
-use quetzalhill_core::once::{OnceKey, OnceOutcome, StoredAnswer};
+use quetzalhill_core::once::{OnceOutcome, SessionToken};
 use quetzalhill_core::request::{
     self, InvalidReason, NotRunReason, RequestContext, RequestPlan, RequestVerdict,
 };
 use quetzalhill_wire::session;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::mpsc;
 
-/// Most bytes of the body of an answer that is kept for copies of a keyed request.
-const STORED_BODY_MAX: usize = 16 * 1024;
-
-/// An answer of unknown length that pauses for this long is a stream.
-const STREAM_PAUSE: Duration = Duration::from_secs(1);
-
 /// A request whose head has been read.
 pub(crate) struct CallerRequest {
     /// Method, path and header fields.
@@ -43,20 +36,8 @@
     pub(crate) number: ServiceNumber,
     /// When the head was read.
     pub(crate) arrived: Instant,
-}
-
-/// Reports the outcome of a keyed request, also when its task ends early.
-struct OnceTicket {
-    context: Rc<TrafficContext>,
-    key: OnceKey,
-    outcome: OnceOutcome,
-}
-
-impl Drop for OnceTicket {
-    fn drop(&mut self) {
-        let outcome = std::mem::replace(&mut self.outcome, OnceOutcome::NotRun);
-        self.context.once.borrow_mut().finish(&self.key, outcome);
-    }
+    /// Whether another agent passed the request to this one as its home.
+    pub(crate) passed: bool,
 }
 
 /// Serves a request; `watch` tells when the caller is gone.
@@ -74,16 +55,28 @@
             let pending = PendingRequest {
                 head: request.head,
                 reader: request.reader,
-                writer,
-                arrived: request.arrived,
+                writer: Some(writer),
             };
+            let arrived = request.arrived;
             if plan.once.is_some() {
                 // The outcome is worth having even if the caller is gone, because it may ask again.
-                dispatch(&context, plan, pending, Some(watch)).await;
+                dispatch(&context, plan, pending, arrived, Some(watch)).await;
                 return;
             }
             tokio::select! {
-                () = dispatch(&context, plan, pending, None) => {}
+                () = dispatch(&context, plan, pending, arrived, None) => {}
+                () = gone(watch) => {}
+            }
+        }
+        RequestVerdict::Home { token, deadline } => {
+            let pending = PendingRequest {
+                head: request.head,
+                reader: request.reader,
+                writer: Some(writer),
+            };
+            // The home agent finishes what it has begun, and keeps the outcome.
+            tokio::select! {
+                () = pass_home(&context, token, deadline, pending) => {}
                 () = gone(watch) => {}
             }
         }
@@ -138,6 +131,7 @@
         service: view.service.as_ref(),
         number: request.number,
         closing: false,
+        passed: request.passed,
         endpoint: context.endpoint(),
         in_flight: context.scheduler.in_flight(),
         once: &mut once,
@@ -145,66 +139,137 @@
     request::decide(&facts, &mut chain)
 }
 
-struct PendingRequest {
-    head: Parts,
-    reader: BodyReader,
-    writer: AnswerWriter,
-    arrived: Instant,
+/// What is needed of a request until it runs.
+pub(crate) struct PendingRequest {
+    /// Method, path and header fields.
+    pub(crate) head: Parts,
+    /// The rest of the body.
+    pub(crate) reader: BodyReader,
+    /// The way back; `None` while a peer answers.
+    pub(crate) writer: Option<AnswerWriter>,
+}
+
+/// A request that dispatch decides on.
+pub(crate) struct ActiveRequest {
+    /// What dispatch knows of it.
+    pub(crate) meta: RequestMeta,
+    /// Tells dispatch how the request ends.
+    pub(crate) run: RunTicket,
+    /// What dispatch decides.
+    pub(crate) decisions: mpsc::UnboundedReceiver<RunDecision>,
+    /// The request itself.
+    pub(crate) pending: PendingRequest,
+    /// Part of the body that was read already.
+    pub(crate) start: BodyStart,
+    /// Whether a part of the body was sent to a peer.
+    pub(crate) body_sent: bool,
+    /// Takes the outcome of a keyed request.
+    pub(crate) ticket: Option<OnceTicket>,
+}
+
+impl ActiveRequest {
+    /// Sets the outcome of a keyed request.
+    pub(crate) fn set_outcome(&mut self, outcome: OnceOutcome) {
+        if let Some(ticket) = &mut self.ticket {
+            ticket.set(outcome);
+        }
+    }
 }
 
 async fn dispatch(
     context: &Rc<TrafficContext>,
     plan: RequestPlan,
     mut pending: PendingRequest,
+    arrived: Instant,
     watch: Option<StreamWatch>,
 ) {
-    let mut ticket = plan.once.map(|key| OnceTicket {
-        context: context.clone(),
-        key,
-        outcome: OnceOutcome::NotRun,
-    });
-    let Some(mut start) = first_bytes(&mut pending, plan.deadline).await else {
+    let ticket = plan.once.map(|key| OnceTicket::new(context.clone(), key));
+    let Some(start) = first_bytes(&mut pending, plan.deadline).await else {
         return;
     };
+    let head = &pending.head;
     let meta = RequestMeta {
         id: context.next_request(),
         class: plan.class,
         owner: plan.owner,
-        arrived: pending.arrived,
+        arrived,
         deadline: plan.deadline,
+        work_key: request::work_key(head.method.as_str(), head.uri.path()),
     };
-    let (run, mut decisions) = context.scheduler.submit(meta);
-    let mut waited = wait_for_decision(&mut decisions, &mut pending, &mut start, &watch).await;
-    while let Some(RunDecision::HandOver(peer)) = waited {
-        let event = handover::offer(run.id(), peer, &pending.head).await;
-        run.offered(event);
-        waited = wait_for_decision(&mut decisions, &mut pending, &mut start, &watch).await;
-    }
-    match waited {
-        None | Some(RunDecision::HandOver(_)) => return,
-        Some(RunDecision::Refuse(reason)) => {
-            run.refused();
-            drop(ticket);
-            let text = refusal_text(reason);
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            pending.writer.not_run(status, text).await;
-            return;
+    let (run, decisions) = context.scheduler.submit(meta.clone());
+    let mut request = ActiveRequest {
+        meta,
+        run,
+        decisions,
+        pending,
+        start,
+        body_sent: false,
+        ticket,
+    };
+    while let Some(decision) = wait_for_decision(&mut request, &watch).await {
+        match decision {
+            RunDecision::Start => return start_here(context, request).await,
+            RunDecision::Refuse(reason) => return refuse(request, reason).await,
+            RunDecision::HandOver(peer) => {
+                let Some(returned) = offer::hand_over(context, peer, request).await else {
+                    return;
+                };
+                request = returned;
+            }
+            // The offer has ended meanwhile, and offers of peers are not decided here.
+            RunDecision::Withdraw | RunDecision::Accept | RunDecision::Reject => {}
         }
-        Some(RunDecision::Start) => {}
-    }
-    if let Some(ticket) = &mut ticket {
-        ticket.outcome = OnceOutcome::Lost;
     }
-    let sent = context
-        .upstream
-        .send(&pending.head, start, pending.reader, plan.deadline)
-        .await;
-    match sent {
-        Ok(response) => relay(context, run, response, pending.writer, ticket).await,
-        Err(error) => fail(context, run, error, pending.writer, ticket).await,
+}
+
+async fn start_here(context: &TrafficContext, request: ActiveRequest) {
+    let Some(writer) = request.pending.writer else {
+        return;
+    };
+    let started = StartedRequest {
+        run: request.run,
+        head: request.pending.head,
+        start: request.start,
+        reader: request.pending.reader,
+        writer,
+        deadline: request.meta.deadline,
+        ticket: request.ticket,
+    };
+    run_here(context, started).await;
+}
+
+async fn refuse(request: ActiveRequest, reason: RefusalReason) {
+    request.run.refused();
+    drop(request.ticket);
+    if let Some(writer) = request.pending.writer {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        writer.not_run(status, refusal_text(reason)).await;
     }
 }
 
+async fn pass_home(
+    context: &TrafficContext,
+    token: SessionToken,
+    deadline: Instant,
+    mut pending: PendingRequest,
+) {
+    let Some(start) = first_bytes(&mut pending, deadline).await else {
+        return;
+    };
+    let Some(writer) = pending.writer else {
+        return;
+    };
+    let request = ForeignRequest {
+        token,
+        head: pending.head,
+        start,
+        reader: pending.reader,
+        writer,
+        deadline,
+    };
+    home::pass(context, request).await;
+}
+
 /// Reads ahead where only the stream's end tells whether there is a body; `None` if the caller gave up.
 async fn first_bytes(pending: &mut PendingRequest, deadline: Instant) -> Option<BodyStart> {
     match headers::content_length(&pending.head.headers) {
@@ -223,9 +288,7 @@
 
 /// Waits for dispatch; `None` if the caller cancelled the request while it waited.
 async fn wait_for_decision(
-    decisions: &mut mpsc::UnboundedReceiver<RunDecision>,
-    pending: &mut PendingRequest,
-    start: &mut BodyStart,
+    request: &mut ActiveRequest,
     watch: &Option<StreamWatch>,
 ) -> Option<RunDecision> {
     let gone = async {
@@ -235,194 +298,25 @@
         }
     };
     tokio::pin!(gone);
-    while let BodyStart::Unread = start {
+    while let BodyStart::Unread = request.start {
         tokio::select! {
             biased;
-            decided = decisions.recv() => return decided,
+            decided = request.decisions.recv() => return decided,
             () = &mut gone => return None,
-            read = read_chunk(&mut pending.reader) => match read {
-                Ok(Some(chunk)) => *start = BodyStart::Chunk(chunk),
-                Ok(None) => *start = BodyStart::End,
+            read = read_chunk(&mut request.pending.reader) => match read {
+                Ok(Some(chunk)) => request.start = BodyStart::Chunk(chunk),
+                Ok(None) => request.start = BodyStart::End,
                 Err(_) => return None,
             },
         }
     }
     tokio::select! {
         biased;
-        decided = decisions.recv() => decided,
+        decided = request.decisions.recv() => decided,
         () = gone => None,
     }
 }
 
-/// Passes the upstream's answer on and keeps a copy for a keyed request.
-async fn relay(
-    context: &TrafficContext,
-    run: RunTicket,
-    response: ClientResponse,
-    writer: AnswerWriter,
-    mut ticket: Option<OnceTicket>,
-) {
-    context.report_health(true);
-    let status = StatusCode::from_u16(response.status().as_u16());
-    let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
-    let fields = headers::from_upstream(response.headers());
-    let mut slot = StreamSlot::new(run, &fields);
-    let mut copy = ticket.as_ref().map(|_| AnswerCopy::new(status, &fields));
-    let mut caller = Some(writer);
-    if let Some(writer) = &mut caller {
-        if writer.head(status, fields).await.is_err() {
-            caller = None;
-        }
-    }
-    let mut payload = response.take_payload();
-    while let Some(item) = next_chunk(&mut payload, &mut slot).await {
-        let Ok(chunk) = item else {
-            // The writer resets the stream when it is dropped, and the outcome of a keyed request stays unknown.
-            slot.finish(false);
-            return;
-        };
-        if let Some(copy) = &mut copy {
-            copy.push(&chunk);
-        }
-        if let Some(writer) = &mut caller {
-            if writer.data(Bytes::copy_from_slice(&chunk)).await.is_err() {
-                caller = None;
-            }
-        }
-        let wanted = copy.as_ref().is_some_and(|copy| !copy.large);
-        if caller.is_none() && !wanted {
-            break;
-        }
-    }
-    slot.finish(!status.is_server_error());
-    if let (Some(ticket), Some(copy)) = (&mut ticket, copy) {
-        ticket.outcome = copy.outcome();
-    }
-    drop(ticket);
-    if let Some(writer) = caller {
-        // A caller that is gone needs no end of its answer.
-        let _ = writer.finish().await;
-    }
-}
-
-/// The upstream's slot of an answer that is being passed on.
-///
-/// A stream lasts as long as a session, and its upstream works only when it sends. It gives its slot back, so that
-/// a few slots carry thousands of streams.
-struct StreamSlot {
-    run: Option<RunTicket>,
-    may_idle: bool,
-}
-
-impl StreamSlot {
-    fn new(run: RunTicket, fields: &HeaderMap) -> Self {
-        let mut slot = Self {
-            run: Some(run),
-            may_idle: headers::content_length(fields).is_none(),
-        };
-        if headers::is_event_stream(fields) {
-            slot.finish(true);
-        }
-        slot
-    }
-
-    fn finish(&mut self, ok: bool) {
-        if let Some(run) = self.run.take() {
-            run.finish(ok);
-        }
-    }
-}
-
-/// Returns the next bytes of an answer; gives the slot back when an answer of unknown length pauses.
-async fn next_chunk(
-    payload: &mut Payload,
-    slot: &mut StreamSlot,
-) -> Option<Result<ntex::util::Bytes, PayloadError>> {
-    if slot.run.is_some() && slot.may_idle {
-        match tokio::time::timeout(STREAM_PAUSE, payload.next()).await {
-            Ok(item) => return item,
-            Err(_) => slot.finish(true),
-        }
-    }
-    payload.next().await
-}
-
-async fn fail(
-    context: &TrafficContext,
-    run: RunTicket,
-    error: UpstreamError,
-    writer: AnswerWriter,
-    mut ticket: Option<OnceTicket>,
-) {
-    match error {
-        UpstreamError::CallerGone => {
-            run.finish(true);
-        }
-        UpstreamError::NotSent => {
-            context.report_health(false);
-            run.finish(false);
-            if let Some(ticket) = &mut ticket {
-                ticket.outcome = OnceOutcome::NotRun;
-            }
-            drop(ticket);
-            let text = "the upstream takes no connection";
-            writer.not_run(StatusCode::SERVICE_UNAVAILABLE, text).await;
-        }
-        UpstreamError::Lost => {
-            run.finish(false);
-            drop(ticket);
-            let text = "the upstream was lost while the request ran";
-            writer.unknown(StatusCode::BAD_GATEWAY, text).await;
-        }
-        UpstreamError::Deadline => {
-            run.finish(false);
-            drop(ticket);
-            let text = "the deadline passed while the request ran";
-            writer.unknown(StatusCode::GATEWAY_TIMEOUT, text).await;
-        }
-    }
-}
-
-/// Collects a small answer for copies of a keyed request.
-struct AnswerCopy {
-    answer: StoredAnswer,
-    large: bool,
-}
-
-impl AnswerCopy {
-    fn new(status: StatusCode, fields: &HeaderMap) -> Self {
-        let headers = fields
-            .iter()
-            .map(|(name, value)| (name.as_str().into(), value.as_bytes().into()))
-            .collect();
-        Self {
-            answer: StoredAnswer {
-                status: status.as_u16(),
-                headers,
-                body: Vec::new(),
-            },
-            large: false,
-        }
-    }
-
-    fn push(&mut self, chunk: &[u8]) {
-        if self.answer.body.len() + chunk.len() > STORED_BODY_MAX {
-            self.large = true;
-            self.answer.body = Vec::new();
-        }
-        if !self.large {
-            self.answer.body.extend_from_slice(chunk);
-        }
-    }
-
-    fn outcome(self) -> OnceOutcome {
-        match self.large {
-            true => OnceOutcome::AnsweredLarge,
-            false => OnceOutcome::Answered(self.answer),
-        }
-    }
-}
-
 fn not_run_text(reason: NotRunReason) -> &'static str {
     match reason {
         NotRunReason::Service => "the service is not served here",
--- a/crates/agent/src/traffic/scheduler.rs
+++ b/crates/agent/src/traffic/scheduler.rs
@@ -3,6 +3,7 @@
 //! The scheduler is the one owner of the [`DispatchController`]; requests tell it what happened and wait for what
 //! it decides.
 
+use crate::handover::control::PeerSocket;
 use quetzalhill_core::dispatch::{
     ActionList, DispatchAction, DispatchController, DispatchEvent, RefusalReason, RequestMeta,
 };
@@ -22,6 +23,12 @@
     Start,
     /// Offer it to a peer; another decision follows if the peer does not take it.
     HandOver(EndpointId),
+    /// Take back the offer to a peer.
+    Withdraw,
+    /// Tell the peer that offered it that it is taken.
+    Accept,
+    /// Tell the peer that offered it that it is not taken or given back.
+    Reject,
     /// Answer that it was not run.
     Refuse(RefusalReason),
 }
@@ -33,17 +40,19 @@
     waiting: RefCell<HashMap<RequestId, mpsc::UnboundedSender<RunDecision>>>,
     in_flight: Cell<u32>,
     timer: Notify,
+    peers: Rc<PeerSocket>,
 }
 
 impl RequestScheduler {
-    /// Takes over a controller.
-    pub(crate) fn new(controller: DispatchController) -> Rc<Self> {
+    /// Takes over a controller; `peers` carries its load reports and pulls.
+    pub(crate) fn new(controller: DispatchController, peers: Rc<PeerSocket>) -> Rc<Self> {
         Rc::new(Self {
             controller: RefCell::new(controller),
             rng: RefCell::new(SmallRng::from_os_rng()),
             waiting: RefCell::new(HashMap::new()),
             in_flight: Cell::new(0),
             timer: Notify::new(),
+            peers,
         })
     }
 
@@ -63,21 +72,43 @@
         self.timer.notify_one();
     }
 
-    /// Gives a request to dispatch; the ticket tells dispatch how the request ended.
+    /// Gives a caller's request to dispatch; the ticket tells dispatch how the request ended.
     pub(crate) fn submit(
         self: &Rc<Self>,
         meta: RequestMeta,
     ) -> (RunTicket, mpsc::UnboundedReceiver<RunDecision>) {
-        // Dispatch decides on a request once, and once more after each offer that a peer did not take.
+        let registered = self.register(meta.id);
+        self.handle(DispatchEvent::Arrived(meta));
+        registered
+    }
+
+    /// Gives a request that a peer offers to dispatch; `None` if the request is here already.
+    pub(crate) fn take_offer(
+        self: &Rc<Self>,
+        peer: EndpointId,
+        meta: RequestMeta,
+    ) -> Option<(RunTicket, mpsc::UnboundedReceiver<RunDecision>)> {
+        if self.waiting.borrow().contains_key(&meta.id) {
+            return None;
+        }
+        let registered = self.register(meta.id);
+        self.handle(DispatchEvent::Offered(peer, meta));
+        Some(registered)
+    }
+
+    fn register(
+        self: &Rc<Self>,
+        id: RequestId,
+    ) -> (RunTicket, mpsc::UnboundedReceiver<RunDecision>) {
+        // Dispatch decides on a request several times if peers do not take it.
         let (sender, receiver) = mpsc::unbounded_channel();
         let ticket = RunTicket {
             scheduler: self.clone(),
-            id: meta.id,
+            id,
             open: true,
         };
         self.in_flight.set(self.in_flight.get() + 1);
-        self.waiting.borrow_mut().insert(meta.id, sender);
-        self.handle(DispatchEvent::Arrived(meta));
+        self.waiting.borrow_mut().insert(id, sender);
         (ticket, receiver)
     }
 
@@ -105,11 +136,14 @@
                 DispatchAction::Start(id) => self.decide(id, RunDecision::Start),
                 DispatchAction::Refuse(id, reason) => self.decide(id, RunDecision::Refuse(reason)),
                 DispatchAction::HandOver(id, peer) => self.decide(id, RunDecision::HandOver(peer)),
-                // These speak to peers; the hand-over transport carries them out.
-                DispatchAction::AcceptOffer(_)
-                | DispatchAction::RejectOffer(_)
-                | DispatchAction::SendPull(_)
-                | DispatchAction::SendLoad(_) => {}
+                DispatchAction::WithdrawOffer(id, _) => self.decide(id, RunDecision::Withdraw),
+                DispatchAction::AcceptOffer(id) => self.decide(id, RunDecision::Accept),
+                DispatchAction::RejectOffer(id) => self.decide(id, RunDecision::Reject),
+                DispatchAction::SendPull(peer) => self.peers.send_pull(peer),
+                DispatchAction::SendLoad(report) => {
+                    let controller = self.controller.borrow();
+                    self.peers.send_load(report, controller.load_targets());
+                }
             }
         }
     }
--- a/crates/agent/src/traffic/upstream.rs
+++ b/crates/agent/src/traffic/upstream.rs
@@ -1,10 +1,8 @@
 //! Requests to the upstream over HTTP/1.1.
 
+use super::body::{read_chunk, BodyReader, BodyStart};
 use super::headers;
-use super::transport::CallerRecv;
-use bytes::{Buf, Bytes};
 use futures_util::{stream, Stream};
-use h3::server::RequestStream;
 use http::request::Parts;
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientResponse, Connector};
@@ -18,9 +16,6 @@
 /// Idle connections to the upstream are closed after this long.
 const IDLE_CONNECTION: Seconds = Seconds(5);
 
-/// Receiving half of a caller's request.
-pub(crate) type BodyReader = RequestStream<CallerRecv, Bytes>;
-
 /// Why the upstream gave no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum UpstreamError {
@@ -34,16 +29,6 @@
     CallerGone,
 }
 
-/// Part of a request body that was read while the request waited.
-pub(crate) enum BodyStart {
-    /// Nothing was read.
-    Unread,
-    /// The first bytes.
-    Chunk(Bytes),
-    /// The request has no body.
-    End,
-}
-
 /// Calls the upstream of this agent.
 pub(crate) struct UpstreamClient {
     address: SocketAddrV4,
@@ -207,16 +192,3 @@
         Some((item, relay))
     })
 }
-
-/// Reads the next bytes of a request body; `None` is its end.
-///
-/// # Errors
-///
-/// Returns an error if the caller reset the stream or the connection was lost.
-pub(crate) async fn read_chunk(reader: &mut BodyReader) -> std::io::Result<Option<Bytes>> {
-    let data = reader.recv_data().await.map_err(std::io::Error::other)?;
-    let Some(mut data) = data else {
-        return Ok(None);
-    };
-    Ok(Some(data.copy_to_bytes(data.remaining())))
-}
--- /dev/null
+++ b/crates/agent/tests/traffic/handover.rs
@@ -0,0 +1,241 @@
+//! Requests that run at another agent of the service.
+
+use crate::peer::{offer, FailingPeer, RawConnection};
+use crate::support::{block_on, ring, wait_for, TestCaller, TestSite, STEP};
+use bytes::Bytes;
+use h3::client::RequestStream;
+use quetzalhill_agent::traffic::counters::PeerCounters;
+use quetzalhill_core::catalogue::LimitSet;
+use quetzalhill_core::member::EndpointState;
+use quetzalhill_wire::handover::HandoverReply;
+use std::io::Write;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+type HeldRequest = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
+
+/// Starts two agents of a service that know each other; the first has one slot.
+fn two_sites() -> (TestSite, TestSite) {
+    let first = TestSite::start(1, LimitSet::default());
+    let second = TestSite::start(4, LimitSet::default());
+    first.set_peers(&[second.record()]);
+    second.set_peers(&[first.record()]);
+    (first, second)
+}
+
+/// Occupies the only slot of an agent until the returned stream is dropped or stopped.
+async fn hold(site: &TestSite, caller: &TestCaller) -> HeldRequest {
+    let request = http::Request::get("https://localhost/hold")
+        .body(())
+        .unwrap();
+    let mut stream = caller.requests.clone().send_request(request).await.unwrap();
+    stream.finish().await.unwrap();
+    wait_for(&site.log.requests, 1).await;
+    stream
+}
+
+fn counters(site: &TestSite) -> &PeerCounters {
+    site.traffic.peer_counters()
+}
+
+/// Guards against requests that wait at a busy agent while another one is idle, and against bodies that a hand-over
+/// changes.
+#[test]
+fn busy_agent_hands_over() {
+    let (busy, idle) = two_sites();
+    block_on(async {
+        let caller = busy.connect().await;
+        let held = hold(&busy, &caller).await;
+        assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
+        assert_eq!(caller.get("/large").await.unwrap().body.len(), 300_000);
+        let streamed = caller.get("/stream").await.unwrap();
+        assert_eq!(streamed.body, "one two three");
+        let length = [("content-length", "9")];
+        for headers in [&length[..], &[]] {
+            let answer = caller.send("POST", "/echo", headers, b"some text").await;
+            assert_eq!(answer.unwrap().body, "some text");
+        }
+        let body: &'static [u8] = Box::leak(vec![b'b'; 200_000].into_boxed_slice());
+        let length = [("content-length", "200000")];
+        let answer = caller.send("POST", "/echo", &length, body).await.unwrap();
+        assert_eq!(answer.body.as_bytes(), body);
+        drop(held);
+    });
+    assert_eq!(busy.log.requests.load(Ordering::SeqCst), 1);
+    assert_eq!(idle.log.requests.load(Ordering::SeqCst), 6);
+    assert_eq!(counters(&busy).handed_over.load(Ordering::SeqCst), 6);
+    assert_eq!(counters(&idle).taken.load(Ordering::SeqCst), 6);
+}
+
+/// Guards against a lost upstream of a peer that is told as "not run", or cut answers that look complete.
+#[test]
+fn failures_at_the_peer_reach_the_caller() {
+    let (busy, _idle) = two_sites();
+    block_on(async {
+        let caller = busy.connect().await;
+        let held = hold(&busy, &caller).await;
+        let answer = caller.send("POST", "/die", &[], b"").await.unwrap();
+        assert_eq!(answer.status.as_u16(), 502);
+        assert_eq!(answer.header("quetzalhill-outcome"), "unknown");
+        assert!(caller.get("/early").await.is_err());
+        drop(held);
+    });
+}
+
+/// Guards against a request that keeps running at a peer after its caller is gone.
+#[test]
+fn cancelled_request_ends_at_the_peer() {
+    let (busy, idle) = two_sites();
+    block_on(async {
+        let caller = busy.connect().await;
+        let held = hold(&busy, &caller).await;
+        let mut second = hold(&idle, &caller).await;
+        second.stop_sending(h3::error::Code::H3_REQUEST_CANCELLED);
+        wait_for(&idle.log.aborted, 1).await;
+        assert_eq!(busy.log.aborted.load(Ordering::SeqCst), 0);
+        drop(held);
+    });
+}
+
+/// Guards against telling "not run" or running again what a lost peer may have run, and against losing what is safe
+/// to run again.
+#[test]
+fn lost_peer_is_unknown_unless_safe() {
+    let site = TestSite::start(1, LimitSet::default());
+    let peer = FailingPeer::start(site.settings.agent.peer);
+    site.set_peers(std::slice::from_ref(&peer.record));
+    block_on(async {
+        let caller = site.connect().await;
+        let first = caller.send("POST", "/hello", &[("idempotency-key", "a")], b"");
+        let token = first.await.unwrap();
+        let token = token.header("quetzalhill-session");
+        let mut held = hold(&site, &caller).await;
+        let keyed = [("idempotency-key", "a"), ("quetzalhill-session", token)];
+        for number in [1, 1] {
+            let answer = caller.send("POST", "/hello", &keyed, b"").await.unwrap();
+            assert_eq!(answer.status.as_u16(), 502);
+            assert_eq!(answer.header("quetzalhill-outcome"), "unknown");
+            assert_eq!(peer.offers.load(Ordering::SeqCst), number);
+        }
+        assert_eq!(site.log.requests.load(Ordering::SeqCst), 1);
+        let free = async {
+            wait_for(&peer.offers, 2).await;
+            held.stop_sending(h3::error::Code::H3_REQUEST_CANCELLED);
+        };
+        let (answer, ()) = tokio::join!(caller.get("/hello"), free);
+        assert_eq!(answer.unwrap().body, "hello");
+    });
+    assert_eq!(site.log.requests.load(Ordering::SeqCst), 2);
+}
+
+/// Guards against a draining endpoint that still gives its upstream work, or refuses what a peer can run.
+#[test]
+fn draining_agent_hands_new_requests_over() {
+    let (leaving, staying) = two_sites();
+    block_on(async {
+        let caller = leaving.connect().await;
+        assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
+        // A request that left the caller before it read GOAWAY: the head is complete only after the drain began.
+        let (mut send, mut receive) = caller.connection.open_bi().await.unwrap();
+        let head = hello_head();
+        send.write_all(&head[..1]).await.unwrap();
+        wait_until(|| staying_reports(&leaving, &staying)).await;
+        leaving.set_state(EndpointState::Draining);
+        // The client refuses requests once it has read GOAWAY.
+        let end = Instant::now() + STEP;
+        while caller.get("/hello").await.is_ok() {
+            assert!(Instant::now() < end, "no GOAWAY arrives");
+        }
+        let before = leaving.log.requests.load(Ordering::SeqCst);
+        send.write_all(&head[1..]).await.unwrap();
+        send.finish().unwrap();
+        let answer = tokio::time::timeout(STEP, receive.read_to_end(1_000)).await;
+        let answer = answer.unwrap().unwrap();
+        assert!(answer.ends_with(b"hello"), "{answer:?}");
+        assert_eq!(leaving.log.requests.load(Ordering::SeqCst), before);
+    });
+    assert!(staying.log.requests.load(Ordering::SeqCst) >= 1);
+}
+
+/// Returns whether the agents have exchanged load reports, so that dispatch knows a free peer.
+fn staying_reports(leaving: &TestSite, staying: &TestSite) -> bool {
+    let heard = |site: &TestSite| counters(site).reports.load(Ordering::SeqCst) > 0;
+    heard(leaving) && heard(staying)
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let end = Instant::now() + STEP;
+    while !condition() {
+        assert!(Instant::now() < end, "not reached in time");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Returns a HEADERS frame for `GET https://localhost/hello`, encoded with the static table of QPACK only.
+fn hello_head() -> Vec<u8> {
+    let mut block = vec![0, 0, 0xd1, 0xd7, 0x50, 9];
+    block.extend_from_slice(b"localhost");
+    block.extend_from_slice(&[0x51, 6]);
+    block.extend_from_slice(b"/hello");
+    let mut frame = vec![1, u8::try_from(block.len()).unwrap()];
+    frame.extend_from_slice(&block);
+    frame
+}
+
+/// Guards against requests from strangers, changed frames and frames that are sent twice.
+#[test]
+fn invalid_and_repeated_frames_run_nothing() {
+    let site = TestSite::start(4, LimitSet::default());
+    let address = site.settings.agent.peer;
+    let record = site.record();
+    let mut strange = RawConnection::connect(address, &ring(1)).unwrap();
+    let mut frame = strange.sealer.encode(&offer(1, &record, "/hello")).unwrap();
+    let last = frame.len() - 1;
+    frame[last] ^= 1;
+    strange.stream.write_all(&frame).unwrap();
+    strange.wait_closed();
+    let mut valid = RawConnection::connect(address, &ring(1)).unwrap();
+    let frame = valid.sealer.encode(&offer(1, &record, "/hello")).unwrap();
+    valid.stream.write_all(&frame).unwrap();
+    assert_eq!(valid.body(), b"hello");
+    let mut other = RawConnection::connect(address, &ring(1)).unwrap();
+    other.stream.write_all(&frame).unwrap();
+    other.wait_closed();
+    valid.stream.write_all(&frame).unwrap();
+    valid.wait_closed();
+    assert_eq!(site.log.requests.load(Ordering::SeqCst), 1);
+    assert_eq!(counters(&site).bad_frames.load(Ordering::SeqCst), 3);
+}
+
+/// Guards against running what was meant for another agent, an earlier life or another service.
+#[test]
+fn offer_for_another_endpoint_is_rejected() {
+    let site = TestSite::start(4, LimitSet::default());
+    let own = site.record();
+    let mut other = own.clone();
+    other.id += 1;
+    let mut earlier = own.clone();
+    earlier.incarnation -= 1;
+    let mut connection = RawConnection::connect(own.peer, &ring(1)).unwrap();
+    for target in [&other, &earlier] {
+        connection.send(&offer(1, target, "/hello"));
+        let reply: HandoverReply = connection.next().unwrap();
+        assert_eq!(reply, HandoverReply::Reject);
+    }
+    connection.send(&offer(1, &own, "/hello"));
+    assert_eq!(connection.body(), b"hello");
+    assert_eq!(site.log.requests.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against a peer that fails and leaves its request running at the upstream.
+#[test]
+fn lost_peer_cancels_its_request() {
+    let site = TestSite::start(4, LimitSet::default());
+    let mut connection = RawConnection::connect(site.settings.agent.peer, &ring(1)).unwrap();
+    connection.send(&offer(1, &site.record(), "/hold"));
+    block_on(async {
+        wait_for(&site.log.requests, 1).await;
+        drop(connection);
+        wait_for(&site.log.aborted, 1).await;
+    });
+}
--- a/crates/agent/tests/traffic/main.rs
+++ b/crates/agent/tests/traffic/main.rs
@@ -3,7 +3,10 @@
 mod answers;
 mod drain;
 mod entry;
+mod handover;
+mod home;
 mod once;
 mod packets;
+mod peer;
 mod support;
 mod upstream;
--- a/crates/agent/tests/traffic/support.rs
+++ b/crates/agent/tests/traffic/support.rs
@@ -9,7 +9,7 @@
 use quetzalhill_agent::traffic::{self, TrafficHandle};
 use quetzalhill_core::catalogue::{LimitSet, ServiceEntry, TrafficClass};
 use quetzalhill_core::ids::{id_of, IncarnationNumber};
-use quetzalhill_core::member::{EndpointState, EntryRecord};
+use quetzalhill_core::member::{EndpointRecord, EndpointState, EntryRecord};
 use quetzalhill_node::settings::{LogSettings, NodeSettings};
 use quetzalhill_wire::cid::CidContent;
 use quetzalhill_wire::key::{ControlKey, KeyRing, TAG_BYTES};
@@ -17,12 +17,12 @@
 use quinn::crypto::rustls::QuicClientConfig;
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::CertificateDer;
-use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU32, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub(crate) const SERVICE: u32 = 7;
 pub(crate) const LIFE: IncarnationNumber = 3;
@@ -41,11 +41,16 @@
     address
 }
 
+/// Returns an address for UDP and TCP that nothing else on the machine takes.
+///
+/// Ports that the kernel gives to outgoing connections are on 127.0.0.1, so that they are out of the way.
 pub(crate) fn free_port() -> SocketAddrV4 {
-    v4(UdpSocket::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap())
+    static NEXT: AtomicU16 = AtomicU16::new(20_000);
+    let pid = std::process::id();
+    // CAST: The masks leave at most eight bits.
+    let (high, low) = (((pid >> 8) & 0x3f) as u8, (pid & 0xff) as u8);
+    let ip = Ipv4Addr::new(127, 128 + high, low, 1);
+    SocketAddrV4::new(ip, NEXT.fetch_add(1, Ordering::SeqCst))
 }
 
 pub(crate) fn service(limits: LimitSet) -> ServiceEntry {
@@ -181,6 +186,30 @@
     }
 }
 
+/// Returns the record of a ready endpoint.
+pub(crate) fn record(packets: SocketAddrV4, peer: SocketAddrV4) -> EndpointRecord {
+    EndpointRecord {
+        id: id_of(packets),
+        incarnation: LIFE,
+        sequence: 1,
+        service: "feed".into(),
+        number: SERVICE,
+        zone: "a".into(),
+        peer,
+        state: EndpointState::Ready,
+        slots: 4,
+    }
+}
+
+/// Waits until a counter has reached a number.
+pub(crate) async fn wait_for(counter: &AtomicU32, number: u32) {
+    let end = Instant::now() + STEP;
+    while counter.load(Ordering::SeqCst) < number {
+        assert!(Instant::now() < end, "the number is not reached");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// One agent with its upstream and entry.
 pub(crate) struct TestSite {
     pub(crate) entry: FakeEntry,
@@ -218,7 +247,10 @@
                 service: "feed".into(),
                 packets,
                 peer: free_port(),
+                advertise_peer: None,
                 upstream,
+                health_path: "/health".into(),
+                health_interval_ms: 1_000,
                 slots,
                 entries: vec![free_port()],
                 certificate,
@@ -236,6 +268,7 @@
             revision: 1,
             service: Some(service(limits)),
             peers: Vec::new(),
+            other_peers: Vec::new(),
             entries: vec![entry.record()],
         });
         let (sender, events) = tokio::sync::mpsc::channel(16);
@@ -278,6 +311,29 @@
         self.shared.publish(view);
     }
 
+    /// Returns what the agent announces of itself.
+    pub(crate) fn record(&self) -> EndpointRecord {
+        let view = self.shared.view.load();
+        EndpointRecord {
+            incarnation: view.incarnation,
+            state: view.state,
+            slots: self.settings.agent.slots,
+            ..record(self.settings.agent.packets, self.settings.agent.peer)
+        }
+    }
+
+    /// Tells the agent of its peers.
+    pub(crate) fn set_peers(&self, peers: &[EndpointRecord]) {
+        let ready = |peer: &EndpointRecord| peer.state == EndpointState::Ready;
+        let (peers, other_peers) = peers.iter().cloned().partition(ready);
+        let view = AgentView {
+            peers,
+            other_peers,
+            ..AgentView::clone(&self.shared.view.load())
+        };
+        self.shared.publish(view);
+    }
+
     /// Connects an HTTP/3 client through the entry.
     pub(crate) async fn connect(&self) -> TestCaller {
         let certificate = &self.settings.agent.certificate;
--- a/crates/core/src/member/announce.rs
+++ b/crates/core/src/member/announce.rs
@@ -111,6 +111,17 @@
         self.peers.values().filter(ready).cloned().collect()
     }
 
+    /// Returns the other endpoints of the service that start or drain.
+    pub fn other_peers(&self) -> Vec<EndpointRecord> {
+        let other = |peer: &&EndpointRecord| {
+            matches!(
+                peer.state,
+                EndpointState::Starting | EndpointState::Draining
+            )
+        };
+        self.peers.values().filter(other).cloned().collect()
+    }
+
     /// Returns the entries that are believed to be alive.
     pub fn live_entries(&self, now: Instant) -> Vec<EntryRecord> {
         let alive = self.contacts.values().filter(|contact| contact.alive(now));
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -55,6 +55,8 @@
     pub number: ServiceNumber,
     /// Whether the connection's requests are no longer accepted.
     pub closing: bool,
+    /// Whether another agent passed the request, because it takes this endpoint for the issuer of the token.
+    pub passed: bool,
     /// Identity of this endpoint.
     pub endpoint: EndpointId,
     /// Requests that run or wait.
@@ -111,6 +113,13 @@
     InProgress,
     /// Answer with what the first copy got.
     Repeat(StoredAnswer),
+    /// Pass the request to the endpoint that issued its token; that endpoint decides whether it runs.
+    Home {
+        /// The token.
+        token: SessionToken,
+        /// When the answer's head is of no use any more.
+        deadline: Instant,
+    },
     /// The outcome is unknown.
     Unknown(UnknownReason),
 }
@@ -145,6 +154,11 @@
     RequestFilter::Key,
 ];
 
+/// Returns what tells short from long work: a hash of method and path, without the query.
+pub fn work_key(method: &str, path: &str) -> u64 {
+    xxh3_64(format!("{method} {path}").as_bytes())
+}
+
 enum FilterOutcome {
     Continue,
     Final(RequestVerdict),
@@ -164,7 +178,7 @@
             RequestFilter::Drain => check_drain(context),
             RequestFilter::Deadline => set_deadline(facts, &mut plan, context),
             RequestFilter::Class => set_class(facts, &mut plan, context),
-            RequestFilter::Session => check_session(facts, context),
+            RequestFilter::Session => check_session(facts, &plan, context),
             RequestFilter::Limits => check_limits(facts, context),
             RequestFilter::Key => check_key(facts, &mut plan, context),
         };
@@ -240,7 +254,11 @@
     FilterOutcome::Continue
 }
 
-fn check_session(facts: &RequestFacts, context: &RequestContext<'_>) -> FilterOutcome {
+fn check_session(
+    facts: &RequestFacts,
+    plan: &RequestPlan,
+    context: &RequestContext<'_>,
+) -> FilterOutcome {
     let Some(key) = &facts.key else {
         return FilterOutcome::Continue;
     };
@@ -252,6 +270,11 @@
         SessionFact::Unreadable => RequestVerdict::Unknown(UnknownReason::Unreadable),
         SessionFact::Token(token) => match context.once.check(token, facts.wall) {
             Ok(()) => return FilterOutcome::Continue,
+            // A second agent never passes a request on, so that two views that differ make no loop.
+            Err(UnknownReason::OtherEndpoint) if !context.passed => RequestVerdict::Home {
+                token: *token,
+                deadline: plan.deadline,
+            },
             Err(reason) => RequestVerdict::Unknown(reason),
         },
     };
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -2,7 +2,7 @@
 
 use quetzalhill_core::catalogue::{LimitSet, PathClass, ServiceEntry, TrafficClass};
 use quetzalhill_core::dispatch::RefusalReason;
-use quetzalhill_core::once::{OnceController, OnceLimits};
+use quetzalhill_core::once::{OnceController, OnceLimits, SessionToken, UnknownReason};
 use quetzalhill_core::request::{
     decide, InvalidReason, NotRunReason, RequestContext, RequestFacts, RequestVerdict, SessionFact,
 };
@@ -51,12 +51,14 @@
     number: u32,
     in_flight: u32,
     closing: bool,
+    passed: bool,
 }
 
 const NO_CHANGE: Change = Change {
     number: 7,
     in_flight: 0,
     closing: false,
+    passed: false,
 };
 
 fn judge(facts: &RequestFacts, change: &Change) -> RequestVerdict {
@@ -66,6 +68,7 @@
         service: Some(&service),
         number: change.number,
         closing: change.closing,
+        passed: change.passed,
         endpoint: 1,
         in_flight: change.in_flight,
         once: &mut once,
@@ -159,3 +162,30 @@
         RequestVerdict::SessionNeeded(_)
     ));
 }
+
+/// Guards against a keyed request that runs at an endpoint which did not issue its token, and against one that two
+/// agents pass to each other without end.
+#[test]
+fn foreign_token_leads_home_once() {
+    let token = SessionToken {
+        issuer: 2,
+        incarnation: 1,
+        expires: SystemTime::now() + Duration::from_secs(60),
+    };
+    let facts = RequestFacts {
+        key: Some("k".into()),
+        session: SessionFact::Token(token),
+        ..facts("/")
+    };
+    let home = RequestVerdict::Home {
+        token,
+        deadline: facts.arrived + Duration::from_millis(100),
+    };
+    assert_eq!(judge(&facts, &NO_CHANGE), home);
+    let passed = Change {
+        passed: true,
+        ..NO_CHANGE
+    };
+    let unknown = RequestVerdict::Unknown(UnknownReason::OtherEndpoint);
+    assert_eq!(judge(&facts, &passed), unknown);
+}
--- a/crates/standins/src/testbed.rs
+++ b/crates/standins/src/testbed.rs
@@ -267,7 +267,10 @@
                 service: service.into(),
                 packets: self.address(PORT_PACKETS + number),
                 peer: self.address(PORT_PEER + number),
+                advertise_peer: None,
                 upstream: upstream.address(),
+                health_path: "/health".into(),
+                health_interval_ms: 1_000,
                 slots,
                 entries: self
                     .live_entries()
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -186,6 +186,18 @@
     }
 }
 
+impl<R> FrameReader<R> {
+    /// Returns the stream from which the frames are read.
+    pub fn stream(&self) -> &R {
+        &self.stream
+    }
+
+    /// Returns whether bytes of a frame have been received that no message was made of.
+    pub fn is_buffering(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+}
+
 /// Sends the frames of one direction.
 #[derive(Debug)]
 pub struct FrameWriter<W> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod fetch;
 pub mod frame;
+pub mod handover;
 pub mod key;
 pub mod packet;
 pub mod quic;
--- /dev/null
+++ b/crates/wire/tests/frame.rs
@@ -0,0 +1,149 @@
+//! Frames and the messages of the hand-over against valid, changed, repeated and random input.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use quetzalhill_core::catalogue::TrafficClass;
+use quetzalhill_wire::frame::{FrameError, FrameSeal, FrameSide, FRAME_MAX};
+use quetzalhill_wire::handover::{
+    AnswerOutcome, HandoverReply, HandoverRequest, HandoverTarget, RequestBody, RequestHead,
+    RequestOffer,
+};
+use quetzalhill_wire::key::ControlKey;
+
+/// Returns the seal with which the client makes frames, and the one with which the server checks them.
+fn pair(client: u8, server: u8) -> (FrameSeal, FrameSeal) {
+    let seal = || {
+        let key = ControlKey::new(1, &[1; 32]);
+        FrameSeal::new(key, [client; 16], [server; 16], FrameSide::Client)
+    };
+    (seal(), seal())
+}
+
+fn open(opener: &mut FrameSeal, frame: &[u8]) -> Result<HandoverRequest, FrameError> {
+    let opened = opener.decode(frame)?;
+    let (message, end) = opened.expect("a whole frame");
+    assert_eq!(end, frame.len());
+    Ok(message)
+}
+
+fn bytes() -> impl Strategy<Value = Bytes> {
+    proptest::collection::vec(any::<u8>(), 0..200).prop_map(Bytes::from)
+}
+
+fn head() -> impl Strategy<Value = RequestHead> {
+    let fields = proptest::collection::vec(("[a-z-]{1,12}", bytes()), 0..4);
+    ("[A-Z]{3,7}", "/[a-z/]{0,20}", any::<Option<bool>>(), fields).prop_map(
+        |(method, path, authority, fields)| RequestHead {
+            method,
+            path,
+            authority: authority.map(|_| "localhost".into()),
+            fields,
+        },
+    )
+}
+
+fn request() -> impl Strategy<Value = HandoverRequest> {
+    let offer = (head(), any::<u128>(), any::<[u64; 6]>(), bytes()).prop_map(
+        |(head, id, numbers, body)| {
+            HandoverRequest::Offer(Box::new(RequestOffer {
+                target: HandoverTarget {
+                    from: numbers[0],
+                    to: numbers[1],
+                    incarnation: numbers[2],
+                    service: 7,
+                },
+                id,
+                class: TrafficClass::Bulk,
+                owner: "owner".into(),
+                work_key: numbers[3],
+                age_us: numbers[4],
+                left_us: numbers[5],
+                head,
+                body: RequestBody::Whole(body),
+            }))
+        },
+    );
+    prop_oneof![
+        offer,
+        bytes().prop_map(HandoverRequest::Body),
+        Just(HandoverRequest::BodyEnd),
+        Just(HandoverRequest::Cancel),
+    ]
+}
+
+proptest! {
+    /// Guards against a message that changes on its way.
+    #[test]
+    fn messages_round_trip(messages in proptest::collection::vec(request(), 1..6)) {
+        let (mut sealer, mut opener) = pair(1, 2);
+        for message in messages {
+            let frame = sealer.encode(&message).expect("fits");
+            for end in [0, 3, frame.len() - 1] {
+                let part = opener.decode::<HandoverRequest>(&frame[..end]);
+                prop_assert!(matches!(part, Ok(None)));
+            }
+            prop_assert_eq!(open(&mut opener, &frame).expect("valid"), message);
+        }
+    }
+
+    /// Guards against accepting a frame that was changed on its way.
+    #[test]
+    fn changed_frame_is_refused(message in request(), at in any::<prop::sample::Index>(), bit in 0..8_u32) {
+        let (mut sealer, mut opener) = pair(1, 2);
+        let mut frame = sealer.encode(&message).expect("fits");
+        // The first four bytes are the length; a changed one makes the frame incomplete or too long.
+        let index = 4 + at.index(frame.len() - 4);
+        frame[index] ^= 1 << bit;
+        prop_assert!(matches!(open(&mut opener, &frame), Err(FrameError::Tag)));
+    }
+
+    /// Guards against a panic or an accepted frame on input from strangers.
+    #[test]
+    fn random_frame_is_refused(frame in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let (_, mut opener) = pair(1, 2);
+        let opened = opener.decode::<HandoverRequest>(&frame);
+        prop_assert!(matches!(opened, Ok(None) | Err(_)));
+        let _ = postcard::from_bytes::<HandoverRequest>(&frame);
+        let _ = postcard::from_bytes::<HandoverReply>(&frame);
+    }
+}
+
+fn is_refused(opener: &mut FrameSeal, frame: &[u8]) -> bool {
+    matches!(open(opener, frame), Err(FrameError::Tag))
+}
+
+/// Guards against a frame that is accepted twice, out of order, on another connection or in the other direction.
+#[test]
+fn repeated_frame_is_refused() {
+    let (mut sealer, mut opener) = pair(1, 2);
+    let first = sealer.encode(&HandoverRequest::BodyEnd).expect("fits");
+    let second = sealer.encode(&HandoverRequest::BodyEnd).expect("fits");
+    assert!(open(&mut opener, &first).is_ok());
+    assert!(is_refused(&mut opener, &first));
+    assert!(is_refused(&mut pair(1, 2).1, &second));
+    assert!(is_refused(&mut pair(1, 3).1, &first));
+    assert!(is_refused(&mut pair(3, 2).1, &first));
+    let key = ControlKey::new(1, &[1; 32]);
+    let mut back = FrameSeal::new(key, [1; 16], [2; 16], FrameSide::Server);
+    assert!(is_refused(&mut back, &first));
+    let other = ControlKey::new(1, &[2; 32]);
+    let mut other = FrameSeal::new(other, [1; 16], [2; 16], FrameSide::Client);
+    assert!(is_refused(&mut other, &first));
+}
+
+/// Guards against lengths that make a process reserve memory for strangers.
+#[test]
+fn impossible_length_is_refused() {
+    for length in [FRAME_MAX + 1, 0xffff_ffff] {
+        let prefix = u32::try_from(length).expect("32 bits").to_le_bytes();
+        let opened = pair(1, 2).1.decode::<HandoverRequest>(&prefix);
+        assert!(matches!(opened, Err(FrameError::Long)));
+    }
+    let reply = HandoverReply::Head {
+        outcome: AnswerOutcome::Answered,
+        status: 200,
+        fields: vec![("a".into(), Bytes::from(vec![0; FRAME_MAX]))],
+    };
+    let made = pair(1, 2).0.encode(&reply);
+    assert!(matches!(made, Err(FrameError::Long)));
+}
