Share addresses and settings of testbeds

Cause: a testbed whose nodes are processes needs the same ports, files and settings as the one with threads. Conclusion: no behaviour changes.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod delay;
 pub mod deployment;
 pub mod fabric;
+pub mod layout;
 pub mod link;
 pub mod node;
 pub mod payload;
--- a/crates/standins/src/testbed.rs
+++ b/crates/standins/src/testbed.rs
@@ -1,47 +1,27 @@
 //! A whole deployment on loopback: store, fabric, entries, agents and upstreams as threads of one process.
 
-use crate::certificate::{write_certificate, write_key, TestCertificate};
+use crate::certificate::TestCertificate;
 use crate::deployment::DeploymentPlan;
 use crate::fabric::{FabricRules, FabricStandin};
+use crate::layout::{AgentSite, BedLayout};
 use crate::store::StoreStandin;
 use crate::upstream::UpstreamStandin;
 use anyhow::{bail, Context, Result};
 use quetzalhill::run::EntryHandle;
-use quetzalhill::settings::{EntrySection, EntrySettings, ListenSettings, StoreSection};
+use quetzalhill::settings::EntrySettings;
 use quetzalhill_agent::run::AgentHandle;
-use quetzalhill_agent::settings::{AgentSection, AgentSettings};
+use quetzalhill_agent::settings::AgentSettings;
 use quetzalhill_core::catalogue::CatalogueSnapshot;
 use quetzalhill_core::dispatch::DispatchPolicy;
 use quetzalhill_core::ids::ServiceName;
 use quetzalhill_core::member::EndpointState;
-use quetzalhill_node::settings::{LogSettings, NodeSettings};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::PathBuf;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
-const PORT_FABRIC: u16 = 4433;
-const PORT_LISTEN: u16 = 10_000;
-const PORT_ENTRY_CONTROL: u16 = 11_000;
-const PORT_ENTRY_DATA: u16 = 12_000;
-const PORT_ENTRY_ADMIN: u16 = 13_000;
-const PORT_PACKETS: u16 = 20_000;
-const PORT_PEER: u16 = 21_000;
-const PORT_AGENT_CONTROL: u16 = 22_000;
-const PORT_AGENT_ADMIN: u16 = 23_000;
-const PORT_UPSTREAM: u16 = 24_000;
-const PORT_STORE: u16 = 2379;
-
 /// How long a condition may take to become true.
 const READY_LIMIT: Duration = Duration::from_secs(15);
 
-/// Listeners that one entry may have.
-const LISTENERS_MAX: u16 = 10;
-
-/// Testbeds of this process so far; each uses an IP address of its own.
-static NEXT_BED: AtomicU8 = AtomicU8::new(1);
-
 /// One endpoint of the testbed.
 pub struct TestEndpoint {
     /// Service it belongs to.
@@ -80,9 +60,7 @@
     pub catalogue: CatalogueSnapshot,
     /// What callers trust.
     pub certificate: TestCertificate,
-    folder: PathBuf,
-    key: String,
-    policy: DispatchPolicy,
+    layout: BedLayout,
 }
 
 impl Testbed {
@@ -92,13 +70,9 @@
     ///
     /// Returns an error if something cannot start or is not ready within 15 seconds.
     pub fn start(plan: DeploymentPlan, policy: DispatchPolicy, seed: u64) -> Result<Self> {
-        let ip = next_ip();
-        let folder = std::env::temp_dir().join(format!("quetzalhill-{ip}"));
-        std::fs::create_dir_all(&folder)?;
-        let certificate = write_certificate(&folder)?;
-        let key = write_key(&folder, 1)?;
-        let store = StoreStandin::start(SocketAddrV4::new(ip, PORT_STORE).into())?;
-        let mut catalogue = plan.catalogue(|index| service_address(ip, index));
+        let layout = BedLayout::new(plan.clone(), policy)?;
+        let store = StoreStandin::start(layout.store().into())?;
+        let mut catalogue = plan.catalogue(|index| layout.service_address(index));
         catalogue.revision = 1;
         // CAST: A deployment has a handful of services.
         for (index, entry) in catalogue.services.values_mut().enumerate() {
@@ -108,14 +82,12 @@
             plan,
             store,
             catalogue,
-            ip,
+            ip: layout.ip,
             fabrics: Vec::new(),
             entries: Vec::new(),
             endpoints: Vec::new(),
-            certificate,
-            folder,
-            key,
-            policy,
+            certificate: layout.certificate.clone(),
+            layout,
         };
         for _ in 0..bed.plan.entries {
             bed.add_entry()?;
@@ -128,15 +100,7 @@
     /// Returns the address of a service at the fabric.
     pub fn address_of(&self, service: &str) -> Option<SocketAddrV4> {
         let index = self.plan.service.keys().position(|name| name == service)?;
-        Some(self.service_address(index))
-    }
-
-    fn address(&self, port: u16) -> SocketAddrV4 {
-        SocketAddrV4::new(self.ip, port)
-    }
-
-    fn service_address(&self, index: usize) -> SocketAddrV4 {
-        service_address(self.ip, index)
+        Some(self.layout.service_address(index))
     }
 
     /// Changes the catalogue as an operator does.
@@ -177,16 +141,6 @@
             .sum()
     }
 
-    fn node(&self, zone: usize, control: u16, admin: u16) -> NodeSettings {
-        NodeSettings {
-            zone: self.plan.zones[zone % self.plan.zones.len()].clone(),
-            control: self.address(control),
-            admin: self.address(admin),
-            control_key: self.key.clone(),
-            previous_key: None,
-        }
-    }
-
     /// Starts one more entry; it is not in the fabric before [`Testbed::publish_entries`].
     ///
     /// # Errors
@@ -196,37 +150,14 @@
         let index = self.entries.len();
         // CAST: Tests start at most some dozens of entries.
         let number = index as u16;
-        let first = PORT_LISTEN + number * LISTENERS_MAX;
-        let listen = (0..self.plan.service.len())
-            .map(|service| ListenSettings {
-                // CAST: A deployment has a handful of services.
-                bind: self.address(first + service as u16),
-                address: Some(self.service_address(service)),
-            })
-            .collect();
         let seeds = self
             .live_entries()
             .take(3)
             .map(|entry| entry.settings.node.control)
             .collect();
-        let settings = EntrySettings {
-            node: self.node(
-                index,
-                PORT_ENTRY_CONTROL + number,
-                PORT_ENTRY_ADMIN + number,
-            ),
-            log: LogSettings::default(),
-            entry: EntrySection {
-                listen,
-                data: self.address(PORT_ENTRY_DATA + number),
-                seeds,
-                threads: 1,
-                linger_s: 1,
-            },
-            store: StoreSection {
-                urls: vec![format!("http://{}", self.address(PORT_STORE))],
-            },
-        };
+        let settings = self
+            .layout
+            .entry(number, index, self.plan.service.len(), seeds);
         let entry =
             quetzalhill::run::start(settings.clone()).with_context(|| format!("entry {index}"))?;
         entry.catalogue().adopt(self.catalogue.clone());
@@ -259,28 +190,18 @@
         let index = self.endpoints.len();
         // CAST: Tests start at most some dozens of endpoints.
         let number = index as u16;
-        let upstream = UpstreamStandin::start(self.address(PORT_UPSTREAM + number), service)?;
-        let settings = AgentSettings {
-            node: self.node(zone, PORT_AGENT_CONTROL + number, PORT_AGENT_ADMIN + number),
-            log: LogSettings::default(),
-            agent: AgentSection {
-                service: service.into(),
-                packets: self.address(PORT_PACKETS + number),
-                peer: self.address(PORT_PEER + number),
-                upstream: upstream.address(),
-                slots,
-                entries: self
-                    .live_entries()
-                    .take(3)
-                    .map(|entry| entry.settings.node.control)
-                    .collect(),
-                certificate: self.certificate.certificate.clone(),
-                private_key: self.certificate.private_key.clone(),
-                flows: 100_000,
-                policy: self.policy,
-                drain_limit_s: 30,
-            },
-        };
+        let upstream = UpstreamStandin::start(self.layout.upstream(number), service)?;
+        let settings = self.layout.agent(&AgentSite {
+            number,
+            service: service.into(),
+            slots,
+            zone,
+            entries: self
+                .live_entries()
+                .take(3)
+                .map(|entry| entry.settings.node.control)
+                .collect(),
+        });
         let agent = quetzalhill_agent::run::start(settings.clone())
             .with_context(|| format!("agent {index}"))?;
         self.endpoints.push(TestEndpoint {
@@ -300,8 +221,11 @@
                 ..FabricRules::default()
             };
             // CAST: A deployment has a handful of services.
-            let fabric =
-                FabricStandin::start(self.service_address(service), rules, seed + service as u64)?;
+            let fabric = FabricStandin::start(
+                self.layout.service_address(service),
+                rules,
+                seed + service as u64,
+            )?;
             self.fabrics.push(fabric);
         }
         Ok(())
@@ -412,24 +336,5 @@
                 let _ = entry.stop_now();
             }
         }
-        // The folder is below the temporary directory; what cannot be removed does no harm.
-        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
-
-fn service_address(ip: Ipv4Addr, index: usize) -> SocketAddrV4 {
-    // CAST: A deployment has a handful of services.
-    SocketAddrV4::new(ip, PORT_FABRIC + index as u16)
-}
-
-fn next_ip() -> Ipv4Addr {
-    let pid = std::process::id();
-    // CAST: The masks leave at most eight bits.
-    let (high, low) = (((pid >> 8) & 0x3f) as u8, (pid & 0xff) as u8);
-    Ipv4Addr::new(
-        127,
-        64 + high,
-        low,
-        NEXT_BED.fetch_add(1, Ordering::Relaxed),
-    )
-}
