--- a/crates/standins/src/scenario/loads.rs
+++ b/crates/standins/src/scenario/loads.rs
@@ -17,6 +17,9 @@
 /// Deadline that the head of a stream's answer has.
 const STREAM_TIMEOUT_MS: u32 = 5_000;
 
+/// Notes of each load that explain a failure.
+const NOTES: usize = 4;
+
 /// Longest time to open the sessions of one step.
 const OPEN_LIMIT: Duration = Duration::from_secs(20);
 
@@ -71,6 +74,17 @@
         self.running.values()
     }
 
+    /// Returns the first outcomes of each load that were neither whole nor refused.
+    pub fn notes(&self) -> Vec<String> {
+        let mut notes = Vec::new();
+        for (name, load) in &self.running {
+            let list = load.counters.iter().filter_map(|c| c.notes.lock().ok());
+            let list = list.flat_map(|list| list.clone());
+            notes.extend(list.take(NOTES).map(|note| format!("{name}: {note}")));
+        }
+        notes
+    }
+
     fn open(
         &self,
         bed: &ScenarioBed,
--- a/crates/standins/src/scenario/run.rs
+++ b/crates/standins/src/scenario/run.rs
@@ -398,16 +398,7 @@
 
     /// Returns what callers noted and which processes have ended badly, to explain a failure.
     pub fn notes(&mut self) -> Vec<String> {
-        let mut notes = Vec::new();
-        for load in self.loads.all() {
-            let Some(counters) = &load.counters else {
-                continue;
-            };
-            let Ok(list) = counters.notes.lock() else {
-                continue;
-            };
-            notes.extend(list.iter().take(3).cloned());
-        }
+        let mut notes = self.loads.notes();
         if let Some(bed) = &mut self.bed {
             notes.extend(bed.explain().lines().map(String::from));
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,9 @@
 
 pub mod cid;
 pub mod control;
+pub mod fetch;
+pub mod frame;
+pub mod handover;
 pub mod key;
 pub mod packet;
 pub mod quic;
