Follow the upstream's health endpoint and leave service without an upstream

Cause: Only refused connections told an agent of its upstream's health, its endpoint stayed ready without an upstream, and an upstream that leaves could not say so. An agent asks `health_path` every `health_interval_ms`, and every 250 ms while in doubt; 503 of an upstream that has served drains the endpoint. While the upstream is out of service, or dispatch avoids it, the endpoint is announced as not ready and peers run its requests. The stand-in upstream of the tests answers `/health` and does not count it as a request. Conclusion: An endpoint follows its upstream in both directions.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -191,10 +191,15 @@
 
     fn traffic(&mut self, event: TrafficEvent) {
         match event {
-            TrafficEvent::UpstreamHealth { healthy: true } => self.set_state(EndpointState::Ready),
-            // The endpoint keeps its flows and hands their requests to peers, so its state stays.
-            TrafficEvent::UpstreamHealth { healthy: false } => {}
-            TrafficEvent::Drained => self.set_state(EndpointState::Draining),
+            // An endpoint that is not ready keeps its flows and hands their requests to peers.
+            TrafficEvent::UpstreamHealth { healthy } => {
+                if self.announce.set_ready(healthy, Instant::now()) {
+                    self.publish();
+                }
+            }
+            TrafficEvent::UpstreamLeaves | TrafficEvent::Drained => {
+                self.set_state(EndpointState::Draining)
+            }
         }
     }
 
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -71,6 +71,8 @@
         /// Whether requests to it succeed.
         healthy: bool,
     },
+    /// The upstream says that it takes no new work, so that the endpoint has to drain.
+    UpstreamLeaves,
     /// The graceful stop is complete.
     Drained,
 }
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -243,6 +243,8 @@
     system.block_on(async move {
         let drain_limit = Duration::from_secs(parts.agent.drain_limit_s.into());
         let drained = parts.drained.clone();
+        let health_path = parts.agent.health_path.clone();
+        let health_interval = Duration::from_millis(parts.agent.health_interval_ms.into());
         let prepared = prepare(parts).await;
         let (endpoint, context, listener) = match prepared {
             Ok(prepared) => prepared,
@@ -255,7 +257,7 @@
         ntex::rt::spawn(context.scheduler.clone().run_timer());
         ntex::rt::spawn(context.pool.clone().keep_warm());
         ntex::rt::spawn(serve::listen(context.clone(), listener));
-        ntex::rt::spawn(health::probe(context.clone()));
+        ntex::rt::spawn(health::watch(context.clone(), health_path, health_interval));
         ntex::rt::spawn(follow_view(context.clone(), drain_limit, drained));
         tokio::select! {
             () = accept(&endpoint, &context) => {}
--- a/crates/agent/src/traffic/context.rs
+++ b/crates/agent/src/traffic/context.rs
@@ -5,6 +5,8 @@
 use super::upstream::UpstreamClient;
 use crate::handover::pool::ConnectionPool;
 use crate::shared::{AgentView, SharedState, TrafficEvent};
+use quetzalhill_core::dispatch::DispatchEvent;
+use quetzalhill_core::health::{HealthAction, HealthController, HealthEvent};
 use quetzalhill_core::ids::{id_of, incarnation_bits, EndpointId, RequestId, ServiceNumber};
 use quetzalhill_core::once::OnceController;
 use std::cell::{Cell, RefCell};
@@ -12,7 +14,7 @@
 use std::rc::Rc;
 use std::sync::atomic::AtomicU32;
 use std::sync::Arc;
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{mpsc, watch};
 
 /// What [`TrafficContext`] is made of.
 pub(crate) struct ContextParts {
@@ -58,8 +60,10 @@
     pub(crate) peer_counters: Arc<PeerCounters>,
     exchanges: Cell<u32>,
     next_request: Cell<u64>,
-    healthy: Cell<Option<bool>>,
-    unhealthy: Notify,
+    health: RefCell<HealthController>,
+    /// What the control thread knows.
+    reported: Cell<bool>,
+    upstream_leaves: Cell<bool>,
 }
 
 impl TrafficContext {
@@ -78,8 +82,9 @@
             peer_counters: parts.peer_counters,
             exchanges: Cell::new(0),
             next_request: Cell::new(0),
-            healthy: Cell::new(None),
-            unhealthy: Notify::new(),
+            health: RefCell::new(HealthController::new()),
+            reported: Cell::new(false),
+            upstream_leaves: Cell::new(false),
         })
     }
 
@@ -120,25 +125,43 @@
             | RequestId::from(count)
     }
 
-    /// Tells the control thread when the upstream starts or stops answering.
-    pub(crate) fn report_health(&self, healthy: bool) {
-        if self.healthy.get() == Some(healthy) {
+    /// Takes what was seen of the upstream.
+    pub(crate) fn upstream_health(&self, event: HealthEvent) {
+        let action = self.health.borrow_mut().handle(event);
+        let Some(action) = action else {
             return;
-        }
-        let event = TrafficEvent::UpstreamHealth { healthy };
-        // The next request or probe repeats a report that a full channel does not take.
-        if self.events.try_send(event).is_ok() {
-            self.healthy.set(Some(healthy));
-        }
-        if !healthy {
-            self.unhealthy.notify_one();
-        }
+        };
+        let serving = match action {
+            HealthAction::Ready => true,
+            HealthAction::NotReady => false,
+            HealthAction::Drain => {
+                self.upstream_leaves.set(true);
+                self.report_health();
+                return;
+            }
+        };
+        let event = DispatchEvent::UpstreamChanged { serving };
+        self.scheduler.handle(event);
+        self.report_health();
     }
 
-    /// Waits until the upstream's health is unknown or bad.
-    pub(crate) async fn until_unhealthy(&self) {
-        while self.healthy.get() == Some(true) {
-            self.unhealthy.notified().await;
+    /// Returns whether the upstream should be asked for its health soon.
+    pub(crate) fn is_upstream_in_doubt(&self) -> bool {
+        self.health.borrow().is_in_doubt()
+    }
+
+    /// Tells the control thread what it does not know yet of the upstream; a full channel takes it another time.
+    pub(crate) fn report_health(&self) {
+        let healthy = self.health.borrow().is_ready();
+        if self.reported.get() != healthy {
+            let event = TrafficEvent::UpstreamHealth { healthy };
+            if self.events.try_send(event).is_ok() {
+                self.reported.set(healthy);
+            }
+        }
+        if self.upstream_leaves.get() {
+            let sent = self.events.try_send(TrafficEvent::UpstreamLeaves).is_ok();
+            self.upstream_leaves.set(!sent);
         }
     }
 }
--- a/crates/agent/src/traffic/health.rs
+++ b/crates/agent/src/traffic/health.rs
@@ -1,23 +1,44 @@
-//! Health of the upstream, as this agent sees it.
+//! Health of the upstream, as its health endpoint and the traffic show it.
 
 use super::context::TrafficContext;
+use super::upstream::HealthReply;
+use quetzalhill_core::dispatch::DispatchEvent;
+use quetzalhill_core::health::HealthEvent;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpStream;
+use std::time::{Duration, Instant};
 
-/// How often an upstream that takes no connection is tried.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// How often an upstream is asked whose last answers leave a doubt.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How long one attempt may take.
-const PROBE_LIMIT: Duration = Duration::from_secs(1);
+/// How long one answer may take.
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
 
-/// Tries to connect while the upstream's health is unknown or bad; requests tell while it is good.
-pub(crate) async fn probe(context: Rc<TrafficContext>) {
+/// Asks the upstream for its health and follows whether dispatch avoids it; runs until the system stops.
+pub(crate) async fn watch(context: Rc<TrafficContext>, path: String, interval: Duration) {
+    let pause = interval.min(DOUBT_INTERVAL);
+    // Peers run what arrives before the upstream has answered.
+    let event = DispatchEvent::UpstreamChanged { serving: false };
+    context.scheduler.handle(event);
+    let mut next = Instant::now();
     loop {
-        context.until_unhealthy().await;
-        let connect = TcpStream::connect(context.upstream.address());
-        let connected = tokio::time::timeout(PROBE_LIMIT, connect).await;
-        context.report_health(matches!(connected, Ok(Ok(_))));
-        tokio::time::sleep(PROBE_INTERVAL).await;
+        let now = Instant::now();
+        if context.is_upstream_in_doubt() || next <= now {
+            next = now + interval;
+            let event = ask(&context, &path).await;
+            context.upstream_health(event);
+        }
+        let ejected = context.scheduler.is_upstream_ejected();
+        context.upstream_health(HealthEvent::Ejected(ejected));
+        context.report_health();
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn ask(context: &TrafficContext, path: &str) -> HealthEvent {
+    let reply = context.upstream.health(path);
+    match tokio::time::timeout(ANSWER_LIMIT, reply).await {
+        Ok(HealthReply::Serving) => HealthEvent::Serving,
+        Ok(HealthReply::Unavailable) => HealthEvent::Unavailable,
+        Ok(HealthReply::Failed) | Err(_) => HealthEvent::Failed,
     }
 }
--- a/crates/agent/src/traffic/run.rs
+++ b/crates/agent/src/traffic/run.rs
@@ -15,6 +15,7 @@
 use ntex::client::ClientResponse;
 use ntex::http::error::PayloadError;
 use ntex::http::Payload;
+use quetzalhill_core::health::HealthEvent;
 use quetzalhill_core::once::OnceOutcome;
 use quetzalhill_wire::handover::AnswerOutcome;
 use std::time::{Duration, Instant};
@@ -69,7 +70,7 @@
     writer: AnswerWriter,
     ticket: Option<OnceTicket>,
 ) {
-    context.report_health(true);
+    context.upstream_health(HealthEvent::Answered);
     let status = StatusCode::from_u16(response.status().as_u16());
     let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let fields = headers::from_upstream(response.headers());
@@ -145,7 +146,7 @@
             run.finish(true);
         }
         UpstreamError::NotSent => {
-            context.report_health(false);
+            context.upstream_health(HealthEvent::Failed);
             run.finish(false);
             if let Some(ticket) = &mut ticket {
                 ticket.set(OnceOutcome::NotRun);
--- a/crates/agent/src/traffic/scheduler.rs
+++ b/crates/agent/src/traffic/scheduler.rs
@@ -61,6 +61,11 @@
         self.in_flight.get()
     }
 
+    /// Returns whether dispatch avoids the local upstream.
+    pub(crate) fn is_upstream_ejected(&self) -> bool {
+        self.controller.borrow().is_ejected(Instant::now())
+    }
+
     /// Tells dispatch what happened and carries out what it decides.
     pub(crate) fn handle(self: &Rc<Self>, event: DispatchEvent) {
         let now = Instant::now();
--- a/crates/agent/src/traffic/upstream.rs
+++ b/crates/agent/src/traffic/upstream.rs
@@ -7,6 +7,7 @@
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientResponse, Connector};
 use ntex::http::body::{Body, BoxedBodyStream, SizedStream};
+use ntex::http::StatusCode;
 use ntex::time::Seconds;
 use std::cell::Cell;
 use std::net::SocketAddrV4;
@@ -29,6 +30,17 @@
     CallerGone,
 }
 
+/// What the health endpoint of the upstream says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum HealthReply {
+    /// It serves; also the answer of an upstream without a health endpoint.
+    Serving,
+    /// It takes no new work.
+    Unavailable,
+    /// It does not answer, or not with success.
+    Failed,
+}
+
 /// Calls the upstream of this agent.
 pub(crate) struct UpstreamClient {
     address: SocketAddrV4,
@@ -50,9 +62,18 @@
         })
     }
 
-    /// Returns the address of the upstream.
-    pub(crate) fn address(&self) -> SocketAddrV4 {
-        self.address
+    /// Asks the upstream for its health.
+    pub(crate) async fn health(&self, path: &str) -> HealthReply {
+        let url = format!("http://{}{path}", self.address);
+        let request = self.single.get(url).force_close();
+        match request.send().await {
+            Err(_) => HealthReply::Failed,
+            Ok(reply) if reply.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                HealthReply::Unavailable
+            }
+            Ok(reply) if reply.status().is_server_error() => HealthReply::Failed,
+            Ok(_) => HealthReply::Serving,
+        }
     }
 
     /// Sends a request and returns the head of the answer, of which the body can be read.
--- a/crates/agent/tests/traffic/main.rs
+++ b/crates/agent/tests/traffic/main.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod entry;
 mod handover;
+mod health;
 mod home;
 mod once;
 mod packets;
--- a/crates/agent/tests/traffic/upstream.rs
+++ b/crates/agent/tests/traffic/upstream.rs
@@ -2,20 +2,36 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-/// What the upstream saw.
-#[derive(Debug, Default)]
+/// What the upstream saw, and the health that it reports.
+#[derive(Debug)]
 pub(crate) struct UpstreamLog {
-    /// Requests whose head was read.
+    /// Status of the answer to `/health`.
+    pub(crate) health: AtomicU16,
+    /// Requests other than `/health` whose head was read.
     pub(crate) requests: AtomicU32,
     /// Connections that the agent closed before the answer of `/hold` was complete.
     pub(crate) aborted: AtomicU32,
 }
 
+impl Default for UpstreamLog {
+    fn default() -> Self {
+        Self {
+            health: AtomicU16::new(200),
+            requests: AtomicU32::new(0),
+            aborted: AtomicU32::new(0),
+        }
+    }
+}
+
+fn health(status: u16) -> String {
+    format!("HTTP/1.1 {status} Health\r\ncontent-length: 0\r\n\r\n")
+}
+
 /// Starts an upstream that ends with the process.
 pub(crate) fn start() -> (SocketAddrV4, Arc<UpstreamLog>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -95,6 +111,13 @@
 fn serve(mut stream: TcpStream, log: &UpstreamLog) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     while let Some(head) = read_head(&mut reader) {
+        if head.path == "/health" {
+            let status = log.health.load(Ordering::SeqCst);
+            if stream.write_all(health(status).as_bytes()).is_err() {
+                return;
+            }
+            continue;
+        }
         let number = log.requests.fetch_add(1, Ordering::SeqCst) + 1;
         let Some(body) = read_body(&mut reader, &head) else {
             return;
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -67,6 +67,8 @@
     report: ReportState,
     next_peer: usize,
     draining: bool,
+    /// Whether the agent has found its upstream out of service.
+    upstream_out: bool,
 }
 
 impl DispatchController {
@@ -99,6 +101,7 @@
             report: ReportState::default(),
             next_peer: 0,
             draining: false,
+            upstream_out: false,
         }
     }
 
@@ -142,6 +145,7 @@
             DispatchEvent::PullReceived(peer) => self.pull_received(peer, now, &mut actions),
             DispatchEvent::PeersChanged(peers) => self.peers_changed(&peers, now),
             DispatchEvent::LimitsChanged(limits) => self.limits = limits,
+            DispatchEvent::UpstreamChanged { serving } => self.upstream_out = !serving,
             DispatchEvent::DrainStarted => self.draining = true,
             DispatchEvent::TimerFired => {}
         }
@@ -310,6 +314,9 @@
             return 0;
         }
         let peers = self.policy == DispatchPolicy::Pooled && self.peers.any_accepting(now);
+        if self.upstream_out && peers {
+            return 0;
+        }
         match self.eject.state(LOCAL_ENDPOINT, now) {
             EjectState::Ejected { .. } if peers => 0,
             EjectState::Probing if peers => 1.min(self.slots),
@@ -371,7 +378,8 @@
         waiting.filter(|request| room || !request.long).count()
     }
 
-    fn is_ejected(&self, now: Instant) -> bool {
+    /// Returns whether the local upstream is avoided, because its answers are failures.
+    pub fn is_ejected(&self, now: Instant) -> bool {
         matches!(self.eject.peek(LOCAL_ENDPOINT), EjectState::Ejected { until } if until > now)
     }
 
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -106,6 +106,11 @@
     PeersChanged(Vec<EndpointId>),
     /// The catalogue changed the limits.
     LimitsChanged(LimitSet),
+    /// The upstream serves or is out of service; while it is, peers run all requests.
+    UpstreamChanged {
+        /// Whether it serves.
+        serving: bool,
+    },
     /// This endpoint began to drain.
     DrainStarted,
     /// The time from `next_deadline` has come.
--- a/crates/core/src/dispatch/report.rs
+++ b/crates/core/src/dispatch/report.rs
@@ -62,7 +62,7 @@
             let waited = now.saturating_duration_since(request.meta.arrived);
             u32::try_from(waited.as_micros()).unwrap_or(u32::MAX).max(1)
         });
-        let accepting = !self.draining && !self.is_ejected(now);
+        let accepting = !self.draining && !self.upstream_out && !self.is_ejected(now);
         LoadReport {
             free_slots: match accepting {
                 true => self.slots.saturating_sub(running).saturating_sub(startable),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod eject;
 pub mod flow;
+pub mod health;
 pub mod ids;
 pub mod member;
 pub mod once;
--- a/crates/core/src/member/announce.rs
+++ b/crates/core/src/member/announce.rs
@@ -138,6 +138,21 @@
         true
     }
 
+    /// Follows whether the upstream serves; an endpoint that drains or has left is never ready again.
+    pub fn set_ready(&mut self, ready: bool, now: Instant) -> bool {
+        let state = match ready {
+            true => EndpointState::Ready,
+            false => EndpointState::Starting,
+        };
+        if self.record.state > EndpointState::Ready || self.record.state == state {
+            return false;
+        }
+        // The higher sequence number lets the earlier state replace the later one.
+        self.record.state = state;
+        self.raise_sequence(now);
+        true
+    }
+
     /// Takes the agent's service from a newer catalogue revision; an older one is ignored.
     pub fn set_service(
         &mut self,
