Serve the agent's admin pages, count its requests and end at a second signal

Cause: An agent had no log, no admin address and no metrics, and a second SIGTERM did not end a long drain. Change: The control thread serves `/metrics`, `/status`, `/healthz`, `/readyz` and `/catalogue`. Each request of a caller is recorded by class, owner and outcome when its answer ends. The counters of packets and peers are part of the shared state. The command sets up the log, and a second signal ends the agent at once. Conclusion: The pages are tested behind a real entry. The second signal has no test. Histograms of queueing and service apart from the whole time are missing.

--- a/crates/agent/src/cmd.rs
+++ b/crates/agent/src/cmd.rs
@@ -4,6 +4,7 @@
 use crate::settings::{check, AgentSettings};
 use anyhow::{Context, Result};
 use argh::FromArgs;
+use quetzalhill_node::log;
 use quetzalhill_node::settings::read;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -46,10 +47,20 @@
 
 fn run_agent(args: &AgentArgs) -> Result<()> {
     let settings: AgentSettings = read(&args.settings, check)?;
+    log::init(&settings.log)?;
     quetzalhill_node::log::init(&settings.log)?;
     // The handlers stand before the threads start, so that an early signal is not lost.
     let mut signals = Signals::new([SIGINT, SIGTERM]).context("signal handlers")?;
     let agent = run::start(settings)?;
     let _signal = signals.forever().next();
+    agent.drain();
+    let handle = signals.handle();
+    let again = std::thread::spawn(move || signals.forever().next().is_some());
+    // A second signal ends the wait.
+    let drained = agent.wait_drained(|| again.is_finished());
+    handle.close();
+    if !drained {
+        return agent.stop_now();
+    }
     agent.stop()
 }
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::settings::AgentSettings;
 use crate::shared::{AgentView, SharedState, TrafficEvent};
+use crate::status::{pages, StatusFacts};
 use anyhow::{anyhow, Context, Result};
 use quetzalhill_core::catalogue::validate::validate;
 use quetzalhill_core::catalogue::CatalogueSnapshot;
@@ -12,6 +13,7 @@
 use quetzalhill_core::replicate::{
     AdoptOutcome, CatalogueAction, CatalogueChange, CatalogueController,
 };
+use quetzalhill_node::admin::{self, AdminPages};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::fetch;
 use quetzalhill_wire::control::ControlMessage;
@@ -19,7 +21,7 @@
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -88,6 +90,15 @@
     let socket = std::net::UdpSocket::bind(address)
         .with_context(|| format!("binding the control socket {address}"))?;
     socket.set_nonblocking(true)?;
+    let admin = settings.node.admin;
+    let listener =
+        TcpListener::bind(admin).with_context(|| format!("binding the admin address {admin}"))?;
+    let facts = StatusFacts {
+        zone: settings.node.zone.clone(),
+        service: settings.agent.service.clone(),
+        packets: settings.agent.packets,
+        started: Instant::now(),
+    };
     let record = EndpointRecord {
         id: id_of(settings.agent.packets),
         incarnation: shared.view.load().incarnation,
@@ -108,6 +119,7 @@
                 .name("control")
                 .build(ntex::rt::DefaultRuntime);
             let result = system.block_on(async move {
+                ntex::rt::spawn(serve_admin(listener, pages(&shared, facts)));
                 let scope = Some(announce.record().service.clone());
                 let (fetched, changes) = mpsc::channel(1);
                 let control = ControlLoop {
@@ -134,6 +146,15 @@
     })
 }
 
+async fn serve_admin(listener: TcpListener, pages: AdminPages) {
+    if let Err(error) = admin::serve(listener, pages).await {
+        emit(
+            EventCode::TaskFailed,
+            &[("task", &"admin"), ("error", &error)],
+        );
+    }
+}
+
 struct ControlLoop {
     shared: Arc<SharedState>,
     socket: UdpSocket,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod run;
 pub mod settings;
 pub mod shared;
+mod status;
 pub mod traffic;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -10,7 +10,7 @@
 use quetzalhill_node::keys::read_ring;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
 
 /// Events on their way from the traffic thread to the control thread.
@@ -19,6 +19,9 @@
 /// Time beyond the limit of the drain itself, in which the traffic thread reports its end.
 const DRAIN_MARGIN: Duration = Duration::from_secs(5);
 
+/// How soon a wait for the end of a drain notices that it is interrupted.
+const INTERRUPT_CHECK: Duration = Duration::from_millis(50);
+
 /// A running agent.
 #[derive(Debug)]
 pub struct AgentHandle {
@@ -80,6 +83,20 @@
         self.control.drain();
     }
 
+    /// Waits until a drain has ended; returns false if `interrupted` has become true before.
+    pub fn wait_drained(&self, interrupted: impl Fn() -> bool) -> bool {
+        let end = Instant::now() + self.drain_limit + DRAIN_MARGIN;
+        while Instant::now() < end {
+            if self.traffic.wait_drained(INTERRUPT_CHECK) {
+                return true;
+            }
+            if interrupted() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Stops gracefully: drains, at most for the time that the settings give, and ends the threads.
     ///
     /// # Errors
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -165,8 +165,8 @@
     let agent = settings.agent.clone();
     let socket = bind(&agent)?;
     let peers = bind_peers(&agent)?;
-    let counters = Arc::new(PacketCounters::default());
-    let peer_counters = Arc::new(PeerCounters::default());
+    let counters = shared.packets.clone();
+    let peer_counters = shared.peers.clone();
     let flows = Arc::new(AtomicU32::new(0));
     let drained = Arc::new(DrainSignal::default());
     let parts = TrafficParts {
--- a/crates/agent/src/traffic/answer.rs
+++ b/crates/agent/src/traffic/answer.rs
@@ -3,12 +3,18 @@
 use super::headers;
 use super::transport::CallerSend;
 use crate::handover::PeerLink;
+use crate::shared::SharedState;
 use bytes::Bytes;
 use h3::error::Code;
 use h3::server::RequestStream;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use quetzalhill_core::catalogue::TrafficClass;
+use quetzalhill_core::ids::OwnerName;
+use quetzalhill_node::metrics::OutcomeLabel;
 use quetzalhill_wire::handover::AnswerOutcome;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
 
 /// Text of the outcome header for requests that were not run.
 const NOT_RUN: &str = "not-run";
@@ -36,6 +42,28 @@
 pub(crate) struct AnswerWriter {
     path: AnswerPath,
     complete: bool,
+    outcome: AnswerOutcome,
+    meter: Option<RequestMeter>,
+}
+
+/// Records how long a request took and how it ended.
+pub(crate) struct RequestMeter {
+    /// Where it is recorded.
+    pub(crate) shared: Arc<SharedState>,
+    /// Class of the request.
+    pub(crate) class: TrafficClass,
+    /// Owner of the service.
+    pub(crate) owner: OwnerName,
+    /// When the head was read.
+    pub(crate) arrived: Instant,
+}
+
+impl RequestMeter {
+    fn record(&self, outcome: OutcomeLabel) {
+        let latency = self.arrived.elapsed();
+        let metrics = &self.shared.requests;
+        metrics.observe(self.class, &self.owner, outcome, latency);
+    }
 }
 
 impl AnswerWriter {
@@ -44,6 +72,8 @@
         Self {
             path: AnswerPath::Caller(Box::new(stream)),
             complete: false,
+            outcome: AnswerOutcome::Answered,
+            meter: None,
         }
     }
 
@@ -52,6 +82,22 @@
         Self {
             path: AnswerPath::Peer(link),
             complete: false,
+            outcome: AnswerOutcome::Answered,
+            meter: None,
+        }
+    }
+
+    /// Records the request when its answer ends.
+    pub(crate) fn set_meter(&mut self, meter: RequestMeter) {
+        self.meter = Some(meter);
+    }
+
+    fn label(&self) -> OutcomeLabel {
+        match (self.complete, self.outcome) {
+            (false, _) => OutcomeLabel::Cancelled,
+            (true, AnswerOutcome::Answered) => OutcomeLabel::Answered,
+            (true, AnswerOutcome::NotRun) => OutcomeLabel::NotRun,
+            (true, AnswerOutcome::Unknown) => OutcomeLabel::Unknown,
         }
     }
 
@@ -66,6 +112,7 @@
         status: StatusCode,
         fields: HeaderMap,
     ) -> Result<(), CallerGone> {
+        self.outcome = outcome;
         let stream = match &mut self.path {
             AnswerPath::Caller(stream) => stream,
             AnswerPath::Peer(link) => {
@@ -171,6 +218,9 @@
 
 impl Drop for AnswerWriter {
     fn drop(&mut self) {
+        if let Some(meter) = &self.meter {
+            meter.record(self.label());
+        }
         if self.complete {
             return;
         }
--- a/crates/agent/src/traffic/context.rs
+++ b/crates/agent/src/traffic/context.rs
@@ -12,7 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::sync::atomic::AtomicU32;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
 
@@ -99,6 +99,17 @@
         view.service.as_ref().map_or(0, |service| service.number)
     }
 
+    /// Publishes the present use of the endpoint.
+    pub(crate) fn publish_use(&self) {
+        let gauges = &self.shared.gauges;
+        let flows = self.flows.load(Ordering::Relaxed);
+        gauges.flows.store(flows, Ordering::Relaxed);
+        let in_flight = self.scheduler.in_flight();
+        gauges.in_flight.store(in_flight, Ordering::Relaxed);
+        let queue = self.scheduler.queued().into();
+        gauges.queue.store(queue, Ordering::Relaxed);
+    }
+
     /// Returns how many requests of peers are in progress.
     pub(crate) fn exchanges(&self) -> u32 {
         self.exchanges.get()
--- a/crates/agent/src/traffic/health.rs
+++ b/crates/agent/src/traffic/health.rs
@@ -30,6 +30,7 @@
         let ejected = context.scheduler.is_upstream_ejected();
         context.upstream_health(HealthEvent::Ejected(ejected));
         context.report_health();
+        context.publish_use();
         tokio::time::sleep(pause).await;
     }
 }
--- a/crates/agent/src/traffic/request.rs
+++ b/crates/agent/src/traffic/request.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, from its head to the end of its answer.
 
-use super::answer::AnswerWriter;
+use super::answer::{AnswerWriter, RequestMeter};
 use super::body::{read_chunk, BodyReader, BodyStart};
 use super::context::TrafficContext;
 use super::headers;
@@ -49,9 +49,15 @@
         return;
     }
     let verdict = judge(&context, &request);
-    let writer = request.writer;
+    let mut writer = request.writer;
     match verdict {
         RequestVerdict::Dispatch(plan) => {
+            writer.set_meter(RequestMeter {
+                shared: context.shared.clone(),
+                class: plan.class,
+                owner: plan.owner.clone(),
+                arrived: request.arrived,
+            });
             let pending = PendingRequest {
                 head: request.head,
                 reader: request.reader,
--- a/crates/agent/src/traffic/scheduler.rs
+++ b/crates/agent/src/traffic/scheduler.rs
@@ -61,6 +61,11 @@
         self.in_flight.get()
     }
 
+    /// Returns how many requests wait.
+    pub(crate) fn queued(&self) -> u16 {
+        self.controller.borrow().load(Instant::now()).queued
+    }
+
     /// Returns whether dispatch avoids the local upstream.
     pub(crate) fn is_upstream_ejected(&self) -> bool {
         self.controller.borrow().is_ejected(Instant::now())
--- a/crates/agent/tests/traffic/entry.rs
+++ b/crates/agent/tests/traffic/entry.rs
@@ -7,7 +7,8 @@
 use quetzalhill_core::catalogue::{CatalogueSnapshot, LimitSet};
 use quetzalhill_core::member::EndpointState;
 use quetzalhill_node::settings::{LogSettings, NodeSettings};
-use std::net::SocketAddrV4;
+use std::io::{Read, Write};
+use std::net::{SocketAddrV4, TcpStream};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -71,6 +72,17 @@
     }
 }
 
+/// Reads a page of the admin address.
+fn page(admin: SocketAddrV4, path: &str) -> String {
+    let mut stream = TcpStream::connect(admin).unwrap();
+    stream.set_read_timeout(Some(STEP)).unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
 /// Guards against entry and agent that disagree on packets, readiness or the graceful stop.
 #[test]
 fn request_passes_through_entry_and_agent() {
@@ -105,6 +117,15 @@
         let caller = TestCaller::connect(listen, &settings.agent.certificate).await;
         assert_eq!(caller.get("/hello").await.unwrap().body, "hello");
         assert_eq!(caller.get("/large").await.unwrap().body.len(), 300_000);
+        let admin = settings.node.admin;
+        assert!(page(admin, "/readyz").starts_with("HTTP/1.1 200"));
+        let status = page(admin, "/status");
+        assert!(status.contains("\"state\":\"Ready\""), "{status}");
+        assert!(status.contains("\"delivered\":"), "{status}");
+        let metrics = page(admin, "/metrics");
+        let count =
+            r#"quetzalhill_requests_total{class="standard",outcome="answered",owner="owner"} 2"#;
+        assert!(metrics.contains(count), "{metrics}");
         let before = log.requests.load(Ordering::SeqCst);
         let stop = async {
             while log.requests.load(Ordering::SeqCst) == before {
