Reload changed control keys in agents

Cause: A rotation of control keys needed a restart of each agent. Change: The control thread looks at the key files every 2 s and puts a changed ring in force. Files that are not valid leave the keys in force and are logged as QH5003. Conclusion: Keys are reloaded on a change of modification time. Certificates and SIGHUP are not followed yet.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -16,6 +16,7 @@
 use quetzalhill_node::admin::{self, AdminPages};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::fetch;
+use quetzalhill_node::keys::KeyWatch;
 use quetzalhill_wire::control::ControlMessage;
 use quetzalhill_wire::fetch::FetchRequest;
 use quetzalhill_wire::packet::DATAGRAM_MAX;
@@ -40,6 +41,9 @@
     Err(reasons.join("; "))
 }
 
+/// How often the key files are looked at.
+const FILE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// A running control thread.
 #[derive(Debug)]
 pub struct ControlHandle {
@@ -110,6 +114,8 @@
         state: EndpointState::Starting,
         slots: settings.agent.slots,
     };
+    let node = &settings.node;
+    let keys = KeyWatch::new(&node.control_key, node.previous_key.as_deref());
     let announce = AnnounceController::new(record, &settings.agent.entries, Instant::now());
     let (wanted_out, wanted) = watch::channel(EndpointState::Starting);
     let thread = std::thread::Builder::new()
@@ -128,6 +134,7 @@
                     announce,
                     catalogue: CatalogueController::new(check_snapshot, scope, Instant::now()),
                     fetched,
+                    keys,
                     rng: SmallRng::from_os_rng(),
                 };
                 control.run(wanted, events, changes).await
@@ -161,6 +168,7 @@
     announce: AnnounceController,
     catalogue: CatalogueController,
     fetched: mpsc::Sender<Option<CatalogueChange>>,
+    keys: KeyWatch,
     rng: SmallRng,
 }
 
@@ -173,6 +181,7 @@
     ) -> std::io::Result<()> {
         let mut buffer = vec![0; DATAGRAM_MAX + 1];
         let mut events_open = true;
+        let mut check_files = tokio::time::interval(FILE_INTERVAL);
         let mut end: Option<Instant> = None;
         loop {
             self.start_fetch();
@@ -206,6 +215,7 @@
                         end = Some(Instant::now() + LEAVE_TIME);
                     }
                 }
+                _ = check_files.tick() => self.reload_keys(),
                 () = tokio::time::sleep_until(deadline.into()) => {
                     let messages = self.announce.tick(Instant::now(), &mut self.rng);
                     self.send(messages).await;
@@ -215,6 +225,21 @@
         }
     }
 
+    fn reload_keys(&mut self) {
+        match self.keys.check() {
+            None => {}
+            Some(Ok(ring)) => {
+                let number = ring.current().number();
+                self.shared.ring.store(Arc::new(ring));
+                emit(EventCode::KeysReloaded, &[("key", &number)]);
+            }
+            Some(Err(error)) => {
+                let text = format!("{error:#}");
+                emit(EventCode::KeysInvalid, &[("error", &text)]);
+            }
+        }
+    }
+
     fn traffic(&mut self, event: TrafficEvent) {
         match event {
             // An endpoint that is not ready keeps its flows and hands their requests to peers.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -66,6 +66,10 @@
     ReaderStopped = 4007, Info, "reader-stopped";
     /// A task or thread ended with an error.
     TaskFailed = 5001, Error, "task-failed";
+    /// Changed control keys came into force.
+    KeysReloaded = 5002, Info, "keys-reloaded";
+    /// The changed files of the control keys are not valid; the keys in force stay.
+    KeysInvalid = 5003, Error, "keys-invalid";
 }
 
 /// Logs one event with its fields, as `QH1001 entry-started address=127.0.0.1:7100`.
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -3,6 +3,7 @@
 use anyhow::{bail, Context, Result};
 use quetzalhill_wire::key::{ControlKey, KeyNumber, KeyRing, KEY_BYTES};
 use std::fs;
+use std::time::SystemTime;
 
 /// Reads a key file: a number from 1 to 255, a space and 64 hexadecimal digits.
 ///
@@ -34,6 +35,48 @@
     Ok(KeyRing::new(key, Some(other)))
 }
 
+/// Follows the key files of a node.
+#[derive(Debug)]
+pub struct KeyWatch {
+    current: String,
+    previous: Option<String>,
+    seen: [Option<SystemTime>; 2],
+}
+
+impl KeyWatch {
+    /// Starts to follow the files from which the ring in force was read.
+    pub fn new(current: &str, previous: Option<&str>) -> Self {
+        let mut watch = Self {
+            current: current.into(),
+            previous: previous.map(String::from),
+            seen: [None; 2],
+        };
+        watch.seen = watch.stamps();
+        watch
+    }
+
+    /// Returns the ring in the files if one of them was written since the last call.
+    ///
+    /// # Errors
+    ///
+    /// As for [`read_ring`]; the ring in force should stay.
+    pub fn check(&mut self) -> Option<Result<KeyRing>> {
+        let stamps = self.stamps();
+        if stamps == self.seen {
+            return None;
+        }
+        self.seen = stamps;
+        Some(read_ring(&self.current, self.previous.as_deref()))
+    }
+
+    fn stamps(&self) -> [Option<SystemTime>; 2] {
+        [Some(&self.current), self.previous.as_ref()].map(|path| {
+            let metadata = fs::metadata(path?).ok()?;
+            metadata.modified().ok()
+        })
+    }
+}
+
 fn parse_key(text: &str) -> Result<ControlKey> {
     const SHAPE: &str = "expected a number from 1 to 255, a space and 64 hexadecimal digits";
     let (number, digits) = text.trim().split_once(' ').context(SHAPE)?;
