Run the store reader and the admin pages on the control thread of an entry

Cause: An entry got its catalogue only from the process that started it; the reader, the admin pages and the status that the operators' commands read were not connected.

Change: The control thread starts the store reader when the settings name a store, feeds it the zone's live entries (MemberController::live_in_zone) and the catalogue in force, and waits up to 1 s at the end for it to give its slot back. The admin address serves /metrics, /status, /catalogue, /healthz and /readyz.

Conclusion: The tests of entry, node and store pass, and the standins' control test.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -263,7 +263,7 @@
             }
             AdoptOutcome::Invalid(reason) => emit(
                 EventCode::CatalogueInvalid,
-                &[("revision", &revision), ("reason", &reason)],
+                &[("revision", &revision), ("error", &reason)],
             ),
             // Counted by the controller and repeated by it.
             AdoptOutcome::Stale | AdoptOutcome::Mismatch => {}
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -4,17 +4,16 @@
 //! validation. See docs/design.md, section 4.
 
 pub mod change;
+mod digest;
 pub mod guard;
 pub mod reader;
 pub mod validate;
 
-use crate::ids::{OwnerName, RevisionNumber, ServiceName, ServiceNumber};
+use crate::ids::{DigestValue, OwnerName, RevisionNumber, ServiceName, ServiceNumber};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
-use std::hash::Hash;
 use std::net::SocketAddrV4;
-use xxhash_rust::xxh3::Xxh3;
 
 /// How urgent the traffic of a service or of a request is; ordered from most to least urgent.
 #[derive(
@@ -145,38 +144,7 @@
     }
 
     /// Returns a digest of revision and content, which is the same on every instance that holds this snapshot.
-    pub fn digest(&self) -> u64 {
-        let mut hasher = Xxh3::new();
-        self.revision.hash(&mut hasher);
-        for (name, entry) in &self.services {
-            name.hash(&mut hasher);
-            hash_entry(entry, &mut hasher);
-        }
-        hasher.digest()
-    }
-}
-
-fn hash_entry(entry: &ServiceEntry, hasher: &mut Xxh3) {
-    entry.number.hash(hasher);
-    entry.owner.hash(hasher);
-    entry.class.index().hash(hasher);
-    entry.addresses.len().hash(hasher);
-    for address in &entry.addresses {
-        address.ip().octets().hash(hasher);
-        address.port().hash(hasher);
-    }
-    entry.path_classes.len().hash(hasher);
-    for path in &entry.path_classes {
-        path.prefix.hash(hasher);
-        path.class.index().hash(hasher);
+    pub fn digest(&self) -> DigestValue {
+        digest::catalogue_digest(self)
     }
-    let limits = &entry.limits;
-    limits.flows.hash(hasher);
-    limits.new_flows_per_s.hash(hasher);
-    limits.in_flight.hash(hasher);
-    limits.queue.hash(hasher);
-    limits.slot_share.to_bits().hash(hasher);
-    limits.retry_budget.to_bits().hash(hasher);
-    limits.deadline_ms.hash(hasher);
-    limits.max_deadline_ms.hash(hasher);
 }
--- a/crates/core/src/replicate/digest.rs
+++ b/crates/core/src/catalogue/digest.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 /// Returns the digest of all services and the revision.
-pub fn catalogue_digest(snapshot: &CatalogueSnapshot) -> DigestValue {
+pub(super) fn catalogue_digest(snapshot: &CatalogueSnapshot) -> DigestValue {
     let mut hasher = Xxh3::new();
     hasher.update(&snapshot.revision.to_le_bytes());
     for (name, entry) in &snapshot.services {
--- a/crates/core/src/member/controller.rs
+++ b/crates/core/src/member/controller.rs
@@ -151,6 +151,20 @@
         slots.map(|slot| (&slot.record, slot.status))
     }
 
+    /// Returns the live entries of the own zone, this one included, in the order of their ids.
+    pub fn live_in_zone(&self) -> Vec<EntryId> {
+        let others = self.entries.live_in(&self.own.zone);
+        let mut live: Vec<EntryId> = others.map(|record| record.id).collect();
+        live.push(self.own.id);
+        live.sort_unstable();
+        live
+    }
+
+    /// Returns whether all records of another entry have been seen equal once.
+    pub fn is_synced(&self) -> bool {
+        self.synced
+    }
+
     /// Returns the zones that the entries of the own zone do not hear.
     pub fn unreachable_zones(&self) -> impl Iterator<Item = &ZoneName> {
         self.zones.marked()
--- a/crates/core/src/replicate.rs
+++ b/crates/core/src/replicate.rs
@@ -13,10 +13,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-mod digest;
-
-pub use digest::catalogue_digest;
-
 /// Checks a snapshot before it comes into force; an error says what is wrong.
 pub type ValidateFn = fn(&CatalogueSnapshot) -> Result<(), String>;
 
@@ -150,7 +146,7 @@
             self.counters.stale += 1;
             return AdoptOutcome::Stale;
         }
-        let digest = catalogue_digest(&snapshot);
+        let digest = snapshot.digest();
         self.apply(snapshot, digest)
     }
 
@@ -286,7 +282,7 @@
                 None => snapshot.services.remove(&name),
             };
         }
-        if self.scope.is_none() && catalogue_digest(&snapshot) != change.digest {
+        if self.scope.is_none() && snapshot.digest() != change.digest {
             return AdoptOutcome::Mismatch;
         }
         self.apply(snapshot, change.digest)
--- a/crates/core/tests/member/catalogue.rs
+++ b/crates/core/tests/member/catalogue.rs
@@ -1,7 +1,6 @@
 //! Replication of the catalogue.
 
 use crate::fleet::{snapshot, Fleet, Network};
-use quetzalhill_core::replicate::catalogue_digest;
 use std::time::Duration;
 
 const START_LIMIT: Duration = Duration::from_secs(30);
@@ -90,9 +89,6 @@
         .expect("one service")
         .limits
         .queue += 1;
-    assert_ne!(catalogue_digest(&snapshot(1)), catalogue_digest(&other));
-    assert_eq!(
-        catalogue_digest(&snapshot(1)),
-        catalogue_digest(&snapshot(1))
-    );
+    assert_ne!(snapshot(1).digest(), other.digest());
+    assert_eq!(snapshot(1).digest(), snapshot(1).digest());
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,39 +1,44 @@
-//! The control thread of an entry: membership, the catalogue in force and the route table.
+//! The control thread of an entry: membership, the catalogue in force, the store reader and the admin pages.
 
+mod fetches;
+mod metrics;
+mod pages;
+mod state;
+mod turns;
+
+use crate::reader::{self, ReaderInput, ReaderSetup};
 use crate::settings::EntrySettings;
 use crate::shared::SharedState;
 use anyhow::{anyhow, Context, Result};
+use fetches::serve_fetches;
+use metrics::EntryMetrics;
+use ntex::rt::JoinHandle as TaskHandle;
+use pages::serve_pages;
+use prometheus::Registry;
+use quetzalhill_core::catalogue::reader::ReaderSettings;
 use quetzalhill_core::catalogue::validate::validate;
 use quetzalhill_core::catalogue::CatalogueSnapshot;
-use quetzalhill_core::ids::{address_of, id_of, RevisionNumber};
-use quetzalhill_core::member::controller::{ActionList, MemberAction, MemberController};
-use quetzalhill_core::member::message::OutgoingMessage;
-use quetzalhill_core::member::routes::build_table;
+use quetzalhill_core::ids::id_of;
+use quetzalhill_core::member::controller::MemberController;
 use quetzalhill_core::member::EntryRecord;
-use quetzalhill_core::replicate::{
-    AdoptOutcome, CatalogueAction, CatalogueChange, CatalogueController,
-};
+use quetzalhill_core::replicate::CatalogueController;
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::fetch;
-use quetzalhill_wire::control::ControlMessage;
-use quetzalhill_wire::fetch::FetchRequest;
-use quetzalhill_wire::packet::DATAGRAM_MAX;
+use quetzalhill_store::etcd::{EtcdSettings, EtcdStore};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use std::cell::RefCell;
+use state::ControlState;
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{mpsc, watch, Semaphore};
-
-/// Catalogue fetches that are answered at the same time.
-const FETCHES_MAX: usize = 16;
+use tokio::sync::{mpsc, watch};
+use turns::ControlLoop;
 
-/// Time to wait after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for the store reader to give its slot back at the end.
+const READER_STOP_LIMIT: Duration = Duration::from_secs(1);
 
 /// Validates a snapshot and joins everything that is wrong into one reason.
 fn check_snapshot(snapshot: &CatalogueSnapshot) -> Result<(), String> {
@@ -59,6 +64,7 @@
 #[derive(Debug)]
 pub struct ControlHandle {
     catalogue: CatalogueSender,
+    admin: SocketAddr,
     stop: watch::Sender<bool>,
     thread: JoinHandle<()>,
 }
@@ -74,6 +80,11 @@
         self.catalogue.clone()
     }
 
+    /// Returns the bound address of the admin pages.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin
+    }
+
     /// Tells the other entries that this one leaves and ends the thread.
     ///
     /// # Errors
@@ -91,275 +102,182 @@
 ///
 /// # Errors
 ///
-/// Fails if the control socket can't be bound or the thread can't be started.
+/// Fails if the control sockets or the admin address can't be bound or the thread can't be started.
 pub fn start(settings: &EntrySettings, shared: Arc<SharedState>) -> Result<ControlHandle> {
-    start_with(settings, shared, |_| {})
-}
-
-/// Starts the control thread and calls `tasks` on it, so that a store reader can spawn its tasks there.
-///
-/// # Errors
-///
-/// As for [`start`].
-pub fn start_with(
-    settings: &EntrySettings,
-    shared: Arc<SharedState>,
-    tasks: impl FnOnce(CatalogueSender) + Send + 'static,
-) -> Result<ControlHandle> {
-    let address = settings.node.control;
-    let socket = std::net::UdpSocket::bind(address)
-        .with_context(|| format!("binding the control socket {address}"))?;
-    socket.set_nonblocking(true)?;
-    let bound = local_v4(&socket)?;
-    let listener = std::net::TcpListener::bind(bound)
-        .with_context(|| format!("binding the control listener {bound}"))?;
-    listener.set_nonblocking(true)?;
-    let seeds = settings.entry.seeds.clone();
-    let own = EntryRecord {
-        id: id_of(bound),
-        incarnation: wall_millis(),
-        zone: settings.node.zone.clone(),
-        data: settings.entry.data,
-    };
+    let sockets = ControlSockets::bind(settings)?;
+    let admin = sockets.admin.local_addr()?;
     let (catalogue_out, catalogue) = watch::channel(Arc::default());
     let (stop_out, stop) = watch::channel(false);
     let sender = CatalogueSender(catalogue_out);
-    let for_tasks = sender.clone();
+    let setup = ControlSetup {
+        settings: settings.clone(),
+        shared,
+        sockets,
+        sender: sender.clone(),
+        catalogue,
+        stop,
+    };
     let thread = std::thread::Builder::new()
         .name("control".into())
         .spawn(move || {
             let system = ntex::rt::System::build()
                 .name("control")
                 .build(ntex::rt::DefaultRuntime);
-            let result = system.block_on(async move {
-                tasks(for_tasks);
-                let socket = UdpSocket::from_std(socket)?;
-                let listener = TcpListener::from_std(listener)?;
-                let now = Instant::now();
-                let controller = CatalogueController::new(check_snapshot, None, now);
-                let controller = Rc::new(RefCell::new(controller));
-                let server = serve_fetches(listener, shared.clone(), controller.clone());
-                ntex::rt::spawn(server);
-                let (fetched, changes) = mpsc::channel(1);
-                let control = ControlLoop {
-                    shared,
-                    socket,
-                    member: MemberController::new(own, &seeds, now),
-                    catalogue: controller,
-                    published: (0, 0),
-                    rng: SmallRng::from_os_rng(),
-                    fetched,
-                };
-                control.run(catalogue, stop, changes).await
-            });
-            if let Err(error) = result {
+            if let Err(error) = system.block_on(run(setup)) {
                 emit(
                     EventCode::TaskFailed,
-                    &[("task", &"control"), ("error", &error)],
+                    &[("task", &"control"), ("error", &format!("{error:#}"))],
                 );
             }
         })
         .context("starting the control thread")?;
     Ok(ControlHandle {
         catalogue: sender,
+        admin,
         stop: stop_out,
         thread,
     })
 }
 
-fn local_v4(socket: &std::net::UdpSocket) -> Result<SocketAddrV4> {
-    match socket.local_addr()? {
-        SocketAddr::V4(address) => Ok(address),
-        SocketAddr::V6(address) => Err(anyhow!("control socket {address} is not IPv4")),
-    }
+/// Bound sockets of the control thread.
+#[derive(Debug)]
+struct ControlSockets {
+    control: std::net::UdpSocket,
+    fetches: std::net::TcpListener,
+    admin: std::net::TcpListener,
+    /// Address of `control` and `fetches`.
+    bound: SocketAddrV4,
 }
 
-/// Returns the wall clock in milliseconds, from which incarnations start.
-fn wall_millis() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(1, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+impl ControlSockets {
+    fn bind(settings: &EntrySettings) -> Result<Self> {
+        let address = settings.node.control;
+        let control = std::net::UdpSocket::bind(address)
+            .with_context(|| format!("binding the control socket {address}"))?;
+        control.set_nonblocking(true)?;
+        let bound = local_v4(&control)?;
+        let fetches = std::net::TcpListener::bind(bound)
+            .with_context(|| format!("binding the control listener {bound}"))?;
+        fetches.set_nonblocking(true)?;
+        let address = settings.node.admin;
+        let admin = std::net::TcpListener::bind(address)
+            .with_context(|| format!("binding the admin listener {address}"))?;
+        Ok(Self {
+            control,
+            fetches,
+            admin,
+            bound,
+        })
+    }
 }
 
-type SharedCatalogue = Rc<RefCell<CatalogueController>>;
-
-struct ControlLoop {
+/// What the control thread starts with.
+struct ControlSetup {
+    settings: EntrySettings,
     shared: Arc<SharedState>,
-    socket: UdpSocket,
-    member: MemberController,
-    catalogue: SharedCatalogue,
-    published: (u64, RevisionNumber),
-    rng: SmallRng,
-    fetched: mpsc::Sender<Option<CatalogueChange>>,
+    sockets: ControlSockets,
+    sender: CatalogueSender,
+    catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
+    stop: watch::Receiver<bool>,
 }
 
-impl ControlLoop {
-    async fn run(
-        mut self,
-        mut snapshots: watch::Receiver<Arc<CatalogueSnapshot>>,
-        mut stop: watch::Receiver<bool>,
-        mut changes: mpsc::Receiver<Option<CatalogueChange>>,
-    ) -> std::io::Result<()> {
-        let mut buffer = vec![0; DATAGRAM_MAX + 1];
-        loop {
-            let deadline = self.next_deadline();
-            tokio::select! {
-                received = self.socket.recv_from(&mut buffer) => {
-                    // An ICMP error of an earlier send shows up here and concerns one peer only.
-                    if let Ok((size, from)) = received {
-                        self.receive(&buffer[..size], from).await;
-                    }
-                }
-                changed = snapshots.changed() => {
-                    if changed.is_err() {
-                        return Ok(());
-                    }
-                    let snapshot = CatalogueSnapshot::clone(&snapshots.borrow_and_update());
-                    let revision = snapshot.revision;
-                    let outcome = self.catalogue.borrow_mut().adopt(snapshot);
-                    self.adopted(revision, outcome);
-                }
-                Some(change) = changes.recv() => {
-                    let revision = change.as_ref().map_or(0, |change| change.revision);
-                    let now = Instant::now();
-                    let outcome = self.catalogue.borrow_mut().fetched(change, now, &mut self.rng);
-                    self.adopted(revision, outcome);
-                }
-                _ = stop.changed() => {
-                    let actions = self.member.leave(&mut self.rng);
-                    self.perform(actions).await;
-                    return Ok(());
-                }
-                () = tokio::time::sleep_until(deadline.into()) => {
-                    let actions = self.member.tick(Instant::now(), &mut self.rng);
-                    self.perform(actions).await;
-                }
-            }
-            self.start_fetch();
-            self.publish();
-        }
-    }
-
-    fn next_deadline(&self) -> Instant {
-        let member = self.member.next_deadline();
-        let catalogue = self.catalogue.borrow().next_deadline();
-        catalogue.map_or(member, |deadline| deadline.min(member))
-    }
-
-    async fn receive(&mut self, datagram: &[u8], from: SocketAddr) {
-        let SocketAddr::V4(from) = from else {
-            return;
-        };
-        let ring = self.shared.ring.load_full();
-        let Ok(ControlMessage::Member(message)) = ControlMessage::open(&ring, datagram) else {
-            return;
-        };
-        let now = Instant::now();
-        let actions = self.member.receive(from, *message, now, &mut self.rng);
-        self.perform(actions).await;
-    }
-
-    async fn perform(&mut self, actions: ActionList) {
-        for action in actions {
-            match action {
-                MemberAction::Send(outgoing) => self.send(outgoing).await,
-                MemberAction::CatalogueSeen(peer, stamp) => {
-                    self.catalogue.borrow_mut().seen(peer, stamp);
-                }
-            }
-        }
-    }
-
-    fn adopted(&mut self, revision: RevisionNumber, outcome: AdoptOutcome) {
-        match outcome {
-            AdoptOutcome::InForce => {
-                emit(EventCode::CatalogueInForce, &[("revision", &revision)]);
-                let stamp = self.catalogue.borrow().stamp();
-                self.member.set_stamp(stamp);
-            }
-            AdoptOutcome::Invalid(reason) => emit(
-                EventCode::CatalogueInvalid,
-                &[("revision", &revision), ("reason", &reason)],
-            ),
-            // Counted by the controller and repeated by it.
-            AdoptOutcome::Stale | AdoptOutcome::Mismatch => {}
-        }
+/// Runs the control thread until it is told to stop.
+async fn run(setup: ControlSetup) -> Result<()> {
+    let ControlSetup {
+        settings,
+        shared,
+        sockets,
+        sender,
+        catalogue,
+        stop,
+    } = setup;
+    let now = Instant::now();
+    let own = EntryRecord {
+        id: id_of(sockets.bound),
+        incarnation: wall_millis(),
+        zone: settings.node.zone.clone(),
+        data: settings.entry.data,
+    };
+    let holds_slot: Rc<Cell<bool>> = Rc::default();
+    let reader_setup = ReaderSetup {
+        zone: own.zone.clone(),
+        own: own.id,
+        settings: ReaderSettings::default(),
+        seed: rand::random(),
+        holds_slot: holds_slot.clone(),
+    };
+    let member = MemberController::new(own, &settings.entry.seeds, now);
+    let (reader, input) = watch::channel(ReaderInput {
+        live: member.live_in_zone(),
+        in_force: Arc::default(),
+    });
+    let store = connect_store(&settings.store.urls).await;
+    let state = Rc::new(RefCell::new(ControlState {
+        member,
+        catalogue: CatalogueController::new(check_snapshot, None, now),
+        holds_slot,
+        store: store.clone(),
+        has_seeds: !settings.entry.seeds.is_empty(),
+        started_at: now,
+        turned_at: now,
+    }));
+    let registry = Registry::new();
+    let metrics = EntryMetrics::new(&registry)?;
+    let fetches = TcpListener::from_std(sockets.fetches)?;
+    ntex::rt::spawn(serve_fetches(fetches, shared.clone(), state.clone())).detach();
+    let pages = serve_pages(sockets.admin, registry, shared.clone(), state.clone());
+    ntex::rt::spawn(pages).detach();
+    let deliver = move |snapshot| sender.adopt(snapshot);
+    let reading: Option<TaskHandle<()>> = store.map(|store| {
+        let task = reader::run(store, reader_setup, input, stop.clone(), deliver);
+        ntex::rt::spawn(task)
+    });
+    let (fetched, changes) = mpsc::channel(1);
+    let control = ControlLoop {
+        shared,
+        socket: UdpSocket::from_std(sockets.control)?,
+        state,
+        metrics,
+        reader,
+        published: (0, 0),
+        rng: SmallRng::from_os_rng(),
+        fetched,
+        next_chores: now,
+    };
+    control.run(catalogue, stop, changes).await?;
+    if let Some(reading) = reading {
+        // A slot that is not given back becomes free when its lease ends.
+        let _ = tokio::time::timeout(READER_STOP_LIMIT, reading).await;
     }
+    Ok(())
+}
 
-    fn start_fetch(&mut self) {
-        let action = self
-            .catalogue
-            .borrow_mut()
-            .tick(Instant::now(), &mut self.rng);
-        let Some(CatalogueAction::Fetch {
-            peer,
-            from,
-            deadline,
-        }) = action
-        else {
-            return;
-        };
-        let ring = self.shared.ring.load_full();
-        let fetched = self.fetched.clone();
-        ntex::rt::spawn(async move {
-            let request = FetchRequest {
-                from,
-                service: None,
-            };
-            let change = fetch::fetch(address_of(peer), &request, &ring, deadline).await;
-            // Fails only when the control thread ends.
-            let _ = fetched.send(change.ok()).await;
-        });
+/// Returns the client of the store, if the settings name one.
+async fn connect_store(urls: &[String]) -> Option<EtcdStore> {
+    if urls.is_empty() {
+        return None;
     }
-
-    fn publish(&mut self) {
-        let snapshot = self.catalogue.borrow().snapshot().clone();
-        let current = (self.member.changes(), snapshot.revision);
-        if self.published == current {
-            return;
+    match EtcdStore::new(EtcdSettings::new(urls.to_vec())).await {
+        Ok(store) => Some(store),
+        Err(error) => {
+            emit(
+                EventCode::TaskFailed,
+                &[("task", &"reader"), ("error", &error)],
+            );
+            None
         }
-        self.published = current;
-        let unreachable: Vec<_> = self.member.unreachable_zones().cloned().collect();
-        let table = build_table(&snapshot, self.member.endpoints(), &unreachable);
-        self.shared.routes.store(Arc::new(table));
     }
+}
 
-    async fn send(&self, outgoing: OutgoingMessage) {
-        let ring = self.shared.ring.load_full();
-        let message = ControlMessage::Member(Box::new(outgoing.message));
-        let Ok(datagram) = message.seal(&ring) else {
-            return;
-        };
-        // A datagram that can't be sent counts as lost; every exchange is repeated.
-        let _ = self.socket.send_to(&datagram, outgoing.to).await;
+fn local_v4(socket: &std::net::UdpSocket) -> Result<SocketAddrV4> {
+    match socket.local_addr()? {
+        SocketAddr::V4(address) => Ok(address),
+        SocketAddr::V6(address) => Err(anyhow!("control socket {address} is not IPv4")),
     }
 }
 
-/// Answers the catalogue fetches of other nodes, a bounded number at the same time.
-async fn serve_fetches(
-    listener: TcpListener,
-    shared: Arc<SharedState>,
-    catalogue: SharedCatalogue,
-) {
-    let slots = Arc::new(Semaphore::new(FETCHES_MAX));
-    loop {
-        let Ok(slot) = slots.clone().acquire_owned().await else {
-            return;
-        };
-        let Ok((stream, _)) = listener.accept().await else {
-            // The process may be out of file descriptors for a while.
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let ring = shared.ring.load_full();
-        let catalogue = catalogue.clone();
-        ntex::rt::spawn(async move {
-            let change_for = |request: FetchRequest| {
-                let scope = request.service.as_deref();
-                catalogue.borrow().change_since(request.from, scope)
-            };
-            // The asking node repeats a fetch that fails.
-            let _ = fetch::serve(stream, &ring, change_for).await;
-            drop(slot);
-        });
-    }
+/// Returns the wall clock in milliseconds, from which incarnations start.
+fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(1, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -19,8 +19,10 @@
 use quetzalhill_store::catalogue::{reader_key, CatalogueHead, HEAD_KEY};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::pending;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch::Receiver;
@@ -48,6 +50,8 @@
     pub settings: ReaderSettings,
     /// Seed of the jitter.
     pub seed: u64,
+    /// Set by the reader: whether it holds a reader slot.
+    pub holds_slot: Rc<Cell<bool>>,
 }
 
 /// Reads the catalogue until `stop` becomes true, and hands each newer valid revision to `deliver`.
@@ -206,6 +210,7 @@
             Ok(Some(lease)) => {
                 self.note_success();
                 self.lease = Some(lease);
+                self.setup.holds_slot.set(true);
                 emit(
                     EventCode::ReaderStarted,
                     &[("zone", &self.setup.zone), ("slot", &slot)],
@@ -285,6 +290,7 @@
 
     fn close_watch(&mut self) -> Option<ReaderEvent> {
         self.watch = None;
+        self.setup.holds_slot.set(false);
         emit(EventCode::ReaderStopped, &[("zone", &self.setup.zone)]);
         None
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -7,7 +7,7 @@
 use anyhow::Result;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::keys::read_ring;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
@@ -60,6 +60,11 @@
         self.traffic.data_address()
     }
 
+    /// Returns the bound address of the admin pages.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.control.admin_address()
+    }
+
     /// Returns where validated catalogue snapshots are handed in.
     pub fn catalogue(&self) -> CatalogueSender {
         self.control.catalogue()
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::traffic::counters::TrafficCounters;
 use arc_swap::ArcSwap;
+use quetzalhill_core::catalogue::CatalogueSnapshot;
 use quetzalhill_core::route::RouteTable;
 use quetzalhill_wire::key::KeyRing;
 use std::sync::atomic::AtomicBool;
@@ -12,6 +13,8 @@
 pub struct SharedState {
     /// Services and ready endpoints.
     pub routes: ArcSwap<RouteTable>,
+    /// Catalogue in force.
+    pub catalogue: ArcSwap<CatalogueSnapshot>,
     /// Valid control keys.
     pub ring: ArcSwap<KeyRing>,
     /// What the traffic threads counted; only they write it.
@@ -25,6 +28,7 @@
     pub fn new(ring: KeyRing) -> Arc<Self> {
         Arc::new(Self {
             routes: ArcSwap::from_pointee(RouteTable::default()),
+            catalogue: ArcSwap::default(),
             ring: ArcSwap::from_pointee(ring),
             counters: TrafficCounters::default(),
             stop: AtomicBool::new(false),
--- a/crates/entry/tests/reader.rs
+++ b/crates/entry/tests/reader.rs
@@ -65,6 +65,7 @@
             ..ReaderSettings::default()
         },
         seed: 540,
+        holds_slot: Rc::default(),
     };
     let store = EtcdStore::new(store_settings(standin))
         .await
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -24,6 +24,8 @@
 pub struct AdminPages {
     /// Source of `/metrics`.
     pub registry: Registry,
+    /// Answers `/healthz`: whether the control loop still runs.
+    pub healthy: Rc<dyn Fn() -> bool>,
     /// Answers `/readyz`: whether the node takes new flows.
     pub ready: Rc<dyn Fn() -> bool>,
     /// Answers `/status`.
@@ -114,8 +116,11 @@
     }
 }
 
-async fn health() -> HttpResponse {
-    HttpResponse::Ok().body("ok\n")
+async fn health(pages: State<AdminPages>) -> HttpResponse {
+    match (pages.healthy)() {
+        true => HttpResponse::Ok().body("ok\n"),
+        false => HttpResponse::build(StatusCode::SERVICE_UNAVAILABLE).body("not ok\n"),
+    }
 }
 
 async fn ready(pages: State<AdminPages>) -> HttpResponse {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -64,6 +64,8 @@
     ReaderStarted = 4006, Info, "reader-started";
     /// The entry does not hold a reader slot any more.
     ReaderStopped = 4007, Info, "reader-stopped";
+    /// A catalogue with a revision at or below the one in force was ignored.
+    CatalogueStale = 4008, Info, "catalogue-stale";
     /// A task or thread ended with an error.
     TaskFailed = 5001, Error, "task-failed";
 }
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -35,6 +35,7 @@
     };
     let pages = AdminPages {
         registry,
+        healthy: Rc::new(|| true),
         ready: Rc::new(move || flag.get()),
         status: Rc::new(move || to_value(&status).expect("status")),
         catalogue: Rc::new(|| json!({ "revision": 7, "services": {} })),
--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -49,8 +49,8 @@
     }
 }
 
-/// A store that speaks the etcd v3 API. It belongs to one thread.
-#[derive(Debug)]
+/// A store that speaks the etcd v3 API. It belongs to one thread; clones share connections and call budget.
+#[derive(Clone, Debug)]
 pub struct EtcdStore {
     settings: EtcdSettings,
     client: Client,
@@ -91,6 +91,11 @@
         self.budget.borrow().counts()
     }
 
+    /// Returns the limits of this instance.
+    pub fn limits(&self) -> BudgetLimits {
+        self.settings.limits
+    }
+
     /// Sends a call to the base addresses in turn, as long as it certainly had no effect so far.
     async fn send(&self, path: &str, body: &Value) -> Result<ClientResponse, StoreError> {
         let count = self.settings.urls.len();
