Write the testbed's catalogue through the store

Cause: The testbed handed its catalogue to each entry, so that the demo and the bench did not use the path from the store over reader and gossip to the agents, and no test covered that path.

Change: Testbed plans and commits its catalogue against the stand-in of the store (standins::operator) and waits until all nodes have the revision in force; edit_catalogue does the same and now returns only then.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fabric;
 pub mod link;
 pub mod node;
+pub mod operator;
 pub mod payload;
 pub mod site;
 pub mod store;
--- a/crates/standins/src/testbed.rs
+++ b/crates/standins/src/testbed.rs
@@ -3,6 +3,7 @@
 use crate::certificate::{write_certificate, write_key, TestCertificate};
 use crate::deployment::DeploymentPlan;
 use crate::fabric::{FabricRules, FabricStandin};
+use crate::operator::write_catalogue;
 use crate::store::StoreStandin;
 use crate::upstream::UpstreamStandin;
 use anyhow::{bail, Context, Result};
@@ -98,12 +99,8 @@
         let certificate = write_certificate(&folder)?;
         let key = write_key(&folder, 1)?;
         let store = StoreStandin::start(SocketAddrV4::new(ip, PORT_STORE).into())?;
-        let mut catalogue = plan.catalogue(|index| service_address(ip, index));
-        catalogue.revision = 1;
-        // CAST: A deployment has a handful of services.
-        for (index, entry) in catalogue.services.values_mut().enumerate() {
-            entry.number = index as u32 + 1;
-        }
+        let wanted = plan.catalogue(|index| service_address(ip, index));
+        let catalogue = write_catalogue(&store.url(), wanted.services)?;
         let mut bed = Self {
             plan,
             store,
@@ -122,6 +119,7 @@
         }
         bed.add_endpoints()?;
         bed.add_fabrics(seed)?;
+        bed.wait_in_force()?;
         Ok(bed)
     }
 
@@ -139,18 +137,32 @@
         service_address(self.ip, index)
     }
 
-    /// Changes the catalogue as an operator does.
+    /// Changes the catalogue in the store, as an operator does, and waits until it is in force everywhere.
     ///
     /// # Errors
     ///
-    /// Returns an error if the change is not accepted.
+    /// Returns an error if the change is not accepted or not in force within 15 seconds.
     pub fn edit_catalogue(&mut self, edit: impl FnOnce(&mut CatalogueSnapshot)) -> Result<()> {
-        edit(&mut self.catalogue);
-        self.catalogue.revision += 1;
-        for entry in self.entries.iter().filter_map(|entry| entry.entry.as_ref()) {
-            entry.catalogue().adopt(self.catalogue.clone());
-        }
-        Ok(())
+        let mut wanted = self.catalogue.clone();
+        edit(&mut wanted);
+        self.catalogue = write_catalogue(&self.store.url(), wanted.services)?;
+        self.wait_in_force()
+    }
+
+    /// Waits until the last catalogue is in force on all nodes that have not been stopped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes longer than 15 seconds.
+    pub fn wait_in_force(&self) -> Result<()> {
+        let revision = self.catalogue.revision;
+        self.wait_until("the catalogue is in force on all nodes", || {
+            let entries = self.entries.iter().filter_map(|entry| entry.entry.as_ref());
+            let agents = self.endpoints.iter().filter_map(|end| end.agent.as_ref());
+            let mut entries = entries.map(|entry| entry.state().catalogue.load().revision);
+            let mut agents = agents.map(|agent| agent.state().view.load().revision);
+            entries.all(|seen| seen >= revision) && agents.all(|seen| seen >= revision)
+        })
     }
 
     /// Begins to drain an endpoint.
@@ -229,7 +241,6 @@
         };
         let entry =
             quetzalhill::run::start(settings.clone()).with_context(|| format!("entry {index}"))?;
-        entry.catalogue().adopt(self.catalogue.clone());
         self.entries.push(TestEntry {
             entry: Some(entry),
             settings,
