--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod layout;
 pub mod link;
 pub mod node;
+pub mod operator;
 pub mod payload;
 pub mod scenario;
 pub mod site;
