Move the virtual-time pool into the stand-ins

Cause: The replay of traces needs the fake of the pool tests, which only those tests could reach. Change: crates/core/tests/pool becomes crates/standins/src/pool, and the pool tests move unchanged to crates/standins/tests/pool.rs. Conclusion: Tests and replay share one fake.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for callers, fabric, upstreams and the platform, for tests and measurements only.
 //!
-//! Every stand-in runs as threads with its own sockets on loopback, so that the real entries and agents meet it
-//! through the network. See docs/design.md, section 3.
+//! Stand-ins run as threads with their own sockets on loopback, so that the real entries and agents meet them through
+//! the network; `pool` alone runs the decision code in virtual time. See docs/design.md, section 3.
 
 pub mod bench;
 pub mod caller;
@@ -12,6 +12,7 @@
 pub mod link;
 pub mod node;
 pub mod payload;
+pub mod pool;
 pub mod site;
 pub mod store;
 pub mod testbed;
--- /dev/null
+++ b/crates/standins/src/pool.rs
@@ -0,0 +1,6 @@
+//! Several agents of one service in virtual time, for tests of the decision code and for the replay of traces.
+
+pub mod central;
+pub mod outcome;
+pub mod sim;
+pub mod workload;
--- a/crates/core/tests/pool/central.rs
+++ b/crates/standins/src/pool/central.rs
@@ -20,7 +20,7 @@
 }
 
 /// Runs a trace through the central queue.
-pub(crate) fn run_central(shape: PoolShape, jobs: &[TraceJob]) -> RunResult {
+pub fn run_central(shape: PoolShape, jobs: &[TraceJob]) -> RunResult {
     let mut queue = CentralQueue {
         shape,
         jobs,
--- a/crates/core/tests/pool/outcome.rs
+++ b/crates/standins/src/pool/outcome.rs
@@ -4,11 +4,16 @@
 
 /// The end of one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum JobEnd {
+pub enum JobEnd {
     /// Not ended when the run stopped.
     Open,
     /// The answer reached the caller.
-    Answered { at: Seconds, agent: usize },
+    Answered {
+        /// When the caller had the answer.
+        at: Seconds,
+        /// Agent whose upstream answered.
+        agent: usize,
+    },
     /// Refused as not run.
     Refused,
     /// The upstream failed.
@@ -16,24 +21,24 @@
 }
 
 /// Result of one run over a trace.
-pub(crate) struct RunResult {
-    pub(crate) ends: Vec<JobEnd>,
+pub struct RunResult {
+    /// End of each request, in the order of the trace.
+    pub ends: Vec<JobEnd>,
     /// Start, length and agent of each piece of work.
-    pub(crate) work: Vec<(Seconds, Seconds, usize)>,
-    pub(crate) messages: u64,
-    pub(crate) extra_attempts: u64,
+    pub work: Vec<(Seconds, Seconds, usize)>,
+    /// Messages between agents.
+    pub messages: u64,
+    /// Attempts beyond the first of each request.
+    pub extra_attempts: u64,
     /// Times that a request was started, per request and attempt, beyond the first.
-    pub(crate) double_starts: u64,
+    pub double_starts: u64,
     /// Requests that ended.
-    pub(crate) ended: usize,
+    pub ended: usize,
 }
 
 impl RunResult {
-    pub(crate) fn latencies(
-        &self,
-        jobs: &[TraceJob],
-        keep: impl Fn(&TraceJob) -> bool,
-    ) -> Vec<Seconds> {
+    /// Times from arrival to answer of the answered requests for which `keep` holds.
+    pub fn latencies(&self, jobs: &[TraceJob], keep: impl Fn(&TraceJob) -> bool) -> Vec<Seconds> {
         let mut found = Vec::new();
         for (job, end) in jobs.iter().zip(&self.ends) {
             if !keep(job) {
@@ -46,20 +51,18 @@
         found
     }
 
-    pub(crate) fn p99(&self, jobs: &[TraceJob], keep: impl Fn(&TraceJob) -> bool) -> Seconds {
+    /// 99th percentile of [`RunResult::latencies`].
+    pub fn p99(&self, jobs: &[TraceJob], keep: impl Fn(&TraceJob) -> bool) -> Seconds {
         percentile(self.latencies(jobs, keep), 0.99)
     }
 
-    pub(crate) fn count(&self, matching: impl Fn(&JobEnd) -> bool) -> usize {
+    /// Number of requests with a matching end.
+    pub fn count(&self, matching: impl Fn(&JobEnd) -> bool) -> usize {
         self.ends.iter().filter(|end| matching(end)).count()
     }
 
     /// Share of the requests answered within their deadline.
-    pub(crate) fn answered_in_time(
-        &self,
-        jobs: &[TraceJob],
-        keep: impl Fn(&TraceJob) -> bool,
-    ) -> f64 {
+    pub fn answered_in_time(&self, jobs: &[TraceJob], keep: impl Fn(&TraceJob) -> bool) -> f64 {
         let mut all = 0_u32;
         let mut good = 0_u32;
         for (job, end) in jobs.iter().zip(&self.ends) {
@@ -73,7 +76,7 @@
     }
 
     /// Service time of the requests answered within their deadline that arrived in the given time.
-    pub(crate) fn useful_work(&self, jobs: &[TraceJob], from: Seconds, until: Seconds) -> Seconds {
+    pub fn useful_work(&self, jobs: &[TraceJob], from: Seconds, until: Seconds) -> Seconds {
         let ends = jobs.iter().zip(&self.ends);
         ends.filter(|(job, end)| {
             matches!(end, JobEnd::Answered { at, .. } if *at >= from && *at < until)
@@ -84,7 +87,7 @@
     }
 
     /// Work of the busiest agent over the mean of all, in the given time.
-    pub(crate) fn imbalance(&self, agents: usize, from: Seconds, until: Seconds) -> f64 {
+    pub fn imbalance(&self, agents: usize, from: Seconds, until: Seconds) -> f64 {
         let mut busy = vec![0.0; agents];
         for (start, length, agent) in &self.work {
             let overlap = (start + length).min(until) - start.max(from);
@@ -100,7 +103,7 @@
 }
 
 /// Returns the value that the given share of the values does not exceed.
-pub(crate) fn percentile(mut values: Vec<f64>, share: f64) -> f64 {
+pub fn percentile(mut values: Vec<f64>, share: f64) -> f64 {
     assert!(!values.is_empty(), "no values");
     values.sort_by(f64::total_cmp);
     let rank = (share * values.len() as f64).ceil() as usize;
--- a/crates/core/tests/pool/sim.rs
+++ b/crates/standins/src/pool/sim.rs
@@ -23,26 +23,32 @@
 
 /// How a run differs from the plain one.
 #[derive(Clone, Debug)]
-pub(crate) struct SimSpec {
-    pub(crate) shape: PoolShape,
-    pub(crate) policy: DispatchPolicy,
-    pub(crate) options: DispatchOptions,
-    pub(crate) limits: LimitSet,
-    pub(crate) seed: u64,
+pub struct SimSpec {
+    /// Endpoints and delays.
+    pub shape: PoolShape,
+    /// Which peer runs a request.
+    pub policy: DispatchPolicy,
+    /// Mechanisms in use.
+    pub options: DispatchOptions,
+    /// Limits from the catalogue.
+    pub limits: LimitSet,
+    /// Seed of the controllers' choices and of the losses.
+    pub seed: u64,
     /// Share of the messages between agents that is lost.
-    pub(crate) loss: f64,
+    pub loss: f64,
     /// Agents whose upstream fails every request from the given time on.
-    pub(crate) faulty: Vec<(usize, Seconds)>,
+    pub faulty: Vec<(usize, Seconds)>,
     /// An agent that becomes ready at the given time.
-    pub(crate) cold: Option<(usize, Seconds)>,
+    pub cold: Option<(usize, Seconds)>,
     /// An agent that drains from the given time on.
-    pub(crate) drain: Option<(usize, Seconds)>,
+    pub drain: Option<(usize, Seconds)>,
     /// Whether failed requests are attempted again within the retry budget.
-    pub(crate) retry: bool,
+    pub retry: bool,
 }
 
 impl SimSpec {
-    pub(crate) fn new(shape: PoolShape) -> Self {
+    /// Makes the plain run: the pooled policy, default options and no faults.
+    pub fn new(shape: PoolShape) -> Self {
         Self {
             shape,
             policy: DispatchPolicy::Pooled,
@@ -110,7 +116,7 @@
 }
 
 /// Runs a trace through a pool of controllers.
-pub(crate) fn run_pool(spec: &SimSpec, jobs: &[TraceJob]) -> RunResult {
+pub fn run_pool(spec: &SimSpec, jobs: &[TraceJob]) -> RunResult {
     let mut sim = PoolSim::new(spec, jobs);
     sim.schedule_start();
     let end = jobs.last().map_or(0.0, |job| job.at) + TAIL_SECONDS;
--- a/crates/core/tests/pool/workload.rs
+++ b/crates/standins/src/pool/workload.rs
@@ -6,76 +6,99 @@
 use std::time::Duration;
 
 /// Times in the fake are seconds since its start.
-pub(crate) type Seconds = f64;
+pub type Seconds = f64;
 
 /// One request of a trace.
 #[derive(Clone, Debug)]
-pub(crate) struct TraceJob {
-    pub(crate) at: Seconds,
-    pub(crate) home: usize,
-    pub(crate) service: Seconds,
-    pub(crate) class: TrafficClass,
-    pub(crate) owner: &'static str,
+pub struct TraceJob {
+    /// When the request arrives.
+    pub at: Seconds,
+    /// Agent on which it arrives.
+    pub home: usize,
+    /// Work at the upstream.
+    pub service: Seconds,
+    /// Class of the request.
+    pub class: TrafficClass,
+    /// Owner of the request.
+    pub owner: &'static str,
     /// Length from the arrival to the deadline.
-    pub(crate) patience: Seconds,
-    pub(crate) key: u64,
+    pub patience: Seconds,
+    /// Hash of what tells short from long work; 0 when nothing does.
+    pub key: u64,
 }
 
 /// Endpoints of a service and the delay between them.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct PoolShape {
-    pub(crate) agents: usize,
-    pub(crate) slots: u16,
-    pub(crate) delay: Seconds,
+pub struct PoolShape {
+    /// Number of agents.
+    pub agents: usize,
+    /// Slots of each agent.
+    pub slots: u16,
+    /// One-way delay between agents.
+    pub delay: Seconds,
 }
 
 /// The services of the first users.
-pub(crate) const FEED: PoolShape = PoolShape {
+/// Feed of Lucky Slip.
+pub const FEED: PoolShape = PoolShape {
     agents: 7,
     slots: 4,
     delay: 0.000_5,
 };
-pub(crate) const BATCH: PoolShape = PoolShape {
+/// Batch of Lucky Slip.
+pub const BATCH: PoolShape = PoolShape {
     agents: 4,
     slots: 4,
     delay: 0.000_5,
 };
-pub(crate) const DESK: PoolShape = PoolShape {
+/// Desk of the Directorate.
+pub const DESK: PoolShape = PoolShape {
     agents: 7,
     slots: 3,
     delay: 0.001_4,
 };
-pub(crate) const ARCHIVE: PoolShape = PoolShape {
+/// Archive of the Directorate.
+pub const ARCHIVE: PoolShape = PoolShape {
     agents: 3,
     slots: 3,
     delay: 0.001_4,
 };
 
 impl PoolShape {
-    pub(crate) fn capacity(self) -> f64 {
+    /// Slots of all agents.
+    pub fn capacity(self) -> f64 {
         self.agents as f64 * f64::from(self.slots)
     }
 }
 
 /// Poisson arrivals with exponential service times.
 #[derive(Clone, Debug)]
-pub(crate) struct StreamSpec {
-    pub(crate) shape: PoolShape,
+pub struct StreamSpec {
+    /// Endpoints and delays.
+    pub shape: PoolShape,
     /// Share of the pool's slots that the stream occupies.
-    pub(crate) load: f64,
-    pub(crate) mean: Seconds,
-    pub(crate) from: Seconds,
-    pub(crate) until: Seconds,
-    pub(crate) class: TrafficClass,
-    pub(crate) owner: &'static str,
-    pub(crate) patience: Seconds,
-    pub(crate) key: u64,
+    pub load: f64,
+    /// Mean work of a request.
+    pub mean: Seconds,
+    /// When the stream begins.
+    pub from: Seconds,
+    /// When the stream ends.
+    pub until: Seconds,
+    /// Class of the requests.
+    pub class: TrafficClass,
+    /// Owner of the requests.
+    pub owner: &'static str,
+    /// Length from the arrival of a request to its deadline.
+    pub patience: Seconds,
+    /// Work key of the requests.
+    pub key: u64,
     /// Relative share of each agent in the arrivals; empty for equal shares.
-    pub(crate) skew: Vec<f64>,
+    pub skew: Vec<f64>,
 }
 
 impl StreamSpec {
-    pub(crate) fn new(shape: PoolShape, load: f64, mean: Seconds, until: Seconds) -> Self {
+    /// Makes a stream of standard requests from the start until `until`.
+    pub fn new(shape: PoolShape, load: f64, mean: Seconds, until: Seconds) -> Self {
         Self {
             shape,
             load,
@@ -91,7 +114,7 @@
     }
 
     /// Draws the requests of the stream.
-    pub(crate) fn draw(&self, seed: u64) -> Vec<TraceJob> {
+    pub fn draw(&self, seed: u64) -> Vec<TraceJob> {
         let mut rng = SmallRng::seed_from_u64(seed);
         let rate = self.load * self.shape.capacity() / self.mean;
         let mut jobs = Vec::new();
@@ -127,16 +150,18 @@
 }
 
 /// Merges streams in the order of arrival.
-pub(crate) fn merge(streams: Vec<Vec<TraceJob>>) -> Vec<TraceJob> {
+pub fn merge(streams: Vec<Vec<TraceJob>>) -> Vec<TraceJob> {
     let mut jobs: Vec<TraceJob> = streams.into_iter().flatten().collect();
     jobs.sort_by(|a, b| a.at.total_cmp(&b.at));
     jobs
 }
 
-pub(crate) fn exponential(mean: f64, rng: &mut SmallRng) -> f64 {
+/// Draws from the exponential distribution.
+pub fn exponential(mean: f64, rng: &mut SmallRng) -> f64 {
     -mean * (1.0 - rng.random::<f64>()).ln()
 }
 
-pub(crate) fn span(seconds: Seconds) -> Duration {
+/// Converts to the standard type; negative lengths become zero.
+pub fn span(seconds: Seconds) -> Duration {
     Duration::from_secs_f64(seconds.max(0.0))
 }
--- a/crates/core/tests/pool.rs
+++ b/crates/standins/tests/pool.rs
@@ -2,21 +2,14 @@
 //!
 //! All bounds are the targets of docs/design.md, section 1; `--nocapture` prints the measures.
 
-#[path = "pool/central.rs"]
-mod central;
-#[path = "pool/outcome.rs"]
-mod outcome;
-#[path = "pool/sim.rs"]
-mod sim;
-#[path = "pool/workload.rs"]
-mod workload;
-
-use central::run_central;
-use outcome::{JobEnd, RunResult};
 use quetzalhill_core::catalogue::TrafficClass;
 use quetzalhill_core::dispatch::{DispatchOptions, DispatchPolicy, QueueOrder};
-use sim::{run_pool, SimSpec};
-use workload::{merge, PoolShape, StreamSpec, TraceJob, ARCHIVE, BATCH, DESK, FEED};
+use quetzalhill_standins::pool::central::run_central;
+use quetzalhill_standins::pool::outcome::{JobEnd, RunResult};
+use quetzalhill_standins::pool::sim::{run_pool, SimSpec};
+use quetzalhill_standins::pool::workload::{
+    merge, PoolShape, StreamSpec, TraceJob, ARCHIVE, BATCH, DESK, FEED,
+};
 use yare::parameterized;
 
 const MEAN: f64 = 0.02;
