Pull urgent work ahead of the agent's own lesser work

Cause: Under saturation an agent pulls nothing, because its own lesser work takes each slot that frees. An agent whose flows bring more urgent work than its slots carry then misses deadlines while its peers run standard work. The replay of a dawn start with routed flows (400 printers over 7 endpoints by rendezvous hashing) shows it; the pool tests don't, since their arrivals are spread evenly. Change: An agent whose waiting work is less urgent than a peer's pulls one request ahead of a free slot. The 21 pool tests pass. Conclusion: Class order holds over the pool and not only within an agent.

--- a/crates/core/src/dispatch/handover.rs
+++ b/crates/core/src/dispatch/handover.rs
@@ -27,6 +27,11 @@
 /// A peer's work is taken ahead of the agent's own when it has waited longer by this multiple of the pull time.
 const AGE_MARGIN: f64 = 2.0;
 
+/// Requests that an agent without a free slot takes from a peer because its own waiting work is less urgent.
+///
+/// Without it, a peer's urgent requests wait while all slots of the pool are kept busy by the agents' own lesser work.
+const URGENT_AHEAD: usize = 1;
+
 /// An offer without an answer.
 #[derive(Debug)]
 pub(super) struct OpenOffer {
@@ -252,8 +257,8 @@
             .iter()
             .filter(|request| request.from.is_some() && (room || !request.long));
         let mut outstanding = taken.count() + self.pulls.len();
-        while outstanding < allowed {
-            let Some(peer) = self.longest_wait(now) else {
+        while outstanding < allowed + URGENT_AHEAD {
+            let Some(peer) = self.longest_wait(now, outstanding >= allowed) else {
                 return;
             };
             outstanding += 1;
@@ -267,7 +272,9 @@
     }
 
     /// Returns the peer whose waiting work comes before the agent's own and is the oldest.
-    fn longest_wait(&self, now: Instant) -> Option<EndpointId> {
+    ///
+    /// With `more_urgent`, only work of a more urgent class than the agent's own counts.
+    fn longest_wait(&self, now: Instant, more_urgent: bool) -> Option<EndpointId> {
         let pull = self.pull_seconds.unwrap_or(DEFAULT_PULL_SECONDS);
         let margin = Duration::from_secs_f64(pull * AGE_MARGIN);
         let room = self.long_room(now);
@@ -282,6 +289,9 @@
                 continue;
             };
             let class = view.report.waiting_class;
+            if more_urgent && own.is_none_or(|own| own.0 <= class) {
+                continue;
+            }
             let pulled = self.pulls.iter().filter(|pull| pull.peer == view.id);
             if pulled.count() >= usize::from(view.report.queued) {
                 continue;
