Replay recorded traces against their stated outcomes

Change: A trace is a TOML header with the stated outcomes and one JSON array for each request. The replay routes each flow (route, flow), decides keyed copies (once) and dispatches (one DispatchController for each endpoint) in the virtual time of the pool tests. Conclusion: Restarts of endpoints and changes of the catalogue are not in the traces.

--- /dev/null
+++ b/crates/standins/examples/replay.rs
@@ -0,0 +1,52 @@
+//! Replays recorded traces through the decision code and compares what is seen with what the traces state.
+
+use argh::FromArgs;
+use quetzalhill_standins::replay::run::replay;
+use quetzalhill_standins::replay::trace::read_trace;
+use std::process::ExitCode;
+
+/// Exit code where a stated outcome fails.
+const OUTCOME_FAILED: u8 = 1;
+
+/// Exit code where a trace is wrong.
+const TRACE_WRONG: u8 = 2;
+
+/// Replay recorded traces in virtual time. Exits with 1 where a stated outcome fails and with 2 where a file is wrong.
+#[derive(FromArgs)]
+struct ReplayArgs {
+    /// trace files, such as traces/dawn.trace
+    #[argh(positional)]
+    traces: Vec<String>,
+}
+
+fn main() -> ExitCode {
+    let args: ReplayArgs = argh::from_env();
+    let mut code = 0;
+    for file in &args.traces {
+        code = code.max(replay_file(file));
+    }
+    ExitCode::from(code)
+}
+
+fn replay_file(file: &str) -> u8 {
+    let trace = match read_trace(file) {
+        Ok(trace) => trace,
+        Err(error) => {
+            eprintln!("{error}");
+            return TRACE_WRONG;
+        }
+    };
+    println!("{file}: {} requests", trace.records.len());
+    let report = replay(&trace);
+    for line in &report.lines {
+        let verdict = if line.holds { "ok" } else { "FAILED" };
+        println!(
+            "  {verdict:<6} expected {:<32} seen {:.5}",
+            line.stated, line.seen
+        );
+    }
+    match report.holds() {
+        true => 0,
+        false => OUTCOME_FAILED,
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod payload;
 pub mod pool;
+pub mod replay;
 pub mod site;
 pub mod store;
 pub mod testbed;
--- a/crates/standins/src/pool/central.rs
+++ b/crates/standins/src/pool/central.rs
@@ -27,14 +27,7 @@
         free: vec![shape.slots; shape.agents],
         waiting: BTreeSet::new(),
         ends: BinaryHeap::new(),
-        result: RunResult {
-            ends: vec![JobEnd::Open; jobs.len()],
-            work: Vec::new(),
-            messages: 0,
-            extra_attempts: 0,
-            double_starts: 0,
-            ended: 0,
-        },
+        result: RunResult::new(jobs.len()),
     };
     for (index, job) in jobs.iter().enumerate() {
         queue.free_until(job.at);
--- a/crates/standins/src/pool/outcome.rs
+++ b/crates/standins/src/pool/outcome.rs
@@ -18,9 +18,12 @@
     Refused,
     /// The upstream failed.
     Failed,
+    /// The outcome is unknown, or a copy of the request is in progress; not run.
+    Unknown,
 }
 
 /// Result of one run over a trace.
+#[derive(Clone, Debug, PartialEq)]
 pub struct RunResult {
     /// End of each request, in the order of the trace.
     pub ends: Vec<JobEnd>,
@@ -32,11 +35,32 @@
     pub extra_attempts: u64,
     /// Times that a request was started, per request and attempt, beyond the first.
     pub double_starts: u64,
+    /// Times that a request was started while a copy with its key had been.
+    pub key_restarts: u64,
+    /// Times that a request was both refused as not run and started.
+    pub refused_starts: u64,
+    /// Copies that were answered with the outcome of another copy.
+    pub repeated_answers: u64,
     /// Requests that ended.
     pub ended: usize,
 }
 
 impl RunResult {
+    /// Makes the result of a run of `requests` requests that has not begun.
+    pub fn new(requests: usize) -> Self {
+        Self {
+            ends: vec![JobEnd::Open; requests],
+            work: Vec::new(),
+            messages: 0,
+            extra_attempts: 0,
+            double_starts: 0,
+            key_restarts: 0,
+            refused_starts: 0,
+            repeated_answers: 0,
+            ended: 0,
+        }
+    }
+
     /// Times from arrival to answer of the answered requests for which `keep` holds.
     pub fn latencies(&self, jobs: &[TraceJob], keep: impl Fn(&TraceJob) -> bool) -> Vec<Seconds> {
         let mut found = Vec::new();
--- a/crates/standins/src/pool/sim.rs
+++ b/crates/standins/src/pool/sim.rs
@@ -1,23 +1,29 @@
 //! Several controllers in virtual time, with message delay and loss.
 
 use super::outcome::{JobEnd, RunResult};
-use super::workload::{span, PoolShape, Seconds, TraceJob};
+use super::workload::{span, KeyedCopy, PoolShape, Seconds, TraceJob};
 use quetzalhill_core::catalogue::LimitSet;
 use quetzalhill_core::dispatch::{
     DispatchAction, DispatchController, DispatchEvent, DispatchOptions, DispatchPolicy, LoadReport,
     RequestMeta,
 };
-use quetzalhill_core::ids::{EndpointId, RequestId};
+use quetzalhill_core::ids::{EndpointId, IncarnationNumber, RequestId};
+use quetzalhill_core::once::{
+    OnceController, OnceDecision, OnceKey, OnceLimits, OnceOutcome, StoredAnswer,
+};
 use quetzalhill_core::retry::{AttemptOutcome, RetryBudget, RetryVerdict};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
-use std::time::Instant;
+use std::time::{Instant, UNIX_EPOCH};
 
 /// Time that a faulty upstream takes to fail.
 const FAULT_SECONDS: Seconds = 0.001;
 
+/// Life of each agent.
+const INCARNATION: IncarnationNumber = 1;
+
 /// Time that the fake runs on after the last arrival.
 const TAIL_SECONDS: Seconds = 60.0;
 
@@ -98,6 +104,7 @@
     budget: RetryBudget,
     /// Offers that the agent has received.
     offers: HashMap<RequestId, OfferState>,
+    once: OnceController,
     /// Requests that ended here as their home.
     settled: HashSet<RequestId>,
 }
@@ -112,6 +119,7 @@
     events: HashMap<u64, SimEvent>,
     sequence: u64,
     started: HashSet<RequestId>,
+    started_keys: HashSet<u64>,
     result: RunResult,
 }
 
@@ -134,10 +142,18 @@
     sim.result
 }
 
-fn endpoint(agent: usize) -> EndpointId {
+/// Returns the identity of an agent.
+pub fn endpoint(agent: usize) -> EndpointId {
     agent as EndpointId + 1
 }
 
+fn once_key(home: usize, copy: KeyedCopy) -> OnceKey {
+    OnceKey {
+        issuer: endpoint(home),
+        key: copy.key.to_string(),
+    }
+}
+
 fn job_of(id: RequestId) -> usize {
     (id & 0xffff_ffff) as usize
 }
@@ -145,7 +161,7 @@
 impl<'a> PoolSim<'a> {
     fn new(spec: &'a SimSpec, jobs: &'a [TraceJob]) -> Self {
         let base = Instant::now();
-        let agent = || AgentFake {
+        let agent = |index| AgentFake {
             controller: DispatchController::with_options(
                 spec.policy,
                 spec.shape.slots,
@@ -155,6 +171,7 @@
             timer: None,
             budget: RetryBudget::new(spec.limits.retry_budget, base),
             offers: HashMap::new(),
+            once: OnceController::new(endpoint(index), INCARNATION, OnceLimits::default()),
             settled: HashSet::new(),
         };
         Self {
@@ -162,19 +179,13 @@
             jobs,
             base,
             rng: SmallRng::seed_from_u64(spec.seed),
-            agents: (0..spec.shape.agents).map(|_| agent()).collect(),
+            agents: (0..spec.shape.agents).map(agent).collect(),
             heap: BinaryHeap::new(),
             events: HashMap::new(),
             sequence: 0,
             started: HashSet::new(),
-            result: RunResult {
-                ends: vec![JobEnd::Open; jobs.len()],
-                work: Vec::new(),
-                messages: 0,
-                extra_attempts: 0,
-                double_starts: 0,
-                ended: 0,
-            },
+            started_keys: HashSet::new(),
+            result: RunResult::new(jobs.len()),
         }
     }
 
@@ -232,6 +243,9 @@
 
     fn arrive(&mut self, index: usize, attempt: u32, now: Seconds) {
         let job = &self.jobs[index];
+        if attempt == 0 && job.once.is_some() && !self.may_run(index, now) {
+            return;
+        }
         let home = job.home;
         let at = self.base + span(job.at);
         let meta = RequestMeta {
@@ -250,6 +264,55 @@
         self.handle(home, DispatchEvent::Arrived(meta), now);
     }
 
+    /// Asks the home of a keyed request whether it runs, and ends the request if it does not.
+    fn may_run(&mut self, index: usize, now: Seconds) -> bool {
+        let job = &self.jobs[index];
+        let Some(copy) = job.once else {
+            return true;
+        };
+        let home = job.home;
+        let once = &mut self.agents[home].once;
+        let token = once.issue(UNIX_EPOCH + span(copy.issued));
+        let wall = UNIX_EPOCH + span(now);
+        let decision = match once.check(&token, wall) {
+            Ok(()) => once.request(&once_key(home, copy), copy.key, self.base + span(now)),
+            Err(reason) => OnceDecision::Unknown(reason),
+        };
+        let end = match decision {
+            OnceDecision::Run => return true,
+            OnceDecision::Stored(_) => {
+                self.result.repeated_answers += 1;
+                JobEnd::Answered {
+                    at: now,
+                    agent: home,
+                }
+            }
+            OnceDecision::InProgress | OnceDecision::Unknown(_) => JobEnd::Unknown,
+            OnceDecision::Full | OnceDecision::Mismatch => JobEnd::Refused,
+        };
+        // CAST: Traces have far fewer than 2^32 requests.
+        self.settle(home, index as RequestId, end);
+        false
+    }
+
+    fn finish_once(&mut self, home: usize, id: RequestId, end: JobEnd) {
+        let Some(copy) = self.jobs[job_of(id)].once else {
+            return;
+        };
+        let outcome = match end {
+            JobEnd::Answered { .. } => OnceOutcome::Answered(StoredAnswer {
+                status: 200,
+                headers: Vec::new(),
+                body: Vec::new(),
+            }),
+            JobEnd::Refused => OnceOutcome::NotRun,
+            JobEnd::Failed | JobEnd::Unknown | JobEnd::Open => OnceOutcome::Lost,
+        };
+        self.agents[home]
+            .once
+            .finish(&once_key(home, copy), outcome);
+    }
+
     fn handle(&mut self, agent: usize, event: DispatchEvent, now: Seconds) {
         let instant = self.base + span(now);
         let fake = &mut self.agents[agent];
@@ -296,7 +359,7 @@
                 self.agents[agent].offers.insert(id, OfferState::GivenBack);
                 self.send_home(agent, id, PeerMessage::Reject(id), now);
             }
-            DispatchAction::Refuse(id, _) => self.settle(agent, id, JobEnd::Refused),
+            DispatchAction::Refuse(id, _) => self.conclude(agent, id, JobEnd::Refused),
             DispatchAction::SendPull(peer) => self.send(agent, peer, PeerMessage::Pull, now),
             DispatchAction::SendLoad(report) => {
                 let targets = self.agents[agent].controller.load_targets().to_vec();
@@ -358,6 +421,15 @@
         if !self.started.insert(id) {
             self.result.double_starts += 1;
         }
+        if job
+            .once
+            .is_some_and(|copy| !self.started_keys.insert(copy.key))
+        {
+            self.result.key_restarts += 1;
+        }
+        if self.result.ends[job_of(id)] == JobEnd::Refused {
+            self.result.refused_starts += 1;
+        }
         if let Some(state) = self.agents[agent].offers.get_mut(&id) {
             *state = OfferState::Started;
         }
@@ -382,16 +454,17 @@
 
     fn answer(&mut self, home: usize, agent: usize, id: RequestId, ok: bool, now: Seconds) {
         if ok {
-            self.settle(home, id, JobEnd::Answered { at: now, agent });
+            self.conclude(home, id, JobEnd::Answered { at: now, agent });
             return;
         }
         let attempt = (id >> 64) as u32 + 1;
         if self.spec.retry {
             let index = job_of(id);
+            let safe = self.jobs[index].once.is_none();
             let deadline = self.jobs[index].at + self.jobs[index].patience;
             let verdict = self.agents[home].budget.decide(
                 AttemptOutcome::MayHaveRun,
-                true,
+                safe,
                 attempt,
                 self.base + span(deadline),
                 self.base + span(now),
@@ -403,7 +476,13 @@
                 return;
             }
         }
-        self.settle(home, id, JobEnd::Failed);
+        self.conclude(home, id, JobEnd::Failed);
+    }
+
+    /// Ends a request that dispatch has had.
+    fn conclude(&mut self, home: usize, id: RequestId, end: JobEnd) {
+        self.finish_once(home, id, end);
+        self.settle(home, id, end);
     }
 
     fn settle(&mut self, home: usize, id: RequestId, end: JobEnd) {
@@ -411,6 +490,9 @@
             self.result.double_starts += 1;
             return;
         }
+        if end == JobEnd::Refused && self.started.contains(&id) {
+            self.result.refused_starts += 1;
+        }
         self.result.ends[job_of(id)] = end;
         self.result.ended += 1;
     }
--- a/crates/standins/src/pool/workload.rs
+++ b/crates/standins/src/pool/workload.rs
@@ -25,6 +25,17 @@
     pub patience: Seconds,
     /// Hash of what tells short from long work; 0 when nothing does.
     pub key: u64,
+    /// Idempotency key, for a request that is not safe to retry.
+    pub once: Option<KeyedCopy>,
+}
+
+/// The idempotency key of a request, which its copies share.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyedCopy {
+    /// Key that the caller chose.
+    pub key: u64,
+    /// When the home issued the session token.
+    pub issued: Seconds,
 }
 
 /// Endpoints of a service and the delay between them.
@@ -128,6 +139,7 @@
                 owner: self.owner,
                 patience: self.patience,
                 key: self.key,
+                once: None,
             });
             at += exponential(1.0 / rate, &mut rng);
         }
--- /dev/null
+++ b/crates/standins/src/replay/scenario.rs
@@ -0,0 +1,302 @@
+//! Generator of the recorded traces.
+
+use super::trace::{EndpointChange, TraceHeader, TraceRecord, TraceWindow};
+use crate::pool::workload::{PoolShape, Seconds, StreamSpec, TraceJob, ARCHIVE, BATCH, DESK, FEED};
+use quetzalhill_core::catalogue::TrafficClass;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+/// Share of the keyed requests that a caller sends twice.
+const COPY_SHARE: f64 = 0.03;
+
+/// Longest time from a keyed request to its copy, in microseconds.
+const COPY_AFTER_US: u64 = 500_000;
+
+/// Seconds of a trace that stand for a day.
+const DAY_SECONDS: u32 = 24;
+
+/// What a trace shows.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Scenario {
+    /// All printers start at dawn, while copywriters send edits.
+    Dawn,
+    /// A batch of roundabouts is released to the desk sessions, and one endpoint drains.
+    Roundabouts,
+    /// A day of edits in which one endpoint joins and one drains, with lost messages.
+    Edits,
+    /// Full print batches among short ones.
+    Prints,
+    /// Large proofs among short downloads.
+    Proofs,
+}
+
+impl Scenario {
+    /// All scenarios.
+    pub const ALL: [Scenario; 5] = [
+        Scenario::Dawn,
+        Scenario::Roundabouts,
+        Scenario::Edits,
+        Scenario::Prints,
+        Scenario::Proofs,
+    ];
+
+    /// Returns the name on the command line and of the file.
+    pub fn name(self) -> &'static str {
+        match self {
+            Scenario::Dawn => "dawn",
+            Scenario::Roundabouts => "roundabouts",
+            Scenario::Edits => "edits",
+            Scenario::Prints => "prints",
+            Scenario::Proofs => "proofs",
+        }
+    }
+
+    /// Returns the scenario of this name.
+    pub fn named(name: &str) -> Option<Self> {
+        Scenario::ALL
+            .into_iter()
+            .find(|scenario| scenario.name() == name)
+    }
+
+    /// Returns the trace of this scenario.
+    pub fn record(self, seed: u64) -> (TraceHeader, Vec<TraceRecord>) {
+        let mut recorder = Recorder::new(seed);
+        let header = match self {
+            Scenario::Dawn => dawn(&mut recorder),
+            Scenario::Roundabouts => roundabouts(&mut recorder),
+            Scenario::Edits => edits(&mut recorder),
+            Scenario::Prints => prints(&mut recorder),
+            Scenario::Proofs => proofs(&mut recorder),
+        };
+        let name = self.name();
+        let command = format!("cargo run --release --example record -- {name} {seed}");
+        let mut records = recorder.records;
+        records.sort_by_key(|record| record.at_us);
+        let header = TraceHeader {
+            name: name.to_owned(),
+            command,
+            seed,
+            ..header
+        };
+        (header, records)
+    }
+}
+
+/// The flows of one kind of caller.
+#[derive(Clone, Copy)]
+struct FlowRange {
+    first: u32,
+    count: u32,
+    /// Whether requests carry idempotency keys.
+    keyed: bool,
+}
+
+struct Recorder {
+    seed: u64,
+    streams: u64,
+    next_key: u64,
+    rng: SmallRng,
+    records: Vec<TraceRecord>,
+}
+
+impl Recorder {
+    fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            streams: 0,
+            next_key: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            records: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, stream: &StreamSpec, flows: FlowRange) {
+        self.streams += 1;
+        for job in stream.draw(self.seed * 1_000 + self.streams) {
+            self.add_job(&job, flows);
+        }
+    }
+
+    fn add_job(&mut self, job: &TraceJob, flows: FlowRange) {
+        let at_us = micros(job.at);
+        let mut record = TraceRecord {
+            at_us,
+            flow: flows.first + self.rng.random_range(0..flows.count),
+            class: job.class,
+            work_us: micros(job.service).max(1),
+            key: 0,
+            deadline_us: at_us + micros(job.patience),
+        };
+        if flows.keyed {
+            self.next_key += 1;
+            record.key = self.next_key;
+        }
+        self.records.push(record);
+        if flows.keyed && self.rng.random_bool(COPY_SHARE) {
+            let pause = self.rng.random_range(1..COPY_AFTER_US);
+            record.at_us += pause;
+            record.deadline_us += pause;
+            self.records.push(record);
+        }
+    }
+}
+
+fn micros(seconds: Seconds) -> u64 {
+    // CAST: Traces are short, and their times are not negative.
+    (seconds * 1e6).round() as u64
+}
+
+fn header(deployment: &str, service: &str, outcomes: &[&str]) -> TraceHeader {
+    let always = [
+        "duplicates == 0",
+        "not_run_then_run == 0",
+        "lost == 0",
+        "broken_flows == 0",
+    ];
+    let outcomes = outcomes
+        .iter()
+        .chain(&always)
+        .map(|text| (*text).to_owned());
+    TraceHeader {
+        name: String::new(),
+        command: String::new(),
+        deployment: format!("../deployments/{deployment}.toml"),
+        service: service.to_owned(),
+        seed: 0,
+        loss: 0.0,
+        view_lag_ms: 500,
+        outcomes: outcomes.collect(),
+        goodput_window: None,
+        cold: None,
+        drain: None,
+        faulty: Vec::new(),
+    }
+}
+
+fn stream(shape: PoolShape, load: f64, mean: Seconds, from: Seconds, until: Seconds) -> StreamSpec {
+    let mut stream = StreamSpec::new(shape, load, mean, until);
+    stream.from = from;
+    stream.patience = 1.0;
+    stream
+}
+
+fn urgent(mut stream: StreamSpec) -> StreamSpec {
+    stream.class = TrafficClass::Urgent;
+    stream
+}
+
+fn flows(first: u32, count: u32, keyed: bool) -> FlowRange {
+    FlowRange {
+        first,
+        count,
+        keyed,
+    }
+}
+
+fn dawn(recorder: &mut Recorder) -> TraceHeader {
+    let mean = 0.08;
+    let printers = flows(0, 400, false);
+    let editors = flows(1_000, 100, true);
+    recorder.add(&urgent(stream(FEED, 0.3, mean, 0.0, 2.0)), printers);
+    recorder.add(&urgent(stream(FEED, 0.8, mean, 2.0, 5.0)), printers);
+    recorder.add(&stream(FEED, 2.2, mean, 2.0, 5.0), editors);
+    recorder.add(&urgent(stream(FEED, 0.3, mean, 5.0, 8.0)), printers);
+    recorder.add(&stream(FEED, 0.2, mean, 5.0, 8.0), editors);
+    let stated = [
+        "urgent_in_time >= 0.999",
+        "goodput >= 0.95",
+        "goodput_of_central >= 0.95",
+    ];
+    TraceHeader {
+        goodput_window: Some(TraceWindow {
+            from_us: 3_000_000,
+            until_us: 5_000_000,
+        }),
+        ..header("lucky-slip", "feed", &stated)
+    }
+}
+
+fn roundabouts(recorder: &mut Recorder) -> TraceHeader {
+    let mean = 0.02;
+    let notices = flows(0, 600, false);
+    let holds = flows(0, 600, true);
+    recorder.add(&urgent(stream(DESK, 0.3, mean, 0.0, 4.0)), notices);
+    recorder.add(&stream(DESK, 0.3, mean, 0.0, 4.0), holds);
+    recorder.add(&urgent(stream(DESK, 0.5, mean, 1.0, 1.5)), notices);
+    recorder.add(&stream(DESK, 1.5, mean, 1.0, 1.5), holds);
+    let stated = ["urgent_in_time >= 0.999", "starts_while_draining == 0"];
+    TraceHeader {
+        drain: Some(EndpointChange {
+            endpoint: 2,
+            at_us: 2_500_000,
+        }),
+        ..header("directorate", "desk", &stated)
+    }
+}
+
+fn edits(recorder: &mut Recorder) -> TraceHeader {
+    let mean = 0.1;
+    for hour in 0..DAY_SECONDS {
+        let from = f64::from(hour);
+        let phase = from / f64::from(DAY_SECONDS) * std::f64::consts::TAU;
+        let load = 0.35 - 0.25 * phase.cos();
+        recorder.add(
+            &stream(FEED, load, mean, from, from + 1.0),
+            flows(1_000 + hour * 20, 60, true),
+        );
+    }
+    let day = f64::from(DAY_SECONDS);
+    recorder.add(
+        &urgent(stream(FEED, 0.1, mean, 0.0, day)),
+        flows(0, 200, false),
+    );
+    let stated = [
+        "urgent_in_time >= 0.999",
+        "starts_while_draining == 0",
+        "repeated_answers >= 1",
+    ];
+    TraceHeader {
+        loss: 0.01,
+        cold: Some(EndpointChange {
+            endpoint: 6,
+            at_us: 6_000_000,
+        }),
+        drain: Some(EndpointChange {
+            endpoint: 1,
+            at_us: 15_000_000,
+        }),
+        ..header("lucky-slip", "feed", &stated)
+    }
+}
+
+/// Of each 20 requests, 19 take 1 unit of work and 1 takes 50.
+fn short_and_long(recorder: &mut Recorder, shape: PoolShape, until: Seconds) {
+    let mean = 0.02;
+    let mut short = stream(shape, 0.72 * 19.0 / 69.0, mean, 0.0, until);
+    let mut long = stream(shape, 0.72 * 50.0 / 69.0, mean * 50.0, 0.0, until);
+    short.patience = 60.0;
+    long.patience = 600.0;
+    long.class = TrafficClass::Bulk;
+    recorder.add(&short, flows(0, 200, false));
+    recorder.add(&long, flows(0, 200, false));
+}
+
+fn prints(recorder: &mut Recorder) -> TraceHeader {
+    short_and_long(recorder, BATCH, 22.0);
+    header(
+        "lucky-slip",
+        "batch",
+        &["short_p99_of_alone <= 1.15", "in_time >= 1"],
+    )
+}
+
+fn proofs(recorder: &mut Recorder) -> TraceHeader {
+    short_and_long(recorder, ARCHIVE, 40.0);
+    header(
+        "directorate",
+        "archive",
+        &["short_p99_of_alone <= 1.15", "in_time >= 1"],
+    )
+}
