--- a/crates/standins/src/scenario.rs
+++ b/crates/standins/src/scenario.rs
@@ -11,6 +11,7 @@
 pub mod loads;
 pub mod measure;
 pub mod operator;
+pub mod pairs;
 pub mod parse;
 pub mod process;
 pub mod report;
--- a/crates/standins/src/scenario/bed.rs
+++ b/crates/standins/src/scenario/bed.rs
@@ -1,7 +1,7 @@
 //! A deployment whose entries and agents are processes; everything else is threads of the runner.
 
 use super::operator::ScenarioOperator;
-use super::process::{NodeProcess, ProcessKind};
+use super::process::{NodeProcess, ProcessKind, SIGNAL_BASE};
 use super::steps::{AddServiceStep, EntriesStep, ServiceStep};
 use super::values::{EndpointName, NodeName};
 use crate::caller::{CallOutcome, CallRequest, CallerStandin};
@@ -350,14 +350,15 @@
         self.runtime.block_on(limited).ok().flatten()
     }
 
-    /// Returns the ends of the logs of processes that have ended.
+    /// Returns the ends of the logs of processes that have ended by themselves and not in good order.
     pub fn explain(&mut self) -> String {
         let entries = self.entries.iter_mut().map(|entry| &mut entry.process);
         let endpoints = self.endpoints.values_mut().flatten();
         let agents = endpoints.map(|endpoint| &mut endpoint.agent);
         let mut text = String::new();
         for process in entries.chain(agents) {
-            if let Some(status) = process.exit_status() {
+            let failed = |status: &i32| (1..=SIGNAL_BASE).contains(status);
+            if let Some(status) = process.exit_status().filter(failed) {
                 let log = process.log_end();
                 text.push_str(&format!("a process ended with status {status}: {log}\n"));
             }
--- a/crates/standins/src/scenario/process.rs
+++ b/crates/standins/src/scenario/process.rs
@@ -24,7 +24,7 @@
 const EXIT_ORPHAN: i32 = 3;
 
 /// Added to a signal's number in the exit status, as shells do.
-const SIGNAL_BASE: i32 = 128;
+pub const SIGNAL_BASE: i32 = 128;
 
 /// Time between two looks at a process that is to end.
 const POLL: Duration = Duration::from_millis(10);
