--- a/crates/standins/src/scenario/parse.rs
+++ b/crates/standins/src/scenario/parse.rs
@@ -88,29 +88,34 @@
     match ScenarioLine::from_args(&[], &list) {
         Ok(line) => Ok(line.step),
         Err(exit) => {
-            let column = column_of(words, &offending_word(&exit.output));
+            let column = offending_column(words, &exit.output);
             let message: Vec<&str> = exit.output.split_whitespace().collect();
             Err((column, format!("{}; {}", message.join(" "), usage(verb))))
         }
     }
 }
 
-/// Returns the word that an error message of the parser is about, or nothing if a word is missing.
-fn offending_word(message: &str) -> String {
+/// Returns the column of the word that an error message of the parser is about, or that of the verb if a word is
+/// missing.
+fn offending_column(words: &[LineWord], message: &str) -> usize {
     let between = |from: &str, to: &str| {
         let start = message.find(from)? + from.len();
         let length = message[start..].find(to)?;
-        Some(message[start..start + length].to_string())
+        Some(&message[start..start + length])
     };
     let value = between("with value '", "': ");
+    if let (Some(option), Some(value)) = (between("Error parsing option '", "'"), value) {
+        let mut pairs = words.windows(2);
+        let pair = pairs.find(|pair| pair[0].text == option && pair[1].text == value);
+        if let Some(pair) = pair {
+            return pair[1].column;
+        }
+    }
     let unknown = || between("Unrecognized argument: \"", "\"");
     let plain = || between("Unrecognized argument: ", "\n");
     let valueless = || between("No value provided for option '", "'");
-    value
-        .or_else(unknown)
-        .or_else(plain)
-        .or_else(valueless)
-        .unwrap_or_default()
+    let word = value.or_else(unknown).or_else(plain).or_else(valueless);
+    column_of(words, word.unwrap_or_default())
 }
 
 fn usage(verb: &str) -> String {
