--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -34,6 +34,8 @@
     let name = facts.service.clone();
     AdminPages {
         registry: shared.registry.clone(),
+        // The pages are served by the control loop's own thread, which ends with the loop.
+        healthy: Rc::new(|| true),
         ready: Rc::new(move || ready.view.load().state == EndpointState::Ready),
         status: Rc::new(move || agent_status(&status, &facts)),
         catalogue: Rc::new(move || own_service(&catalogue, &name)),
