Ask the sponsors of an endpoint before its removal, and hedge late catalogue fetches

Each announcement also ranked and copied all endpoints of the service, and each answer to a refresh by all three sponsors carried nine entries.

Change: a silent endpoint is suspected by its sponsors alone. The time for the last question rises with the logarithm of the group. Updates of one count wait in order of arrival. A late fetch is repeated at a second peer after 700 ms, an entry that is behind is told at once, and new stamps are told every 100 ms. Peers are compared by a digest kept for each version of a service, entries are indexed by zone and by deadline, one sponsor answers a refresh, and probes carry at most 300 bytes of updates.

--- a/crates/core/src/member/announce.rs
+++ b/crates/core/src/member/announce.rs
@@ -6,7 +6,7 @@
 use crate::catalogue::ServiceEntry;
 use crate::ids::{address_of, id_of, EntryId, RevisionNumber, ServiceNumber};
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::Rng;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -31,7 +31,7 @@
 const ANSWER_LIMIT: Duration = Duration::from_secs(2);
 
 /// Time for which an entry counts as alive after another entry has named it.
-const NAMED_LIMIT: Duration = Duration::from_secs(12);
+const NAMED_LIMIT: Duration = Duration::from_secs(24);
 
 /// Most entries that an agent knows; gossip among entries reaches the others.
 const ENTRIES_MAX: usize = 64;
@@ -192,7 +192,12 @@
             refresh = true;
             receivers.extend(self.silent_contact(now, rng));
         }
-        let announce = |id| self.announce(id, refresh, now);
+        // One answer with entries is enough; the next one comes from another entry.
+        let asked = match refresh {
+            true => receivers.choose(rng).copied(),
+            false => None,
+        };
+        let announce = |id| self.announce(id, asked == Some(id), now);
         receivers.into_iter().map(announce).collect()
     }
 
--- a/crates/core/src/member/controller.rs
+++ b/crates/core/src/member/controller.rs
@@ -16,7 +16,7 @@
 use super::spread::SpreadQueue;
 use super::zones::{ZoneStatement, ZoneTable};
 use super::{EndpointRecord, EntryRecord};
-use crate::ids::{address_of, EndpointId, EntryId, ZoneName};
+use crate::ids::{address_of, id_of, EndpointId, EntryId, ZoneName};
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::Rng;
@@ -30,6 +30,12 @@
 /// Time between two rounds of gossip while updates wait.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two rounds of gossip that tell of a new catalogue.
+const STAMP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Bytes of updates in a probe and its answer; rounds of gossip carry the others.
+pub(super) const PING_UPDATE_BUDGET: usize = 300;
+
 /// Entries of the own zone that one round of gossip reaches.
 const GOSSIP_FANOUT: usize = 3;
 
@@ -37,10 +43,10 @@
 pub(super) const ZONE_FANOUT: usize = 6;
 
 /// Rounds of gossip for each decimal digit of the number of entries.
-const RETRANSMIT_FACTOR: u32 = 4;
+const RETRANSMIT_FACTOR: u32 = 6;
 
 /// Time between two comparisons of all records with another entry.
-const SYNC_INTERVAL: Duration = Duration::from_secs(2);
+const SYNC_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Time between two checks of deadlines of endpoints and entries.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -182,7 +188,7 @@
         if self.next_sweep <= now {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.sweep_entries(now);
-            self.sweep_endpoints(now);
+            self.sweep_endpoints(now, &mut actions);
             self.audit_endpoints(now);
         }
         if self.next_sync <= now {
@@ -220,7 +226,7 @@
             MemberMessage::Ping(number, head) => {
                 self.heard(head, true, now, &mut actions);
                 let id = self.own.id;
-                let message = MemberMessage::Ack(number, id, self.head());
+                let message = MemberMessage::Ack(number, id, self.head(PING_UPDATE_BUDGET));
                 actions.push(MemberAction::Send(OutgoingMessage { to: from, message }));
             }
             MemberMessage::Ack(number, target, head) => {
@@ -290,7 +296,7 @@
     /// Merges what every message between entries carries.
     fn heard(&mut self, head: GossipHead, spread: bool, now: Instant, actions: &mut ActionList) {
         for update in head.updates {
-            self.learn(update, spread, now);
+            self.learn(update, spread, now, actions);
         }
         if let Some(slot) = self.entries.slots.get(&head.from) {
             let zone = slot.record.zone.clone();
@@ -299,16 +305,21 @@
                 self.spread_zone(statement);
             }
         }
+        if head.stamp.revision < self.stamp.revision {
+            // The sender fetches from this entry as soon as it knows, whatever the gossip brings it later.
+            let message = MemberMessage::Gossip(self.bare_head());
+            actions.push(send(head.from, message));
+        }
         if head.stamp != self.stamp {
             actions.push(MemberAction::CatalogueSeen(head.from, head.stamp));
         }
     }
 
-    /// Returns a message head with the updates that are due.
-    pub(super) fn head(&mut self) -> GossipHead {
+    /// Returns a message head with the updates that are due, of at most `budget` bytes.
+    pub(super) fn head(&mut self, budget: usize) -> GossipHead {
         let limit = self.retransmit_limit();
         let mut head = self.bare_head();
-        head.updates = self.spread.take(UPDATE_BUDGET, limit);
+        head.updates = self.spread.take(budget, limit);
         head
     }
 
@@ -363,9 +374,8 @@
 
     /// Probes the seeds that are not known as live entries, which also heals a fleet that has fallen apart.
     fn contact_seeds(&mut self, actions: &mut ActionList) {
-        let live: Vec<_> = self.entries.live().map(EntryRecord::address).collect();
         for &seed in &self.seeds {
-            if live.contains(&seed) || seed == self.own.address() {
+            if self.entries.is_live(id_of(seed)) || seed == self.own.address() {
                 continue;
             }
             let mut head = self.bare_head();
@@ -380,13 +390,21 @@
         if self.spread.is_empty() && self.stamp_rounds == 0 {
             return;
         }
+        let tell_stamp = self.stamp_rounds > 0;
+        if tell_stamp {
+            self.next_gossip = now + STAMP_INTERVAL;
+        }
         self.stamp_rounds = self.stamp_rounds.saturating_sub(1);
         let mut targets = self
             .entries
             .choose(&self.own.zone, self.own.id, GOSSIP_FANOUT, rng);
         targets.extend(self.zone_contacts(rng));
         for target in targets {
-            let message = MemberMessage::Gossip(self.head());
+            let head = self.head(UPDATE_BUDGET);
+            if head.updates.is_empty() && !tell_stamp {
+                break;
+            }
+            let message = MemberMessage::Gossip(head);
             actions.push(send(target, message));
         }
     }
--- a/crates/core/src/member/endpoints.rs
+++ b/crates/core/src/member/endpoints.rs
@@ -1,11 +1,29 @@
 //! The endpoint records that one entry holds.
 
-use super::health::SuspicionTimer;
 use super::{EndpointRecord, EndpointState};
-use crate::ids::{EndpointId, ServiceName};
+use crate::ids::{DigestValue, EndpointId, EntryId, ServiceName};
+use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+/// The wait for a word of an endpoint that this entry does not hear.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EndpointSuspicion {
+    /// Whether all entries are asked; only the sponsors are before.
+    pub(super) everyone: bool,
+    /// When the next step follows: to ask all entries, then to remove the endpoint.
+    pub(super) deadline: Instant,
+}
+
+/// Entries that ask whether anybody has heard a later beat; kept so that each question is passed on once.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SilenceQuestion {
+    /// Last beat that any of them heard.
+    pub(super) beat: u64,
+    /// The entries.
+    pub(super) sources: SmallVec<[EntryId; 3]>,
+}
+
 /// One endpoint and how recently it was heard.
 #[derive(Debug)]
 pub(super) struct EndpointSlot {
@@ -17,12 +35,24 @@
     pub(super) silent_at: Option<Instant>,
     /// Until when another entry's word of a beat counts.
     pub(super) vouched_until: Option<Instant>,
-    /// Runs while the endpoint is suspected.
-    pub(super) suspicion: Option<SuspicionTimer>,
+    /// Set while this entry suspects the endpoint.
+    pub(super) suspicion: Option<EndpointSuspicion>,
+    /// Questions of other entries.
+    pub(super) question: Option<Box<SilenceQuestion>>,
+    /// Digest of the peers that an answer names, and the version of the service for which it was computed.
+    pub(super) peers: Option<(u64, DigestValue)>,
     /// When a record with state `Left` is forgotten.
     pub(super) forget_at: Option<Instant>,
 }
 
+/// The endpoints of a service.
+#[derive(Debug, Default)]
+struct ServiceMembers {
+    ids: BTreeSet<EndpointId>,
+    /// Rises with each change of a record.
+    version: u64,
+}
+
 /// The endpoints by id and by service.
 #[derive(Debug, Default)]
 pub(super) struct EndpointTable {
@@ -30,7 +60,8 @@
     pub(super) slots: BTreeMap<EndpointId, EndpointSlot>,
     /// Endpoints with a deadline for silence or suspicion.
     pub(super) watched: BTreeSet<EndpointId>,
-    services: BTreeMap<ServiceName, BTreeSet<EndpointId>>,
+    services: BTreeMap<ServiceName, ServiceMembers>,
+    last_version: u64,
 }
 
 impl EndpointTable {
@@ -49,16 +80,18 @@
         if record.state == EndpointState::Left {
             silent_at = None;
         }
-        self.services
-            .entry(record.service.clone())
-            .or_default()
-            .insert(id);
+        self.last_version += 1;
+        let members = self.services.entry(record.service.clone()).or_default();
+        members.ids.insert(id);
+        members.version = self.last_version;
         let slot = EndpointSlot {
             record,
             beat,
             silent_at,
             vouched_until: None,
             suspicion: None,
+            question: None,
+            peers: None,
             forget_at,
         };
         self.slots.insert(id, slot);
@@ -74,18 +107,28 @@
 
     /// Returns the ready endpoints of a service.
     pub(super) fn ready<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a EndpointRecord> {
-        let ids = self.services.get(service).into_iter().flatten();
+        let members = self.services.get(service);
+        let ids = members.into_iter().flat_map(|members| &members.ids);
         ids.filter_map(|id| self.slots.get(id))
             .map(|slot| &slot.record)
             .filter(|record| record.state == EndpointState::Ready)
     }
 
+    /// Returns a number that changes with the records of a service.
+    pub(super) fn service_version(&self, service: &str) -> u64 {
+        self.services
+            .get(service)
+            .map_or(0, |members| members.version)
+    }
+
     fn unlink(&mut self, record: &EndpointRecord) {
-        let Some(ids) = self.services.get_mut(&record.service) else {
+        self.last_version += 1;
+        let Some(members) = self.services.get_mut(&record.service) else {
             return;
         };
-        ids.remove(&record.id);
-        if ids.is_empty() {
+        members.ids.remove(&record.id);
+        members.version = self.last_version;
+        if members.ids.is_empty() {
             self.services.remove(&record.service);
         }
     }
--- a/crates/core/src/member/merge.rs
+++ b/crates/core/src/member/merge.rs
@@ -1,6 +1,6 @@
 //! Merging of updates about entries and zones.
 
-use super::controller::MemberController;
+use super::controller::{ActionList, MemberController};
 use super::entries::EntrySlot;
 use super::health::SuspicionTimer;
 use super::index::{entry_digest, RecordKey};
@@ -43,7 +43,13 @@
 
 impl MemberController {
     /// Merges one update and, if it is news and `spread` is set, passes it on.
-    pub(super) fn learn(&mut self, update: MemberUpdate, spread: bool, now: Instant) {
+    pub(super) fn learn(
+        &mut self,
+        update: MemberUpdate,
+        spread: bool,
+        now: Instant,
+        actions: &mut ActionList,
+    ) {
         match update {
             MemberUpdate::Entry {
                 record,
@@ -62,12 +68,12 @@
                 incarnation,
                 beat,
                 by,
-            } => self.learn_silence(id, incarnation, beat, by, now),
+            } => self.learn_silence((id, incarnation, beat), by, now, actions),
             MemberUpdate::Heard {
                 id,
                 incarnation,
                 beat,
-            } => self.learn_beat(id, incarnation, beat, now),
+            } => self.learn_beat((id, incarnation, beat), now),
             MemberUpdate::Zone {
                 zone,
                 observer,
@@ -198,7 +204,7 @@
             suspicion: None,
             forget_at: forget,
         };
-        self.entries.slots.insert(slot.record.id, slot);
+        self.entries.store(slot);
     }
 
     fn spread_entry(&mut self, id: EntryId, by: EntryId, now: Instant) {
@@ -215,7 +221,7 @@
 
     /// Starts or confirms the suspicion of an entry.
     pub(super) fn suspect_entry(&mut self, id: EntryId, by: EntryId, spread: bool, now: Instant) {
-        let others = self.entries.live().count();
+        let others = self.entries.live_count();
         // CAST: The logarithm of a count is a small positive number.
         let digits = ((others + 1).max(10) as f64).log10();
         let mut shortest = SUSPICION_TIME.mul_f64(digits);
@@ -234,6 +240,7 @@
                 let needed = CONFIRMATIONS.min(others.saturating_sub(1));
                 slot.suspicion = Some(SuspicionTimer::new(by, earliest, latest, needed));
                 slot.status = EntryStatus::Suspect;
+                self.entries.watched.insert(id);
                 true
             }
         };
@@ -246,7 +253,10 @@
     pub(super) fn sweep_entries(&mut self, now: Instant) {
         let mut removed = Vec::new();
         let mut forgotten = Vec::new();
-        for (&id, slot) in &self.entries.slots {
+        for &id in &self.entries.watched {
+            let Some(slot) = self.entries.slots.get(&id) else {
+                continue;
+            };
             if slot.forget_at.is_some_and(|deadline| deadline <= now) {
                 forgotten.push(id);
                 continue;
@@ -268,7 +278,7 @@
             self.spread_entry(id, self.own.id, now);
         }
         for id in forgotten {
-            if let Some(slot) = self.entries.slots.remove(&id) {
+            if let Some(slot) = self.entries.remove(id) {
                 let digest = entry_digest(&slot.record, true);
                 self.index.remove(RecordKey::Entry(id), digest);
             }
--- a/crates/core/src/member/message.rs
+++ b/crates/core/src/member/message.rs
@@ -118,23 +118,28 @@
     pub fn size_limit(&self) -> usize {
         match self {
             MemberUpdate::Entry { record, .. } => ENTRY_BYTES + record.zone.len(),
-            MemberUpdate::Endpoint { record, .. } => {
-                ENDPOINT_BYTES + record.zone.len() + record.service.len()
-            }
+            MemberUpdate::Endpoint { record, .. } => record.size_limit(),
             MemberUpdate::Silent { .. } | MemberUpdate::Heard { .. } => BEAT_BYTES,
             MemberUpdate::Zone { zone, observer, .. } => ZONE_BYTES + zone.len() + observer.len(),
         }
     }
 }
 
+impl EndpointRecord {
+    /// Returns a number of bytes that the encoded record does not exceed as an update.
+    pub(super) fn size_limit(&self) -> usize {
+        ENDPOINT_BYTES + self.zone.len() + self.service.len()
+    }
+}
+
 /// Most bytes of an encoded [`MemberUpdate::Entry`] without its zone.
 const ENTRY_BYTES: usize = 48;
 
 /// Most bytes of an encoded [`MemberUpdate::Endpoint`] without its names.
-const ENDPOINT_BYTES: usize = 56;
+pub(super) const ENDPOINT_BYTES: usize = 56;
 
 /// Most bytes of an encoded [`MemberUpdate::Silent`] or [`MemberUpdate::Heard`].
-const BEAT_BYTES: usize = 42;
+pub(super) const BEAT_BYTES: usize = 42;
 
 /// Most bytes of an encoded [`MemberUpdate::Zone`] without its names.
 const ZONE_BYTES: usize = 16;
--- a/crates/core/src/member/probe.rs
+++ b/crates/core/src/member/probe.rs
@@ -1,6 +1,8 @@
 //! Probes of other entries, direct and through a third one.
 
-use super::controller::{send, ActionList, MemberController, FIRST_CONTACT, PROBE_INTERVAL};
+use super::controller::{
+    send, ActionList, MemberController, FIRST_CONTACT, PING_UPDATE_BUDGET, PROBE_INTERVAL,
+};
 use super::message::{EntryStatus, MemberMessage, MemberUpdate};
 use crate::ids::EntryId;
 use rand::rngs::SmallRng;
@@ -114,7 +116,7 @@
 
     /// Tells a suspected target first that it is suspected, so that it can refute.
     fn ping(&mut self, number: u32, target: EntryId) -> MemberMessage {
-        let mut head = self.head();
+        let mut head = self.head(PING_UPDATE_BUDGET);
         if let Some(update) = self.suspicion_of(target) {
             head.updates.insert(0, update);
         }
--- a/crates/core/src/member/sponsor.rs
+++ b/crates/core/src/member/sponsor.rs
@@ -1,42 +1,65 @@
 //! Endpoints as the entries that hear them see them.
 
 use super::announce::SPONSORS;
-use super::controller::MemberController;
-use super::health::SuspicionTimer;
+use super::controller::{send, ActionList, MemberController};
+use super::endpoints::{EndpointSuspicion, SilenceQuestion};
 use super::index::{endpoint_digest, RecordKey};
 use super::merge::{forget_time, seconds_until, TOMBSTONE_S};
-use super::message::{AnnounceBeat, AnnounceReply, EntryStatus, MemberUpdate, UPDATE_BUDGET};
+use super::message::{
+    AnnounceBeat, AnnounceReply, EntryStatus, MemberMessage, MemberUpdate, BEAT_BYTES,
+    ENDPOINT_BYTES, UPDATE_BUDGET,
+};
 use super::{EndpointRecord, EndpointState, EntryRecord};
 use crate::ids::{DigestValue, EndpointId, EntryId, IncarnationNumber};
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
+use rand::seq::IndexedRandom;
+use smallvec::SmallVec;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Silence after which an entry that hears an endpoint suspects it; four announcements are missing then.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
-/// Shortest time to refute the suspicion of an endpoint.
-const SUSPICION_MIN: Duration = Duration::from_millis(1_500);
+/// Time for the sponsors to answer whether they have heard an endpoint; each sweep asks again.
+const SPONSOR_ANSWER_TIME: Duration = Duration::from_millis(1_500);
 
-/// Longest time to refute the suspicion of an endpoint.
-const SUSPICION_MAX: Duration = Duration::from_secs(4);
+/// Shortest time for any entry to answer whether it has heard an endpoint.
+const SUSPICION_TIME: Duration = Duration::from_secs(3);
 
-/// Independent confirmations that make the time the shortest.
-const CONFIRMATIONS: usize = SPONSORS - 1;
+/// Decimal digits of the number of entries up to which [`SUSPICION_TIME`] suffices; gossip takes longer beyond.
+const SUSPICION_DIGITS: f64 = 2.0;
+
+/// Entries that a question goes to directly: one more than hear every announcement, because views differ.
+const ASKED: usize = SPONSORS + 1;
+
+/// Questions to one entry in one sweep, as many as fit a datagram.
+const QUESTIONS_MAX: usize = UPDATE_BUDGET / BEAT_BYTES;
 
 /// Time for which another entry's word of a beat keeps this entry from suspecting the endpoint itself.
 const VOUCH_TIME: Duration = Duration::from_secs(60);
 
-/// Endpoints for which one sweep checks whether anybody hears them.
+/// Fewest endpoints for which one sweep checks whether anybody hears them.
 const AUDIT_BATCH: usize = 8;
 
-/// Live entries that an agent is told of at once.
-const SAMPLE_ENTRIES: usize = 8;
+/// Sweeps in which all endpoints are checked, if that takes more than [`AUDIT_BATCH`] in each.
+const AUDIT_SWEEPS: usize = 480;
+
+/// Live entries of the own zone that an agent is told of at once, beside those that it announces to.
+const SAMPLE_NEAR: usize = 3;
+
+/// Live entries of other zones that an agent is told of at once.
+const SAMPLE_FAR: usize = 3;
 
 /// Bytes of an answer that peers may take.
 const PEERS_BUDGET: usize = UPDATE_BUDGET / 2;
 
+/// Peers that fit [`PEERS_BUDGET`] whatever their names.
+const PEERS_MAX: usize = PEERS_BUDGET / ENDPOINT_BYTES;
+
+/// An endpoint, the life of its agent and a beat of that life.
+type BeatName = (EndpointId, IncarnationNumber, u64);
+
 /// Orders the entries for an endpoint; the lowest of its zone are those that it announces to.
 pub(super) fn sponsor_score(entry: EntryId, endpoint: EndpointId) -> u64 {
     xxh3_64_with_seed(&entry.to_le_bytes(), endpoint)
@@ -66,7 +89,7 @@
         }
         let peers = self.peers_unless(beat.id, beat.peers);
         let entries = match beat.refresh {
-            true => self.sample_entries(rng),
+            true => self.sample_entries(beat.id, rng),
             false => Vec::new(),
         };
         AnnounceReply {
@@ -96,55 +119,71 @@
         }
         slot.silent_at = Some(now + self.health.scale(SILENCE_LIMIT));
         self.endpoints.watched.insert(id);
-        if slot.suspicion.take().is_some() {
-            self.spread.push(MemberUpdate::Heard {
-                id,
-                incarnation,
-                beat,
-            });
-        }
+        slot.suspicion = None;
         Some(version)
     }
 
-    fn peers_unless(&self, id: EndpointId, known: DigestValue) -> Option<Vec<EndpointRecord>> {
-        let service = &self.endpoint(id)?.service;
+    fn peers_unless(&mut self, id: EndpointId, known: DigestValue) -> Option<Vec<EndpointRecord>> {
+        let slot = self.endpoints.slots.get(&id)?;
+        let version = self.endpoints.service_version(&slot.record.service);
+        if slot.peers == Some((version, known)) {
+            return None;
+        }
+        let peers = self.peers_of(id, &slot.record.service);
+        let digest = set_digest(peers.iter());
+        if let Some(slot) = self.endpoints.slots.get_mut(&id) {
+            slot.peers = Some((version, digest));
+        }
+        match digest == known {
+            true => None,
+            false => Some(peers),
+        }
+    }
+
+    /// Returns the ready peers that an agent is told of, as many as fit an answer.
+    fn peers_of(&self, id: EndpointId, service: &str) -> Vec<EndpointRecord> {
         let mut ranked: Vec<_> = self
             .endpoints
             .ready(service)
             .filter(|peer| peer.id != id)
             .map(|peer| (sponsor_score(peer.id, id), peer))
             .collect();
+        if ranked.len() > PEERS_MAX {
+            ranked.select_nth_unstable_by_key(PEERS_MAX, |&(score, _)| score);
+            ranked.truncate(PEERS_MAX);
+        }
         ranked.sort_unstable_by_key(|&(score, _)| score);
         let mut budget = PEERS_BUDGET;
         let mut peers = Vec::new();
         for (_, peer) in ranked {
-            let update = MemberUpdate::Endpoint {
-                record: peer.clone(),
-                remaining_s: 0,
-            };
-            let size = update.size_limit();
+            let size = peer.size_limit();
             if size > budget {
                 break;
             }
             budget -= size;
             peers.push(peer.clone());
         }
-        match set_digest(peers.iter()) == known {
-            true => None,
-            false => Some(peers),
-        }
+        peers
     }
 
-    fn sample_entries(&self, rng: &mut SmallRng) -> Vec<EntryRecord> {
-        let alive = self.entries.slots.values();
-        let alive = alive.filter(|slot| slot.status == EntryStatus::Alive);
-        // An agent announces to entries of its zone, which is the zone of the entries that it reaches first.
-        let (near, far): (Vec<_>, Vec<_>) =
-            alive.partition(|slot| slot.record.zone == self.own.zone);
-        let mut sample = vec![self.own.clone()];
-        let near = near.into_iter().choose_multiple(rng, SAMPLE_ENTRIES / 2);
-        let far = far.into_iter().choose_multiple(rng, SAMPLE_ENTRIES / 2);
-        sample.extend(near.into_iter().chain(far).map(|slot| slot.record.clone()));
+    /// Returns this entry, those that should hear the endpoint, and some others.
+    fn sample_entries(&self, id: EndpointId, rng: &mut SmallRng) -> Vec<EntryRecord> {
+        let mut ids = self.sponsors_of(id, SPONSORS).into_vec();
+        let own = &self.own;
+        let near = self.entries.choose(&own.zone, own.id, SAMPLE_NEAR, rng);
+        ids.extend(near);
+        let zones = self.entries.other_zones(&own.zone);
+        let each = SAMPLE_FAR / zones.len().clamp(1, SAMPLE_FAR);
+        for zone in zones.choose_multiple(rng, SAMPLE_FAR) {
+            let others = self.entries.choose(zone, own.id, each, rng);
+            ids.extend(others);
+        }
+        ids.sort_unstable();
+        ids.dedup();
+        let slots = ids.iter().filter_map(|id| self.entries.slots.get(id));
+        let alive = slots.filter(|slot| slot.status == EntryStatus::Alive);
+        let mut sample = vec![own.clone()];
+        sample.extend(alive.map(|slot| slot.record.clone()));
         sample
     }
 
@@ -195,99 +234,92 @@
         });
     }
 
-    /// Takes another entry's word that an endpoint is silent; a later beat heard here refutes it.
+    /// Takes another entry's question about a silent endpoint: answers if this entry hears the endpoint, and passes
+    /// the question on once, because the agent may announce to entries that the asking one does not expect.
     pub(super) fn learn_silence(
         &mut self,
-        id: EndpointId,
-        incarnation: IncarnationNumber,
-        beat: u64,
+        (id, incarnation, beat): BeatName,
         by: EntryId,
         now: Instant,
+        actions: &mut ActionList,
     ) {
         if by == self.own.id {
             return;
         }
-        let Some(slot) = self.endpoints.slots.get(&id) else {
+        let Some(slot) = self.endpoints.slots.get_mut(&id) else {
             return;
         };
-        if slot.record.incarnation != incarnation {
+        if slot.record.incarnation != incarnation || slot.record.state == EndpointState::Left {
             return;
         }
-        if slot.beat > beat {
-            self.spread.push(MemberUpdate::Heard {
+        let listens = slot.silent_at.is_some_and(|deadline| deadline > now);
+        if listens && slot.beat > beat {
+            let mut head = self.bare_head();
+            let beat = self.endpoints.slots.get(&id).map_or(0, |slot| slot.beat);
+            head.updates.push(MemberUpdate::Heard {
                 id,
                 incarnation,
-                beat: slot.beat,
+                beat,
             });
+            actions.push(send(by, MemberMessage::Gossip(head)));
             return;
         }
-        self.suspect_endpoint(id, by, beat, now);
+        let question = slot.question.get_or_insert_default();
+        if beat > question.beat {
+            **question = SilenceQuestion {
+                beat,
+                sources: SmallVec::new(),
+            };
+        }
+        if question.sources.contains(&by) || question.sources.len() >= ASKED {
+            return;
+        }
+        question.sources.push(by);
+        self.spread.push(MemberUpdate::Silent {
+            id,
+            incarnation,
+            beat,
+            by,
+        });
     }
 
-    fn suspect_endpoint(&mut self, id: EndpointId, by: EntryId, beat: u64, now: Instant) {
+    fn suspect_endpoint(&mut self, id: EndpointId, now: Instant) {
         let Some(slot) = self.endpoints.slots.get_mut(&id) else {
             return;
         };
-        if slot.record.state == EndpointState::Left {
+        if slot.record.state == EndpointState::Left || slot.suspicion.is_some() {
             return;
         }
-        // A later beat refutes this suspicion, an earlier one does not.
-        slot.beat = slot.beat.max(beat);
-        let news = match &mut slot.suspicion {
-            Some(timer) => timer.confirm(by),
-            None => {
-                let (earliest, latest) = (now + SUSPICION_MIN, now + SUSPICION_MAX);
-                let timer = SuspicionTimer::new(by, earliest, latest, CONFIRMATIONS);
-                slot.suspicion = Some(timer);
-                self.endpoints.watched.insert(id);
-                true
-            }
-        };
-        if news {
-            let incarnation = slot.record.incarnation;
-            self.spread.push(MemberUpdate::Silent {
-                id,
-                incarnation,
-                beat,
-                by,
-            });
-        }
+        slot.suspicion = Some(EndpointSuspicion {
+            everyone: false,
+            deadline: now + self.health.scale(SPONSOR_ANSWER_TIME),
+        });
+        self.endpoints.watched.insert(id);
     }
 
-    /// Takes another entry's word that it heard a beat.
-    pub(super) fn learn_beat(
-        &mut self,
-        id: EndpointId,
-        incarnation: IncarnationNumber,
-        beat: u64,
-        now: Instant,
-    ) {
+    /// Takes another entry's word that it heard a beat, which ends a suspicion of this entry.
+    pub(super) fn learn_beat(&mut self, (id, incarnation, beat): BeatName, now: Instant) {
         let Some(slot) = self.endpoints.slots.get_mut(&id) else {
             return;
         };
         if slot.record.incarnation != incarnation || beat <= slot.beat {
             return;
         }
+        if slot.suspicion.take().is_none() {
+            return;
+        }
+        // The entry that answered detects the silence of the endpoint if it follows.
+        slot.beat = beat;
         slot.vouched_until = Some(now + VOUCH_TIME);
-        slot.suspicion = None;
-        if slot.silent_at.is_none_or(|deadline| deadline <= now) {
-            // The agent announces to other entries by now, which detect its silence.
-            slot.beat = beat;
-            slot.silent_at = None;
+        if slot.silent_at.is_none() {
             self.endpoints.watched.remove(&id);
         }
-        // Entries that do not suspect the endpoint pass this on as well, because the suspicion spreads everywhere.
-        self.spread.push(MemberUpdate::Heard {
-            id,
-            incarnation,
-            beat,
-        });
     }
 
-    /// Suspects endpoints that fell silent and removes those whose suspicion nobody refuted.
-    pub(super) fn sweep_endpoints(&mut self, now: Instant) {
+    /// Suspects endpoints that fell silent, asks whether anybody hears them, and removes those that nobody heard.
+    pub(super) fn sweep_endpoints(&mut self, now: Instant, actions: &mut ActionList) {
         let mut silent = Vec::new();
-        let mut removed = Vec::new();
+        let mut suspects = Vec::new();
         for &id in &self.endpoints.watched {
             let Some(slot) = self.endpoints.slots.get(&id) else {
                 continue;
@@ -296,22 +328,82 @@
                 continue;
             }
             if slot.silent_at.is_some_and(|deadline| deadline <= now) {
-                silent.push((id, slot.beat));
+                silent.push(id);
             }
-            if let Some(timer) = &slot.suspicion {
-                if timer.deadline() <= now {
-                    removed.push(id);
-                }
+            if let Some(suspicion) = slot.suspicion {
+                suspects.push((id, suspicion));
             }
         }
-        for (id, beat) in silent {
+        for &id in &silent {
             if let Some(slot) = self.endpoints.slots.get_mut(&id) {
                 slot.silent_at = None;
             }
-            self.suspect_endpoint(id, self.own.id, beat, now);
+            self.suspect_endpoint(id, now);
         }
-        for id in removed {
-            self.remove_endpoint(id, now);
+        for &(id, suspicion) in &suspects {
+            if suspicion.deadline > now {
+                continue;
+            }
+            match suspicion.everyone {
+                true => self.remove_endpoint(id, now),
+                false => self.ask_everyone(id, now),
+            }
+        }
+        let asked = silent
+            .into_iter()
+            .chain(suspects.into_iter().map(|(id, _)| id));
+        self.ask_sponsors(asked.collect(), actions);
+    }
+
+    /// Asks the other sponsors of suspected endpoints, in one message to each of them.
+    fn ask_sponsors(&self, suspects: Vec<EndpointId>, actions: &mut ActionList) {
+        let mut questions: BTreeMap<EntryId, Vec<MemberUpdate>> = BTreeMap::new();
+        for id in suspects {
+            let Some(update) = self.silence_of(id) else {
+                continue;
+            };
+            for sponsor in self.sponsors_of(id, ASKED) {
+                if sponsor == self.own.id {
+                    continue;
+                }
+                let updates = questions.entry(sponsor).or_default();
+                if updates.len() < QUESTIONS_MAX {
+                    updates.push(update.clone());
+                }
+            }
+        }
+        for (sponsor, updates) in questions {
+            let mut head = self.bare_head();
+            head.updates = updates;
+            actions.push(send(sponsor, MemberMessage::Gossip(head)));
+        }
+    }
+
+    fn silence_of(&self, id: EndpointId) -> Option<MemberUpdate> {
+        let slot = self.endpoints.slots.get(&id)?;
+        slot.suspicion?;
+        Some(MemberUpdate::Silent {
+            id,
+            incarnation: slot.record.incarnation,
+            beat: slot.beat,
+            by: self.own.id,
+        })
+    }
+
+    /// Spreads the question whether anybody hears an endpoint.
+    fn ask_everyone(&mut self, id: EndpointId, now: Instant) {
+        // CAST: The logarithm of a count is a small positive number.
+        let digits = ((self.entries.live_count() + 1) as f64).log10();
+        let stretch = (digits / SUSPICION_DIGITS).max(1.0);
+        let time = self.health.scale(SUSPICION_TIME.mul_f64(stretch));
+        if let Some(slot) = self.endpoints.slots.get_mut(&id) {
+            slot.suspicion = Some(EndpointSuspicion {
+                everyone: true,
+                deadline: now + time,
+            });
+        }
+        if let Some(update) = self.silence_of(id) {
+            self.spread.push(update);
         }
     }
 
@@ -331,10 +423,11 @@
     /// Checks some endpoints in turn: forgets old tombstones, and suspects endpoints that should announce to this
     /// entry and do not, because all entries that heard them may have failed together.
     pub(super) fn audit_endpoints(&mut self, now: Instant) {
+        let amount = AUDIT_BATCH.max(self.endpoints.slots.len() / AUDIT_SWEEPS);
         let range = self.endpoints.slots.range(self.audit_cursor..);
-        let batch: Vec<_> = range.take(AUDIT_BATCH).map(|(&id, _)| id).collect();
+        let batch: Vec<_> = range.take(amount).map(|(&id, _)| id).collect();
         self.audit_cursor = match batch.last() {
-            Some(&last) if batch.len() == AUDIT_BATCH => last + 1,
+            Some(&last) if batch.len() == amount => last + 1,
             _ => 0,
         };
         for id in batch {
@@ -356,28 +449,39 @@
             if vouched > now {
                 continue;
             }
-            let beat = slot.beat;
             let zone = slot.record.zone.clone();
-            if self.is_sponsor(id, &zone, now) && !self.is_frozen(&zone, now) {
-                self.suspect_endpoint(id, self.own.id, beat, now);
+            if self.is_frozen(&zone, now) || !self.sponsors_of(id, SPONSORS).contains(&self.own.id)
+            {
+                continue;
             }
+            self.suspect_endpoint(id, now);
         }
     }
 
-    /// Returns whether the endpoint should announce to this entry.
-    fn is_sponsor(&self, id: EndpointId, zone: &str, now: Instant) -> bool {
-        let own = sponsor_score(self.own.id, id);
-        let reachable = |entry: &&EntryRecord| !self.zones.is_unreachable(&entry.zone, now);
-        let local = zone == self.own.zone;
-        if !local && self.entries.live_in(zone).any(|entry| reachable(&entry)) {
-            return false;
-        }
-        let before = self
-            .entries
-            .live()
-            .filter(reachable)
-            .filter(|entry| !local || entry.zone == zone)
-            .filter(|entry| sponsor_score(entry.id, id) < own);
-        before.take(SPONSORS).count() < SPONSORS
+    /// Returns the first entries of the order in which the agent of an endpoint chooses: those of its zone, or all
+    /// that are reachable where the zone has none.
+    fn sponsors_of(&self, id: EndpointId, amount: usize) -> SmallVec<[EntryId; ASKED]> {
+        let Some(slot) = self.endpoints.slots.get(&id) else {
+            return SmallVec::new();
+        };
+        let zone = slot.record.zone.as_str();
+        let mut ranked: Vec<_> = self.entries.live_in(zone).map(|record| record.id).collect();
+        if zone == self.own.zone {
+            ranked.push(self.own.id);
+        }
+        if ranked.is_empty() {
+            ranked = self.entries.live().map(|record| record.id).collect();
+            ranked.push(self.own.id);
+        }
+        let mut ranked: Vec<_> = ranked
+            .into_iter()
+            .map(|entry| (sponsor_score(entry, id), entry))
+            .collect();
+        if ranked.len() > amount {
+            ranked.select_nth_unstable(amount);
+            ranked.truncate(amount);
+        }
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, entry)| entry).collect()
     }
 }
--- a/crates/core/src/member/spread.rs
+++ b/crates/core/src/member/spread.rs
@@ -2,10 +2,10 @@
 
 use super::message::MemberUpdate;
 use crate::ids::{EndpointId, EntryId, ZoneName};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 /// What an update describes; a newer update replaces a waiting one with the same subject.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum SpreadSubject {
     Zone(ZoneName),
     Entry(EntryId),
@@ -26,21 +26,32 @@
     }
 }
 
+/// How often an update was sent, and a number that rises with each place in the queue.
+type SpreadOrder = (u32, u64);
+
 /// Sends each update a bounded number of times, the least sent first.
 #[derive(Debug, Default)]
 pub(super) struct SpreadQueue {
-    updates: HashMap<SpreadSubject, (u32, MemberUpdate)>,
-    order: BTreeSet<(u32, SpreadSubject)>,
+    updates: HashMap<SpreadSubject, (SpreadOrder, MemberUpdate)>,
+    /// Within one count the update that waits longest comes first, so that none is held back by its kind.
+    order: BTreeMap<SpreadOrder, SpreadSubject>,
+    last_number: u64,
 }
 
 impl SpreadQueue {
     /// Adds an update and drops a waiting one with the same subject.
     pub(super) fn push(&mut self, update: MemberUpdate) {
         let subject = SpreadSubject::of(&update);
-        if let Some((sent, _)) = self.updates.insert(subject.clone(), (0, update)) {
-            self.order.remove(&(sent, subject.clone()));
+        let order = self.next_order(0);
+        if let Some((old, _)) = self.updates.insert(subject.clone(), (order, update)) {
+            self.order.remove(&old);
         }
-        self.order.insert((0, subject));
+        self.order.insert(order, subject);
+    }
+
+    fn next_order(&mut self, sent: u32) -> SpreadOrder {
+        self.last_number += 1;
+        (sent, self.last_number)
     }
 
     /// Returns whether nothing waits.
@@ -51,7 +62,7 @@
     /// Returns updates of at most `budget` bytes; each is dropped after `limit` calls that returned it.
     pub(super) fn take(&mut self, mut budget: usize, limit: u32) -> Vec<MemberUpdate> {
         let mut chosen = Vec::new();
-        for (sent, subject) in &self.order {
+        for (order, subject) in &self.order {
             let Some((_, update)) = self.updates.get(subject) else {
                 continue;
             };
@@ -60,20 +71,22 @@
                 break;
             }
             budget -= size;
-            chosen.push((*sent, subject.clone(), update.clone()));
+            chosen.push((*order, subject.clone(), update.clone()));
         }
         let mut updates = Vec::with_capacity(chosen.len());
-        for (sent, subject, update) in chosen {
+        for (order, subject, update) in chosen {
             updates.push(update);
-            self.order.remove(&(sent, subject.clone()));
-            if sent + 1 >= limit {
+            self.order.remove(&order);
+            let sent = order.0 + 1;
+            if sent >= limit {
                 self.updates.remove(&subject);
                 continue;
             }
+            let order = self.next_order(sent);
             if let Some(waiting) = self.updates.get_mut(&subject) {
-                waiting.0 = sent + 1;
+                waiting.0 = order;
             }
-            self.order.insert((sent + 1, subject));
+            self.order.insert(order, subject);
         }
         updates
     }
--- a/crates/core/src/replicate.rs
+++ b/crates/core/src/replicate.rs
@@ -35,6 +35,9 @@
 /// Time after which a fetch without a result counts as failed.
 pub const FETCH_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time after which a second peer is asked as well; a lost segment delays an answer by several hundred milliseconds.
+const HEDGE_TIME: Duration = Duration::from_millis(700);
+
 /// What a node answers to a fetch.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CatalogueChange {
@@ -104,6 +107,12 @@
     rejected: Option<CatalogueStamp>,
     /// The stamp that is being fetched and when the fetch counts as failed.
     fetching: Option<(CatalogueStamp, Instant)>,
+    /// When a second peer is asked; none after it was.
+    hedge_at: Option<Instant>,
+    /// Fetches whose result decides about `fetching`.
+    open: u32,
+    /// Fetches whose result no longer matters.
+    abandoned: u32,
     whole: bool,
     failures: u32,
     next_fetch: Instant,
@@ -122,6 +131,9 @@
             sources: SmallVec::new(),
             rejected: None,
             fetching: None,
+            hedge_at: None,
+            open: 0,
+            abandoned: 0,
             whole: false,
             failures: 0,
             next_fetch: now,
@@ -173,18 +185,22 @@
     /// Returns when [`CatalogueController::tick`] is due.
     pub fn next_deadline(&self) -> Option<Instant> {
         match self.fetching {
-            Some((_, deadline)) => Some(deadline),
+            Some((_, deadline)) => Some(self.hedge_at.unwrap_or(deadline)),
             None if self.sources.is_empty() => None,
             None => Some(self.next_fetch),
         }
     }
 
-    /// Does what is due; at most one fetch is open at a time.
+    /// Does what is due; a second fetch is open beside the first only while that one is late.
     pub fn tick(&mut self, now: Instant, rng: &mut SmallRng) -> Option<CatalogueAction> {
         if self.fetching.is_some_and(|(_, deadline)| deadline <= now) {
             self.fail(now, rng);
         }
-        if self.fetching.is_some() || self.next_fetch > now {
+        if self.fetching.is_some() {
+            if self.hedge_at.is_none_or(|deadline| deadline > now) {
+                return None;
+            }
+        } else if self.next_fetch > now {
             return None;
         }
         let highest = self.sources.iter().map(|(_, stamp)| stamp.revision).max()?;
@@ -195,7 +211,12 @@
             .collect();
         let &(peer, stamp) = newest[rng.random_range(0..newest.len())];
         let deadline = now + FETCH_LIMIT;
+        self.hedge_at = match self.fetching {
+            Some(_) => None,
+            None => Some(now + HEDGE_TIME),
+        };
         self.fetching = Some((stamp, deadline));
+        self.open += 1;
         let from = match self.whole {
             true => 0,
             false => self.stamp.revision,
@@ -214,21 +235,31 @@
         now: Instant,
         rng: &mut SmallRng,
     ) -> AdoptOutcome {
+        let newer = |change: &CatalogueChange| change.revision > self.stamp.revision;
+        if self.abandoned > 0 && !change.as_ref().is_some_and(newer) {
+            self.abandoned -= 1;
+            return AdoptOutcome::Stale;
+        }
+        self.open = self.open.saturating_sub(1);
         let Some(change) = change else {
-            self.fail(now, rng);
+            if self.open == 0 {
+                self.fail(now, rng);
+            }
             return AdoptOutcome::Mismatch;
         };
         let outcome = self.apply_change(change);
         match outcome {
             AdoptOutcome::InForce => {
-                self.fetching = None;
+                self.close_fetch();
                 self.failures = 0;
                 self.whole = false;
                 self.next_fetch = now;
             }
-            AdoptOutcome::Stale => self.fetching = None,
+            AdoptOutcome::Stale => {
+                self.close_fetch();
+            }
             AdoptOutcome::Invalid(_) => {
-                self.rejected = self.fetching.take().map(|(stamp, _)| stamp);
+                self.rejected = self.close_fetch();
                 self.failures = 0;
             }
             AdoptOutcome::Mismatch => {
@@ -321,9 +352,17 @@
             .retain(|(_, stamp)| stamp.revision > own && rejected != Some(*stamp));
     }
 
+    /// Ends the fetch; the results of those that are still open no longer matter.
+    fn close_fetch(&mut self) -> Option<CatalogueStamp> {
+        self.abandoned += self.open;
+        self.open = 0;
+        self.hedge_at = None;
+        self.fetching.take().map(|(stamp, _)| stamp)
+    }
+
     fn fail(&mut self, now: Instant, rng: &mut SmallRng) {
         self.counters.failed_fetches += 1;
-        self.fetching = None;
+        self.close_fetch();
         let backoff = BACKOFF_MIN * 2_u32.pow(self.failures.min(8));
         self.failures += 1;
         // The jitter keeps nodes that failed together from trying again together.
