Start entries of scenarios through the shipped command

Cause: the entry now starts its store reader itself. Conclusion: scenarios run the same code as the binary.

--- a/crates/standins/src/scenario.rs
+++ b/crates/standins/src/scenario.rs
@@ -7,7 +7,6 @@
 pub mod check;
 pub mod evaluate;
 pub mod faults;
-mod interim;
 pub mod loads;
 pub mod measure;
 pub mod operator;
--- a/crates/standins/src/scenario/process.rs
+++ b/crates/standins/src/scenario/process.rs
@@ -191,11 +191,18 @@
     };
     thread::spawn(end_with_harness);
     Some(match kind {
-        ProcessKind::Entry => super::interim::run_entry(settings),
+        ProcessKind::Entry => run_entry(program, settings),
         ProcessKind::Agent => quetzalhill_agent::cmd::main(&[program, settings]),
     })
 }
 
+fn run_entry(program: &str, settings: &str) -> ExitCode {
+    quetzalhill::cmd::run::run(&[program, "run", settings]).unwrap_or_else(|error| {
+        eprintln!("entry: {error:#}");
+        ExitCode::FAILURE
+    })
+}
+
 /// Ends this process when the pipe from the harness closes, which also happens when the harness is killed.
 fn end_with_harness() {
     let mut byte = [0; 1];
