Give readers of a zone successors within seconds

Cause: an entry that takes over a reader's slot looked for it every 10 s, and a lease lasted 15 s, so that a change was late after all readers of a small site had been replaced. Change: lease 3 s, retry 1.5 s, 0.2 s for each rank.

--- a/crates/core/src/catalogue/reader.rs
+++ b/crates/core/src/catalogue/reader.rs
@@ -41,9 +41,10 @@
 impl Default for ReaderSettings {
     fn default() -> Self {
         Self {
-            lease_ttl: Duration::from_secs(15),
-            retry_every: Duration::from_secs(10),
-            rank_delay: Duration::from_secs(2),
+            // A zone that loses both readers at once has new ones within the 5 s in which a change has to be in force.
+            lease_ttl: Duration::from_secs(3),
+            retry_every: Duration::from_millis(1_500),
+            rank_delay: Duration::from_millis(200),
             read_every: Duration::from_secs(30),
             backoff_first: Duration::from_millis(250),
             backoff_max: Duration::from_secs(30),
