Reload key files, stop at the second signal, and prune the history in the store

Cause: A key rotation needed a restart of every entry; a stop could not be cut short; the history in the store grew without a bound.

Change: The control thread of an entry looks at the modification times of the key files every 2 s and reads them again on SIGHUP; files that are not valid leave the ring in force and are logged as QH5003. The second SIGTERM or SIGINT ends the process at once with code 1. A transaction may remove ranges of keys; the write of a revision removes the history records before the last 500 revisions.

The reaction to signals was not run.

--- a/crates/entry/src/cmd/run.rs
+++ b/crates/entry/src/cmd/run.rs
@@ -6,12 +6,19 @@
 use anyhow::{Context, Result};
 use argh::FromArgs;
 use quetzalhill_node::settings::read;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::flag;
 use signal_hook::iterator::Signals;
+use std::io;
 use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+/// Exit status after a second signal.
+const EXIT_AT_ONCE: i32 = 1;
 
 /// Run an entry instance until SIGTERM or SIGINT. After the signal it forwards packets for `entry.linger_s`
-/// seconds and exits with code 0.
+/// seconds and exits with code 0; a second signal ends it at once with code 1. SIGHUP reads the key files again.
 #[derive(Debug, FromArgs)]
 struct RunArgs {
     /// settings file in TOML
@@ -32,9 +39,26 @@
     let settings: EntrySettings = read(&args.settings, check)?;
     quetzalhill_node::log::init(&settings.log)?;
     // The handlers stand before the threads start, so that an early signal is not lost.
-    let mut signals = Signals::new([SIGINT, SIGTERM]).context("signal handlers")?;
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM]).context("signal handlers")?;
+    end_at_second_signal().context("signal handlers")?;
     let entry = run::start(settings)?;
-    let _signal = signals.forever().next();
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            break;
+        }
+        entry.reload_keys();
+    }
     entry.stop()?;
     Ok(ExitCode::SUCCESS)
 }
+
+/// Makes the second SIGTERM or SIGINT end the process at once.
+fn end_at_second_signal() -> io::Result<()> {
+    let stopping = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        // The order matters: the first signal passes the check before it sets the flag.
+        flag::register_conditional_shutdown(signal, EXIT_AT_ONCE, stopping.clone())?;
+        flag::register(signal, stopping.clone())?;
+    }
+    Ok(())
+}
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -23,6 +23,7 @@
 use quetzalhill_core::member::EntryRecord;
 use quetzalhill_core::replicate::CatalogueController;
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::keys::KeyFiles;
 use quetzalhill_store::etcd::{EtcdSettings, EtcdStore};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -35,7 +36,7 @@
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
-use turns::ControlLoop;
+use turns::{ControlLoop, KEY_CHECK_INTERVAL};
 
 /// Longest wait for the store reader to give its slot back at the end.
 const READER_STOP_LIMIT: Duration = Duration::from_secs(1);
@@ -66,6 +67,7 @@
     catalogue: CatalogueSender,
     admin: SocketAddr,
     stop: watch::Sender<bool>,
+    reload: watch::Sender<()>,
     thread: JoinHandle<()>,
 }
 
@@ -85,6 +87,11 @@
         self.admin
     }
 
+    /// Reads the key files again.
+    pub fn reload_keys(&self) {
+        self.reload.send_replace(());
+    }
+
     /// Tells the other entries that this one leaves and ends the thread.
     ///
     /// # Errors
@@ -104,10 +111,26 @@
 ///
 /// Fails if the control sockets or the admin address can't be bound or the thread can't be started.
 pub fn start(settings: &EntrySettings, shared: Arc<SharedState>) -> Result<ControlHandle> {
+    let node = &settings.node;
+    let keys = KeyFiles::new(&node.control_key, node.previous_key.as_deref());
+    start_with(settings, shared, keys)
+}
+
+/// Starts the control thread with key files that were noted before the keys in `shared` were read.
+///
+/// # Errors
+///
+/// As for [`start`].
+pub fn start_with(
+    settings: &EntrySettings,
+    shared: Arc<SharedState>,
+    keys: KeyFiles,
+) -> Result<ControlHandle> {
     let sockets = ControlSockets::bind(settings)?;
     let admin = sockets.admin.local_addr()?;
     let (catalogue_out, catalogue) = watch::channel(Arc::default());
     let (stop_out, stop) = watch::channel(false);
+    let (reload_out, reload) = watch::channel(());
     let sender = CatalogueSender(catalogue_out);
     let setup = ControlSetup {
         settings: settings.clone(),
@@ -116,6 +139,8 @@
         sender: sender.clone(),
         catalogue,
         stop,
+        reload,
+        keys,
     };
     let thread = std::thread::Builder::new()
         .name("control".into())
@@ -135,6 +160,7 @@
         catalogue: sender,
         admin,
         stop: stop_out,
+        reload: reload_out,
         thread,
     })
 }
@@ -179,6 +205,8 @@
     sender: CatalogueSender,
     catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
     stop: watch::Receiver<bool>,
+    reload: watch::Receiver<()>,
+    keys: KeyFiles,
 }
 
 /// Runs the control thread until it is told to stop.
@@ -190,6 +218,8 @@
         sender,
         catalogue,
         stop,
+        reload,
+        keys,
     } = setup;
     let now = Instant::now();
     let own = EntryRecord {
@@ -243,8 +273,10 @@
         rng: SmallRng::from_os_rng(),
         fetched,
         next_chores: now,
+        keys,
+        next_key_check: now + KEY_CHECK_INTERVAL,
     };
-    control.run(catalogue, stop, changes).await?;
+    control.run(catalogue, stop, reload, changes).await?;
     if let Some(reading) = reading {
         // A slot that is not given back becomes free when its lease ends.
         let _ = tokio::time::timeout(READER_STOP_LIMIT, reading).await;
--- a/crates/entry/src/control/turns.rs
+++ b/crates/entry/src/control/turns.rs
@@ -12,6 +12,7 @@
 use quetzalhill_core::replicate::{AdoptOutcome, CatalogueAction, CatalogueChange};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::fetch;
+use quetzalhill_node::keys::KeyFiles;
 use quetzalhill_wire::control::ControlMessage;
 use quetzalhill_wire::fetch::FetchRequest;
 use quetzalhill_wire::packet::DATAGRAM_MAX;
@@ -27,6 +28,9 @@
 /// Time between two updates of the metrics and of the zone's live entries for the store reader.
 const CHORE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two looks at the modification times of the key files.
+pub(super) const KEY_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The loop and what only it uses.
 pub(super) struct ControlLoop {
     pub(super) shared: Arc<SharedState>,
@@ -39,6 +43,8 @@
     pub(super) rng: SmallRng,
     pub(super) fetched: mpsc::Sender<Option<CatalogueChange>>,
     pub(super) next_chores: Instant,
+    pub(super) keys: KeyFiles,
+    pub(super) next_key_check: Instant,
 }
 
 impl ControlLoop {
@@ -47,6 +53,7 @@
         mut self,
         mut snapshots: watch::Receiver<Arc<CatalogueSnapshot>>,
         mut stop: watch::Receiver<bool>,
+        mut reload: watch::Receiver<()>,
         mut changes: mpsc::Receiver<Option<CatalogueChange>>,
     ) -> std::io::Result<()> {
         let mut buffer = vec![0; DATAGRAM_MAX + 1];
@@ -69,6 +76,7 @@
                     self.adopted(revision, outcome);
                 }
                 Some(change) = changes.recv() => self.take_change(change),
+                Ok(()) = reload.changed() => self.reload_keys(),
                 _ = stop.changed() => {
                     let actions = self.state.borrow_mut().member.leave(&mut self.rng);
                     self.perform(actions).await;
@@ -208,6 +216,10 @@
             return;
         }
         self.next_chores = now + CHORE_INTERVAL;
+        if self.next_key_check <= now {
+            self.next_key_check = now + KEY_CHECK_INTERVAL;
+            self.check_keys();
+        }
         let state = self.state.borrow();
         self.metrics.refresh(&state, &self.shared);
         let live = state.member.live_in_zone();
@@ -218,6 +230,27 @@
         });
     }
 
+    fn check_keys(&mut self) {
+        if self.keys.has_changed() {
+            self.reload_keys();
+        }
+    }
+
+    /// Reads the key files again; keys that are not valid leave those in force.
+    fn reload_keys(&mut self) {
+        match self.keys.reload() {
+            Ok(ring) => {
+                self.shared.ring.store(Arc::new(ring));
+                let file = self.keys.current();
+                emit(EventCode::KeysReloaded, &[("file", &file)]);
+            }
+            Err(error) => {
+                let error = format!("{error:#}");
+                emit(EventCode::KeysInvalid, &[("error", &error)]);
+            }
+        }
+    }
+
     async fn send(&self, outgoing: OutgoingMessage) {
         let ring = self.shared.ring.load_full();
         let message = ControlMessage::Member(Box::new(outgoing.message));
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -247,6 +247,7 @@
                 value: self.setup.own.to_string().into_bytes(),
                 lease: Some(lease),
             }],
+            deletes: Vec::new(),
         };
         match self.store.commit(&transaction).await {
             Ok(TransactionOutcome::Committed(_)) => Ok(Some(lease)),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,7 +6,7 @@
 use crate::traffic::{self, TrafficHandle};
 use anyhow::Result;
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::keys::read_ring;
+use quetzalhill_node::keys::{read_ring, KeyFiles};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::thread::sleep;
@@ -28,10 +28,11 @@
 /// Says which key file or address is wrong, or which thread could not be started.
 pub fn start(settings: EntrySettings) -> Result<EntryHandle> {
     let node = &settings.node;
+    let keys = KeyFiles::new(&node.control_key, node.previous_key.as_deref());
     let ring = read_ring(&node.control_key, node.previous_key.as_deref())?;
     let state = SharedState::new(ring);
     let traffic = traffic::start(&settings, Arc::clone(&state))?;
-    let control = control::start(&settings, Arc::clone(&state))?;
+    let control = control::start_with(&settings, Arc::clone(&state), keys)?;
     emit(
         EventCode::EntryStarted,
         &[("zone", &node.zone), ("data", &traffic.data_address())],
@@ -65,6 +66,11 @@
         self.control.admin_address()
     }
 
+    /// Reads the key files again, as after SIGHUP.
+    pub fn reload_keys(&self) {
+        self.control.reload_keys();
+    }
+
     /// Returns where validated catalogue snapshots are handed in.
     pub fn catalogue(&self) -> CatalogueSender {
         self.control.catalogue()
--- a/crates/entry/tests/cmd_run.rs
+++ b/crates/entry/tests/cmd_run.rs
@@ -5,6 +5,8 @@
 use quetzalhill_node::settings::read;
 use std::fs;
 use std::path::PathBuf;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 /// A folder for the files of one test, removed at its end.
 struct Workdir {
@@ -71,3 +73,27 @@
     let error = start(settings).expect_err("no key");
     assert!(format!("{error:#}").contains("no-such-key"), "{error:#}");
 }
+
+/// Guards against a key rotation that needs a restart, and against a broken key file that takes the old key away.
+#[test]
+fn key_files_are_read_again() {
+    let workdir = Workdir::new("key_files_are_read_again");
+    let key = workdir.write("key", &format!("1 {}", "5a".repeat(32)));
+    let path = workdir.write("entry.toml", &settings_text(&key));
+    let settings: EntrySettings = read(&path, check).expect("valid settings");
+    let entry = start(settings).expect("entry");
+    let number = || entry.state().ring.load().current().number();
+    workdir.write("key", "not a key");
+    entry.reload_keys();
+    workdir.write("key", &format!("2 {}", "5b".repeat(32)));
+    let limit = Instant::now() + Duration::from_secs(5);
+    while number() == 1 && Instant::now() < limit {
+        sleep(Duration::from_millis(20));
+    }
+    assert_eq!(number(), 2);
+    workdir.write("key", "not a key");
+    entry.reload_keys();
+    sleep(Duration::from_millis(200));
+    assert_eq!(number(), 2);
+    entry.stop().expect("stopped");
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -68,6 +68,10 @@
     CatalogueStale = 4008, Info, "catalogue-stale";
     /// A task or thread ended with an error.
     TaskFailed = 5001, Error, "task-failed";
+    /// The control keys were read again and are in force.
+    KeysReloaded = 5002, Info, "keys-reloaded";
+    /// The key files are not valid; the keys in force stay.
+    KeysInvalid = 5003, Error, "keys-invalid";
 }
 
 /// Logs one event with its fields, as `QH1001 entry-started address=127.0.0.1:7100`.
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -3,6 +3,7 @@
 use anyhow::{bail, Context, Result};
 use quetzalhill_wire::key::{ControlKey, KeyNumber, KeyRing, KEY_BYTES};
 use std::fs;
+use std::time::SystemTime;
 
 /// Reads a key file: a number from 1 to 255, a space and 64 hexadecimal digits.
 ///
@@ -34,6 +35,53 @@
     Ok(KeyRing::new(key, Some(other)))
 }
 
+/// The key files of a node, which operators replace while it runs.
+#[derive(Clone, Debug)]
+pub struct KeyFiles {
+    current: String,
+    previous: Option<String>,
+    /// Modification times of both files; none for a file that cannot be looked at.
+    seen: [Option<SystemTime>; 2],
+}
+
+impl KeyFiles {
+    /// Notes the modification times. Make it before the keys are read, so that no later change is missed.
+    pub fn new(current: &str, previous: Option<&str>) -> Self {
+        let mut files = Self {
+            current: current.into(),
+            previous: previous.map(Into::into),
+            seen: [None; 2],
+        };
+        files.seen = files.modified();
+        files
+    }
+
+    /// Returns the path of the file of the current key.
+    pub fn current(&self) -> &str {
+        &self.current
+    }
+
+    /// Returns whether a file has changed since the last look.
+    pub fn has_changed(&self) -> bool {
+        self.modified() != self.seen
+    }
+
+    /// Reads the keys again.
+    ///
+    /// # Errors
+    ///
+    /// As for [`read_ring`].
+    pub fn reload(&mut self) -> Result<KeyRing> {
+        self.seen = self.modified();
+        read_ring(&self.current, self.previous.as_deref())
+    }
+
+    fn modified(&self) -> [Option<SystemTime>; 2] {
+        let time = |path: &String| fs::metadata(path).and_then(|data| data.modified()).ok();
+        [time(&self.current), self.previous.as_ref().and_then(time)]
+    }
+}
+
 fn parse_key(text: &str) -> Result<ControlKey> {
     const SHAPE: &str = "expected a number from 1 to 255, a space and 64 hexadecimal digits";
     let (number, digits) = text.trim().split_once(' ').context(SHAPE)?;
--- a/crates/standins/src/store/http.rs
+++ b/crates/standins/src/store/http.rs
@@ -136,6 +136,7 @@
     let list = body["success"].as_array().unwrap_or(&empty);
     list.iter()
         .map(|item| &item["request_put"])
+        .filter(|put| !put.is_null())
         .map(|put| WireWrite {
             key: bytes(&put["key"]),
             value: bytes(&put["value"]),
@@ -144,6 +145,16 @@
         .collect()
 }
 
+fn deletes(body: &Value) -> Vec<ByteRange> {
+    let empty = Vec::new();
+    let list = body["success"].as_array().unwrap_or(&empty);
+    list.iter()
+        .map(|item| &item["request_delete_range"])
+        .filter(|delete| !delete.is_null())
+        .map(byte_range)
+        .collect()
+}
+
 async fn transaction(
     state: State<SharedStore>,
     body: Json<Value>,
@@ -167,7 +178,7 @@
         let compares = body["compare"].as_array().unwrap_or(&empty);
         let succeeded = compares.iter().all(|compare| holds(&state, compare));
         if succeeded {
-            state.apply(writes);
+            state.apply(writes, &deletes(&body));
         }
         let answer = json!({ "header": header(&state), "succeeded": succeeded });
         (answer, std::mem::take(&mut state.lose_next))
--- a/crates/standins/src/store/state.rs
+++ b/crates/standins/src/store/state.rs
@@ -147,13 +147,27 @@
             .collect()
     }
 
-    /// Applies writes at one new revision and reports them to the watches.
-    pub(super) fn apply(&mut self, writes: Vec<WireWrite>) {
-        if writes.is_empty() {
+    /// Applies writes and removals at one new revision and reports them to the watches.
+    pub(super) fn apply(&mut self, writes: Vec<WireWrite>, deletes: &[ByteRange]) {
+        let removed: Vec<Vec<u8>> = self
+            .values
+            .keys()
+            .filter(|key| deletes.iter().any(|range| range.contains(key)))
+            .cloned()
+            .collect();
+        if writes.is_empty() && removed.is_empty() {
             return;
         }
         self.revision += 1;
-        let mut events = Vec::with_capacity(writes.len());
+        let mut events = Vec::with_capacity(writes.len() + removed.len());
+        for key in removed {
+            self.values.remove(&key);
+            events.push(StoreEvent {
+                revision: self.revision,
+                key,
+                stored: None,
+            });
+        }
         for write in writes {
             let old = self.values.get(&write.key);
             let stored = StoredValue {
@@ -174,11 +188,12 @@
     }
 
     pub(super) fn put_now(&mut self, key: &[u8], value: &[u8]) {
-        self.apply(vec![WireWrite {
+        let write = WireWrite {
             key: key.to_vec(),
             value: value.to_vec(),
             lease: 0,
-        }]);
+        };
+        self.apply(vec![write], &[]);
     }
 
     fn publish(&mut self, events: Vec<StoreEvent>) {
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -72,6 +72,15 @@
     pub lease: Option<LeaseId>,
 }
 
+/// Removal of a range of keys in a transaction.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DeleteOp {
+    /// First key that is removed.
+    pub from: String,
+    /// First key after it that stays.
+    pub to: String,
+}
+
 /// Writes that take effect together if all conditions hold.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Transaction {
@@ -79,6 +88,8 @@
     pub compares: Vec<Compare>,
     /// The writes.
     pub puts: Vec<PutOp>,
+    /// The removals; none of them covers a key of `puts`, which the store would refuse.
+    pub deletes: Vec<DeleteOp>,
 }
 
 /// Answer to a transaction.
--- a/crates/store/src/catalogue.rs
+++ b/crates/store/src/catalogue.rs
@@ -30,6 +30,10 @@
 /// Prefix of the reader slots.
 pub const READER_PREFIX: &str = "/quetzalhill/reader/";
 
+/// Revisions whose history records are kept; at 12,000 small changes a day that is an hour, and at some changes a
+/// day more than a year. The write that makes a revision removes the records before them.
+pub const HISTORY_KEPT: RevisionNumber = 500;
+
 /// Number of shards.
 pub const SHARD_COUNT: u32 = 64;
 
--- a/crates/store/src/catalogue/plan.rs
+++ b/crates/store/src/catalogue/plan.rs
@@ -3,9 +3,9 @@
 use super::load::{LoadError, LoadedCatalogue};
 use super::{
     history_key, shard_key, shard_of, CatalogueHead, HistoryRecord, ShardContent, ShardNumber,
-    WriteId, HEAD_KEY, SHARD_COUNT, TRANSACTION_MAX_BYTES, VALUE_MAX_BYTES,
+    WriteId, HEAD_KEY, HISTORY_KEPT, SHARD_COUNT, TRANSACTION_MAX_BYTES, VALUE_MAX_BYTES,
 };
-use crate::api::{Compare, PutOp, Transaction};
+use crate::api::{Compare, DeleteOp, PutOp, Transaction};
 use quetzalhill_core::catalogue::change::{diff, undo, CatalogueChange};
 use quetzalhill_core::catalogue::{CatalogueSnapshot, ServiceEntry};
 use quetzalhill_core::ids::{
@@ -267,7 +267,21 @@
         key: HEAD_KEY.into(),
         revision: current.head.mod_revision,
     }];
-    Ok(Transaction { compares, puts })
+    let deletes = prune(record.revision).into_iter().collect();
+    Ok(Transaction {
+        compares,
+        puts,
+        deletes,
+    })
+}
+
+/// Returns the removal of the history records that are no longer kept once `revision` is written.
+fn prune(revision: RevisionNumber) -> Option<DeleteOp> {
+    let last = revision.checked_sub(HISTORY_KEPT)?;
+    Some(DeleteOp {
+        from: history_key(0),
+        to: history_key(last + 1),
+    })
 }
 
 fn put<T: Serialize>(key: String, value: &T) -> Result<PutOp, PlanError> {
--- a/crates/store/src/etcd/message.rs
+++ b/crates/store/src/etcd/message.rs
@@ -1,7 +1,8 @@
 //! JSON forms of the etcd v3 API: bytes in base64, 64-bit integers as strings, default values left out.
 
 use crate::api::{
-    Compare, KeyRange, KeyValue, PutOp, StoreRevision, Transaction, WatchBatch, WatchEvent,
+    Compare, DeleteOp, KeyRange, KeyValue, PutOp, StoreRevision, Transaction, WatchBatch,
+    WatchEvent,
 };
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
@@ -181,7 +182,9 @@
 /// Body of a transaction.
 pub(super) fn transaction_body(transaction: &Transaction) -> Value {
     let compare: Vec<Value> = transaction.compares.iter().map(compare_body).collect();
-    let success: Vec<Value> = transaction.puts.iter().map(put_body).collect();
+    let puts = transaction.puts.iter().map(put_body);
+    let deletes = transaction.deletes.iter().map(delete_body);
+    let success: Vec<Value> = puts.chain(deletes).collect();
     json!({ "compare": compare, "success": success })
 }
 
@@ -202,6 +205,13 @@
     }
 }
 
+fn delete_body(delete: &DeleteOp) -> Value {
+    json!({ "request_delete_range": {
+        "key": STANDARD.encode(&delete.from),
+        "range_end": STANDARD.encode(&delete.to),
+    } })
+}
+
 fn put_body(put: &PutOp) -> Value {
     let mut request = json!({
         "key": STANDARD.encode(&put.key),
--- a/crates/store/tests/catalogue.rs
+++ b/crates/store/tests/catalogue.rs
@@ -9,7 +9,7 @@
 use quetzalhill_store::catalogue::plan::{
     content_at, plan_change, plan_restore, plan_rollback, PlanError, WriteStamp,
 };
-use quetzalhill_store::catalogue::HEAD_KEY;
+use quetzalhill_store::catalogue::{history_key, HEAD_KEY, HISTORY_KEPT, HISTORY_PREFIX};
 use quetzalhill_store::etcd::{EtcdSettings, EtcdStore};
 use std::collections::BTreeMap;
 use std::time::{Duration, UNIX_EPOCH};
@@ -255,3 +255,22 @@
         LoadError::Store(StoreError::Unknown { .. })
     ));
 }
+
+/// Guards against a history that grows without a bound, and against one that loses records it should keep.
+#[ntex::test]
+async fn history_keeps_the_last_changes() {
+    let standin = standin();
+    let store = client(&standin).await;
+    for revision in 1..=HISTORY_KEPT {
+        standin.put(&history_key(revision), b"{}");
+    }
+    let mut current = load(&store).await.expect("load");
+    current.snapshot.revision = HISTORY_KEPT;
+    let planned = plan_change(&current, services(&["feed"]), &stamp("ada", "w1")).expect("a plan");
+    let outcome = commit(&store, &planned).await.expect("commit");
+    assert_eq!(outcome, CommitOutcome::Committed(HISTORY_KEPT + 1));
+    let keys = standin.keys(HISTORY_PREFIX);
+    assert_eq!(keys.len() as u64, HISTORY_KEPT);
+    assert_eq!(keys.first(), Some(&history_key(2)));
+    assert_eq!(keys.last(), Some(&history_key(HISTORY_KEPT + 1)));
+}
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -3,7 +3,7 @@
 use ntex::time::{sleep, timeout, Millis};
 use quetzalhill_standins::store::{StandinMode, StoreStandin};
 use quetzalhill_store::api::{
-    CatalogueStore, CatalogueWatch, Compare, KeyRange, PutOp, StoreError, Transaction,
+    CatalogueStore, CatalogueWatch, Compare, DeleteOp, KeyRange, PutOp, StoreError, Transaction,
     TransactionOutcome, WatchBatch, WatchEvent,
 };
 use quetzalhill_store::budget::{BudgetLimits, CallBudget, CallKind};
@@ -34,9 +34,32 @@
             value: value.into(),
             lease: None,
         }],
+        deletes: Vec::new(),
     }
 }
 
+/// Guards against a removal that misses its range, or that takes effect although the condition does not hold.
+#[ntex::test]
+async fn removal_is_part_of_the_transaction() {
+    let standin = standin();
+    let store = client(&standin).await;
+    for key in ["h/1", "h/2", "h/3"] {
+        standin.put(key, b"x");
+    }
+    let mut transaction = write("head", "1", 7);
+    transaction.deletes.push(DeleteOp {
+        from: "h/0".into(),
+        to: "h/3".into(),
+    });
+    let refused = store.commit(&transaction).await;
+    assert!(matches!(refused, Ok(TransactionOutcome::Conflict(_))));
+    assert_eq!(standin.keys("h/").len(), 3);
+    transaction.compares.clear();
+    let done = store.commit(&transaction).await;
+    assert!(matches!(done, Ok(TransactionOutcome::Committed(_))));
+    assert_eq!(standin.keys("h/"), ["h/3"]);
+}
+
 /// Guards against two writers that both believe they won a race.
 #[ntex::test]
 async fn second_writer_of_a_race_gets_a_conflict() {
