--- a/crates/agent/src/traffic/upstream.rs
+++ b/crates/agent/src/traffic/upstream.rs
@@ -1,14 +1,13 @@
 //! Requests to the upstream over HTTP/1.1.
 
+use super::body::{read_chunk, BodyReader, BodyStart};
 use super::headers;
-use super::transport::CallerRecv;
-use bytes::{Buf, Bytes};
 use futures_util::{stream, Stream};
-use h3::server::RequestStream;
 use http::request::Parts;
 use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientResponse, Connector};
 use ntex::http::body::{Body, BoxedBodyStream, SizedStream};
+use ntex::http::StatusCode;
 use ntex::time::Seconds;
 use std::cell::Cell;
 use std::net::SocketAddrV4;
@@ -18,8 +17,11 @@
 /// Idle connections to the upstream are closed after this long.
 const IDLE_CONNECTION: Seconds = Seconds(5);
 
-/// Receiving half of a caller's request.
-pub(crate) type BodyReader = RequestStream<CallerRecv, Bytes>;
+/// Most connections to the upstream at the same time.
+///
+/// Must not be 0, which means no limit: with 0 the client never wakes a request that waited while another
+/// connection was being made, and 2 % of requests ran into their deadline.
+const CONNECTIONS_MAX: usize = 10_000;
 
 /// Why the upstream gave no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,14 +36,15 @@
     CallerGone,
 }
 
-/// Part of a request body that was read while the request waited.
-pub(crate) enum BodyStart {
-    /// Nothing was read.
-    Unread,
-    /// The first bytes.
-    Chunk(Bytes),
-    /// The request has no body.
-    End,
+/// What the health endpoint of the upstream says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum HealthReply {
+    /// It serves; also the answer of an upstream without a health endpoint.
+    Serving,
+    /// It takes no new work.
+    Unavailable,
+    /// It does not answer, or not with success.
+    Failed,
 }
 
 /// Calls the upstream of this agent.
@@ -60,14 +63,28 @@
     pub(crate) async fn new(address: SocketAddrV4) -> anyhow::Result<Self> {
         Ok(Self {
             address,
-            pooled: build(Connector::new().limit(0).keep_alive(IDLE_CONNECTION)).await?,
-            single: build(Connector::new().limit(0)).await?,
+            pooled: build(
+                Connector::new()
+                    .limit(CONNECTIONS_MAX)
+                    .keep_alive(IDLE_CONNECTION),
+            )
+            .await?,
+            single: build(Connector::new().limit(CONNECTIONS_MAX)).await?,
         })
     }
 
-    /// Returns the address of the upstream.
-    pub(crate) fn address(&self) -> SocketAddrV4 {
-        self.address
+    /// Asks the upstream for its health.
+    pub(crate) async fn health(&self, path: &str) -> HealthReply {
+        let url = format!("http://{}{path}", self.address);
+        let request = self.single.get(url).force_close();
+        match request.send().await {
+            Err(_) => HealthReply::Failed,
+            Ok(reply) if reply.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                HealthReply::Unavailable
+            }
+            Ok(reply) if reply.status().is_server_error() => HealthReply::Failed,
+            Ok(_) => HealthReply::Serving,
+        }
     }
 
     /// Sends a request and returns the head of the answer, of which the body can be read.
@@ -207,16 +224,3 @@
         Some((item, relay))
     })
 }
-
-/// Reads the next bytes of a request body; `None` is its end.
-///
-/// # Errors
-///
-/// Returns an error if the caller reset the stream or the connection was lost.
-pub(crate) async fn read_chunk(reader: &mut BodyReader) -> std::io::Result<Option<Bytes>> {
-    let data = reader.recv_data().await.map_err(std::io::Error::other)?;
-    let Some(mut data) = data else {
-        return Ok(None);
-    };
-    Ok(Some(data.copy_to_bytes(data.remaining())))
-}
--- a/crates/agent/tests/traffic/main.rs
+++ b/crates/agent/tests/traffic/main.rs
@@ -3,7 +3,11 @@
 mod answers;
 mod drain;
 mod entry;
+mod handover;
+mod health;
+mod home;
 mod once;
 mod packets;
+mod peer;
 mod support;
 mod upstream;
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -23,7 +23,7 @@
 use quetzalhill_core::member::EntryRecord;
 use quetzalhill_core::replicate::CatalogueController;
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::keys::KeyFiles;
+use quetzalhill_node::keys::KeyWatch;
 use quetzalhill_store::etcd::{EtcdSettings, EtcdStore};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -112,7 +112,7 @@
 /// Fails if the control sockets or the admin address can't be bound or the thread can't be started.
 pub fn start(settings: &EntrySettings, shared: Arc<SharedState>) -> Result<ControlHandle> {
     let node = &settings.node;
-    let keys = KeyFiles::new(&node.control_key, node.previous_key.as_deref());
+    let keys = KeyWatch::new(&node.control_key, node.previous_key.as_deref());
     start_with(settings, shared, keys)
 }
 
@@ -124,7 +124,7 @@
 pub fn start_with(
     settings: &EntrySettings,
     shared: Arc<SharedState>,
-    keys: KeyFiles,
+    keys: KeyWatch,
 ) -> Result<ControlHandle> {
     let sockets = ControlSockets::bind(settings)?;
     let admin = sockets.admin.local_addr()?;
@@ -206,7 +206,7 @@
     catalogue: watch::Receiver<Arc<CatalogueSnapshot>>,
     stop: watch::Receiver<bool>,
     reload: watch::Receiver<()>,
-    keys: KeyFiles,
+    keys: KeyWatch,
 }
 
 /// Runs the control thread until it is told to stop.
--- a/crates/entry/src/control/turns.rs
+++ b/crates/entry/src/control/turns.rs
@@ -12,9 +12,10 @@
 use quetzalhill_core::replicate::{AdoptOutcome, CatalogueAction, CatalogueChange};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::fetch;
-use quetzalhill_node::keys::KeyFiles;
+use quetzalhill_node::keys::KeyWatch;
 use quetzalhill_wire::control::ControlMessage;
 use quetzalhill_wire::fetch::FetchRequest;
+use quetzalhill_wire::key::KeyRing;
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use rand::rngs::SmallRng;
 use std::cell::RefCell;
@@ -43,7 +44,7 @@
     pub(super) rng: SmallRng,
     pub(super) fetched: mpsc::Sender<Option<CatalogueChange>>,
     pub(super) next_chores: Instant,
-    pub(super) keys: KeyFiles,
+    pub(super) keys: KeyWatch,
     pub(super) next_key_check: Instant,
 }
 
@@ -231,18 +232,23 @@
     }
 
     fn check_keys(&mut self) {
-        if self.keys.has_changed() {
-            self.reload_keys();
+        if let Some(result) = self.keys.check() {
+            self.take_keys(result);
         }
     }
 
-    /// Reads the key files again; keys that are not valid leave those in force.
     fn reload_keys(&mut self) {
-        match self.keys.reload() {
+        let result = self.keys.reload();
+        self.take_keys(result);
+    }
+
+    /// Brings read keys into force; keys that are not valid leave those in force.
+    fn take_keys(&mut self, result: anyhow::Result<KeyRing>) {
+        match result {
             Ok(ring) => {
+                let number = ring.current().number();
                 self.shared.ring.store(Arc::new(ring));
-                let file = self.keys.current();
-                emit(EventCode::KeysReloaded, &[("file", &file)]);
+                emit(EventCode::KeysReloaded, &[("key", &number)]);
             }
             Err(error) => {
                 let error = format!("{error:#}");
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,7 +6,7 @@
 use crate::traffic::{self, TrafficHandle};
 use anyhow::Result;
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::keys::{read_ring, KeyFiles};
+use quetzalhill_node::keys::{read_ring, KeyWatch};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::thread::sleep;
@@ -28,7 +28,7 @@
 /// Says which key file or address is wrong, or which thread could not be started.
 pub fn start(settings: EntrySettings) -> Result<EntryHandle> {
     let node = &settings.node;
-    let keys = KeyFiles::new(&node.control_key, node.previous_key.as_deref());
+    let keys = KeyWatch::new(&node.control_key, node.previous_key.as_deref());
     let ring = read_ring(&node.control_key, node.previous_key.as_deref())?;
     let state = SharedState::new(ring);
     let traffic = traffic::start(&settings, Arc::clone(&state))?;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -68,9 +68,9 @@
     CatalogueStale = 4008, Info, "catalogue-stale";
     /// A task or thread ended with an error.
     TaskFailed = 5001, Error, "task-failed";
-    /// The control keys were read again and are in force.
+    /// Changed control keys came into force.
     KeysReloaded = 5002, Info, "keys-reloaded";
-    /// The key files are not valid; the keys in force stay.
+    /// The changed files of the control keys are not valid; the keys in force stay.
     KeysInvalid = 5003, Error, "keys-invalid";
 }
 
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -35,50 +35,54 @@
     Ok(KeyRing::new(key, Some(other)))
 }
 
-/// The key files of a node, which operators replace while it runs.
-#[derive(Clone, Debug)]
-pub struct KeyFiles {
+/// Follows the key files of a node.
+#[derive(Debug)]
+pub struct KeyWatch {
     current: String,
     previous: Option<String>,
-    /// Modification times of both files; none for a file that cannot be looked at.
     seen: [Option<SystemTime>; 2],
 }
 
-impl KeyFiles {
-    /// Notes the modification times. Make it before the keys are read, so that no later change is missed.
+impl KeyWatch {
+    /// Starts to follow the files from which the ring in force was read.
     pub fn new(current: &str, previous: Option<&str>) -> Self {
-        let mut files = Self {
+        let mut watch = Self {
             current: current.into(),
-            previous: previous.map(Into::into),
+            previous: previous.map(String::from),
             seen: [None; 2],
         };
-        files.seen = files.modified();
-        files
+        watch.seen = watch.stamps();
+        watch
     }
 
-    /// Returns the path of the file of the current key.
-    pub fn current(&self) -> &str {
-        &self.current
-    }
-
-    /// Returns whether a file has changed since the last look.
-    pub fn has_changed(&self) -> bool {
-        self.modified() != self.seen
+    /// Returns the ring in the files if one of them was written since the last call.
+    ///
+    /// # Errors
+    ///
+    /// As for [`read_ring`]; the ring in force should stay.
+    pub fn check(&mut self) -> Option<Result<KeyRing>> {
+        if self.stamps() == self.seen {
+            return None;
+        }
+        Some(self.reload())
     }
 
-    /// Reads the keys again.
+    /// Returns the ring in the files, as an operator asks for it with SIGHUP.
     ///
     /// # Errors
     ///
-    /// As for [`read_ring`].
+    /// As for [`KeyWatch::check`].
     pub fn reload(&mut self) -> Result<KeyRing> {
-        self.seen = self.modified();
+        // Taken before the read, so that a write during it is seen by the next check.
+        self.seen = self.stamps();
         read_ring(&self.current, self.previous.as_deref())
     }
 
-    fn modified(&self) -> [Option<SystemTime>; 2] {
-        let time = |path: &String| fs::metadata(path).and_then(|data| data.modified()).ok();
-        [time(&self.current), self.previous.as_ref().and_then(time)]
+    fn stamps(&self) -> [Option<SystemTime>; 2] {
+        [Some(&self.current), self.previous.as_ref()].map(|path| {
+            let metadata = fs::metadata(path?).ok()?;
+            metadata.modified().ok()
+        })
     }
 }
 
--- a/crates/core/tests/pool/central.rs
+++ b/crates/standins/src/pool/central.rs
@@ -20,21 +20,14 @@
 }
 
 /// Runs a trace through the central queue.
-pub(crate) fn run_central(shape: PoolShape, jobs: &[TraceJob]) -> RunResult {
+pub fn run_central(shape: PoolShape, jobs: &[TraceJob]) -> RunResult {
     let mut queue = CentralQueue {
         shape,
         jobs,
         free: vec![shape.slots; shape.agents],
         waiting: BTreeSet::new(),
         ends: BinaryHeap::new(),
-        result: RunResult {
-            ends: vec![JobEnd::Open; jobs.len()],
-            work: Vec::new(),
-            messages: 0,
-            extra_attempts: 0,
-            double_starts: 0,
-            ended: 0,
-        },
+        result: RunResult::new(jobs.len()),
     };
     for (index, job) in jobs.iter().enumerate() {
         queue.free_until(job.at);
--- a/crates/standins/src/workload.rs
+++ b/crates/standins/src/workload.rs
@@ -12,6 +12,9 @@
 use std::time::{Duration, Instant};
 use tokio::runtime::Handle;
 
+/// Sessions on which one request is tried.
+const ATTEMPTS_MAX: u32 = 3;
+
 /// Longest latency that histograms tell apart, in microseconds.
 const LATENCY_MAX_US: u64 = 600_000_000;
 
@@ -127,6 +130,8 @@
     pub work_ms: AtomicU64,
     /// Latency of whole answers to requests that are not long, in microseconds.
     pub latency: Mutex<Histogram<u64>>,
+    /// Identities of the requests that were not run.
+    pub not_run_ids: Mutex<Vec<u32>>,
     /// Last outcomes that were neither whole nor refused, for reports.
     pub notes: Mutex<Vec<String>>,
 }
@@ -145,6 +150,7 @@
             broken: AtomicU64::new(0),
             work_ms: AtomicU64::new(0),
             latency: Mutex::new(latency),
+            not_run_ids: Mutex::new(Vec::new()),
             notes: Mutex::new(Vec::new()),
         }
     }
@@ -159,12 +165,13 @@
             .clone()
     }
 
-    fn count(
+    /// Counts how a request ended.
+    pub fn count(
         &self,
+        request: &CallRequest,
         outcome: &CallOutcome,
         work: WorkSample,
         latency: Duration,
-        timeout_ms: Option<u32>,
     ) {
         let counter = match outcome {
             CallOutcome::Whole => &self.whole,
@@ -176,12 +183,25 @@
         };
         counter.fetch_add(1, Ordering::Relaxed);
         match outcome {
-            CallOutcome::Whole => self.count_whole(work, latency, timeout_ms),
-            CallOutcome::NotRun(_) => {}
-            other => self.note(format!("{other:?}")),
+            CallOutcome::Whole => self.count_whole(work, latency, request.timeout_ms),
+            other => {
+                if let CallOutcome::NotRun(_) = other {
+                    self.add_not_run(request.id);
+                }
+                let after = latency.as_secs_f64();
+                self.note(format!("{other:?} after {after:.2} s"));
+            }
         }
     }
 
+    fn add_not_run(&self, id: u32) {
+        let mut ids = self
+            .not_run_ids
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        ids.push(id);
+    }
+
     fn count_whole(&self, work: WorkSample, latency: Duration, timeout_ms: Option<u32>) {
         let in_time = timeout_ms.is_none_or(|ms| latency <= Duration::from_millis(ms.into()));
         if in_time {
@@ -393,12 +413,25 @@
 impl OneCall {
     async fn run(self) {
         self.counters.requests.fetch_add(1, Ordering::Relaxed);
-        let outcome = match self.pool.pick(self.pick).await {
-            Ok(session) => session.call(&self.request).await,
-            Err(error) => CallOutcome::NotRun(format!("{error:#}")),
-        };
-        let timeout = self.request.timeout_ms;
+        let outcome = self.attempt().await;
         self.counters
-            .count(&outcome, self.work, self.due.elapsed(), timeout);
+            .count(&self.request, &outcome, self.work, self.due.elapsed());
+    }
+
+    /// A request that was not run because its session moves is sent again on the session's successor.
+    async fn attempt(&self) -> CallOutcome {
+        let mut last = CallOutcome::NotRun("no session".into());
+        for _ in 0..ATTEMPTS_MAX {
+            let session = match self.pool.pick(self.pick).await {
+                Ok(session) => session,
+                Err(error) => return CallOutcome::NotRun(format!("{error:#}")),
+            };
+            last = session.call(&self.request).await;
+            let moved = matches!(last, CallOutcome::NotRun(_)) && session.is_draining();
+            if !moved {
+                break;
+            }
+        }
+        last
     }
 }
