--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -61,12 +61,21 @@
     ///
     /// As for [`read_ring`]; the ring in force should stay.
     pub fn check(&mut self) -> Option<Result<KeyRing>> {
-        let stamps = self.stamps();
-        if stamps == self.seen {
+        if self.stamps() == self.seen {
             return None;
         }
-        self.seen = stamps;
-        Some(read_ring(&self.current, self.previous.as_deref()))
+        Some(self.reload())
+    }
+
+    /// Returns the ring in the files, as an operator asks for it with SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// As for [`KeyWatch::check`].
+    pub fn reload(&mut self) -> Result<KeyRing> {
+        // Taken before the read, so that a write during it is seen by the next check.
+        self.seen = self.stamps();
+        read_ring(&self.current, self.previous.as_deref())
     }
 
     fn stamps(&self) -> [Option<SystemTime>; 2] {
