Ask all entries about a silent endpoint only at the last step, and measure capacity

Cause: an asked sponsor passed each question on to all entries, so that agents that moved to their sponsors after the start caused gossip of the whole fleet.

Change: a question says whether it goes to all entries; only such a question is passed on.

--- a/crates/core/src/member/merge.rs
+++ b/crates/core/src/member/merge.rs
@@ -68,7 +68,8 @@
                 incarnation,
                 beat,
                 by,
-            } => self.learn_silence((id, incarnation, beat), by, now, actions),
+                everyone,
+            } => self.learn_silence((id, incarnation, beat), (by, everyone), now, actions),
             MemberUpdate::Heard {
                 id,
                 incarnation,
--- a/crates/core/src/member/message.rs
+++ b/crates/core/src/member/message.rs
@@ -90,6 +90,8 @@
         beat: u64,
         /// The entry that heard it.
         by: EntryId,
+        /// Whether the question goes to all entries, not to the sponsors of the endpoint alone.
+        everyone: bool,
     },
     /// Some entry has heard a beat of an endpoint.
     Heard {
--- a/crates/core/src/member/sponsor.rs
+++ b/crates/core/src/member/sponsor.rs
@@ -224,11 +224,11 @@
     }
 
     /// Takes another entry's question about a silent endpoint: answers if this entry hears the endpoint, and passes
-    /// the question on once, because the agent may announce to entries that the asking one does not expect.
+    /// a question to everyone on once, because the agent may announce to entries that the asking one does not expect.
     pub(super) fn learn_silence(
         &mut self,
         (id, incarnation, beat): BeatName,
-        by: EntryId,
+        (by, everyone): (EntryId, bool),
         now: Instant,
         actions: &mut ActionList,
     ) {
@@ -253,6 +253,9 @@
             actions.push(send(by, MemberMessage::Gossip(head)));
             return;
         }
+        if !everyone {
+            return;
+        }
         let question = slot.question.get_or_insert_default();
         if beat > question.beat {
             **question = SilenceQuestion {
@@ -269,6 +272,7 @@
             incarnation,
             beat,
             by,
+            everyone,
         });
     }
 
@@ -370,12 +374,13 @@
 
     fn silence_of(&self, id: EndpointId) -> Option<MemberUpdate> {
         let slot = self.endpoints.slots.get(&id)?;
-        slot.suspicion?;
+        let suspicion = slot.suspicion?;
         Some(MemberUpdate::Silent {
             id,
             incarnation: slot.record.incarnation,
             beat: slot.beat,
             by: self.own.id,
+            everyone: suspicion.everyone,
         })
     }
 
--- /dev/null
+++ b/crates/standins/examples/capacity/fit.rs
@@ -0,0 +1,64 @@
+//! Straight lines through measured points.
+
+/// One quantity at several sizes.
+pub(crate) struct Series {
+    /// Process or task that the quantity belongs to.
+    pub(crate) role: &'static str,
+    /// What is measured, with its unit.
+    pub(crate) quantity: &'static str,
+    /// What the size counts.
+    pub(crate) unit: &'static str,
+    /// Size to which the line is extended.
+    pub(crate) target: f64,
+    /// Size and value.
+    pub(crate) points: Vec<(f64, f64)>,
+}
+
+/// Prints the head of the table.
+pub(crate) fn print_head() {
+    println!("| role | quantity | per | sizes: values | slope | intercept | error | at | value |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+}
+
+impl Series {
+    /// Prints the points, the line of least squares, its root mean square error relative to the mean, and the value
+    /// at the target.
+    pub(crate) fn print(&self) {
+        let (slope, intercept) = line(&self.points);
+        let points = self.points.iter();
+        let squares: f64 = points
+            .map(|(x, y)| (y - intercept - slope * x).powi(2))
+            .sum();
+        // CAST: A handful of points.
+        let count = self.points.len() as f64;
+        let mean = self.points.iter().map(|(_, y)| y).sum::<f64>() / count;
+        let error = (squares / count).sqrt() / mean.abs().max(f64::MIN_POSITIVE);
+        let shown: Vec<_> = self
+            .points
+            .iter()
+            .map(|(x, y)| format!("{x}: {y:.4}"))
+            .collect();
+        println!(
+            "| {} | {} | {} | {} | {slope:.4e} | {intercept:.4e} | {:.0} % | {} | {:.4} |",
+            self.role,
+            self.quantity,
+            self.unit,
+            shown.join(", "),
+            100.0 * error,
+            self.target,
+            intercept + slope * self.target,
+        );
+    }
+}
+
+/// Returns slope and intercept of the line of least squares.
+fn line(points: &[(f64, f64)]) -> (f64, f64) {
+    // CAST: A handful of points.
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let products = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y));
+    let squares = points.iter().map(|(x, _)| (x - mean_x).powi(2));
+    let slope = products.sum::<f64>() / squares.sum::<f64>();
+    (slope, mean_y - slope * mean_x)
+}
