--- a/crates/core/src/member/announce.rs
+++ b/crates/core/src/member/announce.rs
@@ -111,6 +111,17 @@
         self.peers.values().filter(ready).cloned().collect()
     }
 
+    /// Returns the other endpoints of the service that start or drain.
+    pub fn other_peers(&self) -> Vec<EndpointRecord> {
+        let other = |peer: &&EndpointRecord| {
+            matches!(
+                peer.state,
+                EndpointState::Starting | EndpointState::Draining
+            )
+        };
+        self.peers.values().filter(other).cloned().collect()
+    }
+
     /// Returns the entries that are believed to be alive.
     pub fn live_entries(&self, now: Instant) -> Vec<EntryRecord> {
         let alive = self.contacts.values().filter(|contact| contact.alive(now));
@@ -127,6 +138,21 @@
         true
     }
 
+    /// Follows whether the upstream serves; an endpoint that drains or has left is never ready again.
+    pub fn set_ready(&mut self, ready: bool, now: Instant) -> bool {
+        let state = match ready {
+            true => EndpointState::Ready,
+            false => EndpointState::Starting,
+        };
+        if self.record.state > EndpointState::Ready || self.record.state == state {
+            return false;
+        }
+        // The higher sequence number lets the earlier state replace the later one.
+        self.record.state = state;
+        self.raise_sequence(now);
+        true
+    }
+
     /// Takes the agent's service from a newer catalogue revision; an older one is ignored.
     pub fn set_service(
         &mut self,
