--- a/crates/standins/src/workload.rs
+++ b/crates/standins/src/workload.rs
@@ -185,9 +185,8 @@
         match outcome {
             CallOutcome::Whole => self.count_whole(work, latency, request.timeout_ms),
             other => {
-                if matches!(other, CallOutcome::NotRun(_)) {
-                    let ids = self.not_run_ids.lock();
-                    ids.unwrap_or_else(PoisonError::into_inner).push(request.id);
+                if let CallOutcome::NotRun(_) = other {
+                    self.add_not_run(request.id);
                 }
                 let after = latency.as_secs_f64();
                 self.note(format!("{other:?} after {after:.2} s"));
@@ -195,6 +194,14 @@
         }
     }
 
+    fn add_not_run(&self, id: u32) {
+        let mut ids = self
+            .not_run_ids
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        ids.push(id);
+    }
+
     fn count_whole(&self, work: WorkSample, latency: Duration, timeout_ms: Option<u32>) {
         let in_time = timeout_ms.is_none_or(|ms| latency <= Duration::from_millis(ms.into()));
         if in_time {
