--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::settings::AgentSettings;
 use crate::shared::{AgentView, SharedState, TrafficEvent};
+use crate::status::{pages, StatusFacts};
 use anyhow::{anyhow, Context, Result};
 use quetzalhill_core::catalogue::validate::validate;
 use quetzalhill_core::catalogue::CatalogueSnapshot;
@@ -12,14 +13,16 @@
 use quetzalhill_core::replicate::{
     AdoptOutcome, CatalogueAction, CatalogueChange, CatalogueController,
 };
+use quetzalhill_node::admin::{self, AdminPages};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::fetch;
+use quetzalhill_node::keys::KeyWatch;
 use quetzalhill_wire::control::ControlMessage;
 use quetzalhill_wire::fetch::FetchRequest;
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -38,6 +41,9 @@
     Err(reasons.join("; "))
 }
 
+/// How often the key files are looked at.
+const FILE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// A running control thread.
 #[derive(Debug)]
 pub struct ControlHandle {
@@ -88,6 +94,15 @@
     let socket = std::net::UdpSocket::bind(address)
         .with_context(|| format!("binding the control socket {address}"))?;
     socket.set_nonblocking(true)?;
+    let admin = settings.node.admin;
+    let listener =
+        TcpListener::bind(admin).with_context(|| format!("binding the admin address {admin}"))?;
+    let facts = StatusFacts {
+        zone: settings.node.zone.clone(),
+        service: settings.agent.service.clone(),
+        packets: settings.agent.packets,
+        started: Instant::now(),
+    };
     let record = EndpointRecord {
         id: id_of(settings.agent.packets),
         incarnation: shared.view.load().incarnation,
@@ -99,6 +114,8 @@
         state: EndpointState::Starting,
         slots: settings.agent.slots,
     };
+    let node = &settings.node;
+    let keys = KeyWatch::new(&node.control_key, node.previous_key.as_deref());
     let announce = AnnounceController::new(record, &settings.agent.entries, Instant::now());
     let (wanted_out, wanted) = watch::channel(EndpointState::Starting);
     let thread = std::thread::Builder::new()
@@ -108,6 +125,7 @@
                 .name("control")
                 .build(ntex::rt::DefaultRuntime);
             let result = system.block_on(async move {
+                ntex::rt::spawn(serve_admin(listener, pages(&shared, facts)));
                 let scope = Some(announce.record().service.clone());
                 let (fetched, changes) = mpsc::channel(1);
                 let control = ControlLoop {
@@ -116,6 +134,7 @@
                     announce,
                     catalogue: CatalogueController::new(check_snapshot, scope, Instant::now()),
                     fetched,
+                    keys,
                     rng: SmallRng::from_os_rng(),
                 };
                 control.run(wanted, events, changes).await
@@ -134,12 +153,22 @@
     })
 }
 
+async fn serve_admin(listener: TcpListener, pages: AdminPages) {
+    if let Err(error) = admin::serve(listener, pages).await {
+        emit(
+            EventCode::TaskFailed,
+            &[("task", &"admin"), ("error", &error)],
+        );
+    }
+}
+
 struct ControlLoop {
     shared: Arc<SharedState>,
     socket: UdpSocket,
     announce: AnnounceController,
     catalogue: CatalogueController,
     fetched: mpsc::Sender<Option<CatalogueChange>>,
+    keys: KeyWatch,
     rng: SmallRng,
 }
 
@@ -152,6 +181,7 @@
     ) -> std::io::Result<()> {
         let mut buffer = vec![0; DATAGRAM_MAX + 1];
         let mut events_open = true;
+        let mut check_files = tokio::time::interval(FILE_INTERVAL);
         let mut end: Option<Instant> = None;
         loop {
             self.start_fetch();
@@ -185,6 +215,7 @@
                         end = Some(Instant::now() + LEAVE_TIME);
                     }
                 }
+                _ = check_files.tick() => self.reload_keys(),
                 () = tokio::time::sleep_until(deadline.into()) => {
                     let messages = self.announce.tick(Instant::now(), &mut self.rng);
                     self.send(messages).await;
@@ -194,12 +225,32 @@
         }
     }
 
+    fn reload_keys(&mut self) {
+        match self.keys.check() {
+            None => {}
+            Some(Ok(ring)) => {
+                let number = ring.current().number();
+                self.shared.ring.store(Arc::new(ring));
+                emit(EventCode::KeysReloaded, &[("key", &number)]);
+            }
+            Some(Err(error)) => {
+                let text = format!("{error:#}");
+                emit(EventCode::KeysInvalid, &[("error", &text)]);
+            }
+        }
+    }
+
     fn traffic(&mut self, event: TrafficEvent) {
         match event {
-            TrafficEvent::UpstreamHealth { healthy: true } => self.set_state(EndpointState::Ready),
-            // The endpoint keeps its flows and hands their requests to peers, so its state stays.
-            TrafficEvent::UpstreamHealth { healthy: false } => {}
-            TrafficEvent::Drained => self.set_state(EndpointState::Draining),
+            // An endpoint that is not ready keeps its flows and hands their requests to peers.
+            TrafficEvent::UpstreamHealth { healthy } => {
+                if self.announce.set_ready(healthy, Instant::now()) {
+                    self.publish();
+                }
+            }
+            TrafficEvent::UpstreamLeaves | TrafficEvent::Drained => {
+                self.set_state(EndpointState::Draining)
+            }
         }
     }
 
@@ -263,7 +314,7 @@
             }
             AdoptOutcome::Invalid(reason) => emit(
                 EventCode::CatalogueInvalid,
-                &[("revision", &revision), ("reason", &reason)],
+                &[("revision", &revision), ("error", &reason)],
             ),
             // Counted by the controller and repeated by it.
             AdoptOutcome::Stale | AdoptOutcome::Mismatch => {}
