--- a/crates/standins/examples/capacity/catalogue.rs
+++ b/crates/standins/examples/capacity/catalogue.rs
@@ -4,7 +4,7 @@
 use crate::meter::{allocated, microseconds};
 use crate::SERVICES;
 use quetzalhill_core::catalogue::{CatalogueSnapshot, ServiceEntry};
-use quetzalhill_core::replicate::{catalogue_digest, CatalogueController};
+use quetzalhill_core::replicate::CatalogueController;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::time::Instant;
@@ -62,7 +62,7 @@
         // CAST: A few megabytes.
         json.points.push((x, text.len() as f64));
         let cost = microseconds(50, |_| {
-            std::hint::black_box(catalogue_digest(source.snapshot()));
+            std::hint::black_box(source.snapshot().digest());
         });
         digest.points.push((x, cost));
         let mut follower = CatalogueController::new(|_| Ok(()), None, now);
