Initialize the log of the agent once

Cause: a merge left two calls in the agent's command, so that the binary ended with 'the log is set up already' before it served anything. Change: the second call is removed.

--- a/crates/agent/src/cmd.rs
+++ b/crates/agent/src/cmd.rs
@@ -48,7 +48,6 @@
 fn run_agent(args: &AgentArgs) -> Result<()> {
     let settings: AgentSettings = read(&args.settings, check)?;
     log::init(&settings.log)?;
-    quetzalhill_node::log::init(&settings.log)?;
     // The handlers stand before the threads start, so that an early signal is not lost.
     let mut signals = Signals::new([SIGINT, SIGTERM]).context("signal handlers")?;
     let agent = run::start(settings)?;
