Let agents learn new entries as soon as an answer is late

Cause: an agent asked one of its entries every 4 s for a sample of live ones, also one that was gone, and did not repeat the question. When four entries were replaced within 8 s, all that it knew were gone, and it heard of no catalogue revision any more (entries at revision 2, all agents at 1). Ruled out: the store's readers (the new entries had the revision). Change: the sample is asked of an entry that answers, with each beat until it has come, and at once when an answer is 400 ms late.

--- a/crates/core/src/member/announce.rs
+++ b/crates/core/src/member/announce.rs
@@ -30,6 +30,9 @@
 /// Time without an answer after which an entry that hears every announcement counts as gone.
 const ANSWER_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time without an answer after which another entry is asked which entries are alive.
+const LATE_LIMIT: Duration = Duration::from_millis(400);
+
 /// Time for which an entry counts as alive after another entry has named it.
 const NAMED_LIMIT: Duration = Duration::from_secs(24);
 
@@ -212,21 +215,33 @@
                 receivers.push(id);
             }
         }
-        let mut refresh = false;
-        if !receivers.is_empty() && self.next_refresh <= now {
-            self.next_refresh = now + REFRESH_INTERVAL;
-            refresh = true;
+        let asked = self.choose_refresh(&receivers, now, rng);
+        if asked.is_some() {
             receivers.extend(self.silent_contact(now, rng));
         }
-        // One answer with entries is enough; the next one comes from another entry.
-        let asked = match refresh {
-            true => receivers.choose(rng).copied(),
-            false => None,
-        };
         let announce = |id| self.announce(id, asked == Some(id), now);
         receivers.into_iter().map(announce).collect()
     }
 
+    /// Chooses the receiver that is asked for a sample of live entries, if one is due.
+    ///
+    /// One answer is enough, so that one receiver is asked at a time: one that answers, if there is any, and again
+    /// with each beat until the sample has come. A receiver whose answer is late makes it due at once, since agents
+    /// lost all entries when those were replaced faster than samples came.
+    fn choose_refresh(
+        &self,
+        receivers: &[EntryId],
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> Option<EntryId> {
+        let late = |id: &&EntryId| self.contacts.get(id).is_some_and(|one| one.is_late(now));
+        if self.next_refresh > now && !receivers.iter().any(|id| late(&id)) {
+            return None;
+        }
+        let prompt = receivers.iter().filter(|id| !late(id)).choose(rng);
+        prompt.or_else(|| receivers.choose(rng)).copied()
+    }
+
     /// Chooses entries of the own zone by rendezvous hashing, then others, and the seeds until enough answer.
     fn sponsors(&self, now: Instant) -> Vec<EntryId> {
         let mut ranked: Vec<_> = self
@@ -301,6 +316,9 @@
         if reply.known == Some(own) && own == self.record.version() {
             contact.repeats_left = 0;
         }
+        if !reply.entries.is_empty() {
+            self.next_refresh = now + REFRESH_INTERVAL;
+        }
         for entry in reply.entries {
             change.view |= self.learn_entry(entry, now);
         }
@@ -385,6 +403,12 @@
         self.missing_at.is_none_or(|deadline| deadline > now)
     }
 
+    /// Returns whether an answer is missing for longer than a round trip takes.
+    fn is_late(&self, now: Instant) -> bool {
+        self.missing_at
+            .is_some_and(|deadline| deadline <= now + ANSWER_LIMIT - LATE_LIMIT)
+    }
+
     fn alive(&self, now: Instant) -> bool {
         self.record.is_some() && self.answers(now) && self.expires > now
     }
--- a/crates/standins/src/testbed.rs
+++ b/crates/standins/src/testbed.rs
@@ -14,7 +14,7 @@
 use quetzalhill_agent::settings::AgentSettings;
 use quetzalhill_core::catalogue::CatalogueSnapshot;
 use quetzalhill_core::dispatch::DispatchPolicy;
-use quetzalhill_core::ids::ServiceName;
+use quetzalhill_core::ids::{RevisionNumber, ServiceName};
 use quetzalhill_core::member::EndpointState;
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -120,13 +120,18 @@
     /// Returns an error if that takes longer than 15 seconds.
     pub fn wait_in_force(&self) -> Result<()> {
         let revision = self.catalogue.revision;
-        self.wait_until("the catalogue is in force on all nodes", || {
-            let entries = self.entries.iter().filter_map(|entry| entry.entry.as_ref());
-            let agents = self.endpoints.iter().filter_map(|end| end.agent.as_ref());
-            let mut entries = entries.map(|entry| entry.state().catalogue.load().revision);
-            let mut agents = agents.map(|agent| agent.state().view.load().revision);
-            entries.all(|seen| seen >= revision) && agents.all(|seen| seen >= revision)
-        })
+        let in_force = || self.revisions().iter().all(|&seen| seen >= revision);
+        let waited = self.wait_until("the catalogue is in force on all nodes", in_force);
+        waited.with_context(|| format!("revision {revision}; seen: {:?}", self.revisions()))
+    }
+
+    /// Returns the revision in force on each live entry and then on each live agent.
+    fn revisions(&self) -> Vec<RevisionNumber> {
+        let entries = self.entries.iter().filter_map(|entry| entry.entry.as_ref());
+        let agents = self.endpoints.iter().filter_map(|end| end.agent.as_ref());
+        let entries = entries.map(|entry| entry.state().catalogue.load().revision);
+        let agents = agents.map(|agent| agent.state().view.load().revision);
+        entries.chain(agents).collect()
     }
 
     /// Begins to drain an endpoint.
