Send drains first and more often than other membership updates

Ruled out: the number of entries that the agent knows (19 of 30). Change: a drain is sent 3 times as often and ahead of questions about silent endpoints; the sample is asked for again until it comes, and every 4 s.

--- a/crates/core/src/member/announce.rs
+++ b/crates/core/src/member/announce.rs
@@ -72,6 +72,8 @@
     beat: u64,
     next_beat: Instant,
     next_refresh: Instant,
+    /// Whether a sample of live entries was asked for and has not come.
+    sample_missing: bool,
 }
 
 impl AnnounceController {
@@ -90,6 +92,7 @@
             beat: 0,
             next_beat: now,
             next_refresh: now,
+            sample_missing: false,
         }
     }
 
@@ -217,6 +220,10 @@
         }
         let asked = self.choose_refresh(&receivers, now, rng);
         if asked.is_some() {
+            self.sample_missing = true;
+        }
+        if asked.is_some() && self.next_refresh <= now {
+            self.next_refresh = now + REFRESH_INTERVAL;
             receivers.extend(self.silent_contact(now, rng));
         }
         let announce = |id| self.announce(id, asked == Some(id), now);
@@ -235,7 +242,8 @@
         rng: &mut SmallRng,
     ) -> Option<EntryId> {
         let late = |id: &&EntryId| self.contacts.get(id).is_some_and(|one| one.is_late(now));
-        if self.next_refresh > now && !receivers.iter().any(|id| late(&id)) {
+        let due = self.next_refresh <= now || self.sample_missing;
+        if !due && !receivers.iter().any(|id| late(&id)) {
             return None;
         }
         let prompt = receivers.iter().filter(|id| !late(id)).choose(rng);
@@ -317,7 +325,7 @@
             contact.repeats_left = 0;
         }
         if !reply.entries.is_empty() {
-            self.next_refresh = now + REFRESH_INTERVAL;
+            self.sample_missing = false;
         }
         for entry in reply.entries {
             change.view |= self.learn_entry(entry, now);
--- a/crates/core/src/member/spread.rs
+++ b/crates/core/src/member/spread.rs
@@ -1,6 +1,7 @@
 //! Updates that wait to be sent to other entries.
 
 use super::message::MemberUpdate;
+use super::EndpointState;
 use crate::ids::{EndpointId, EntryId, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 
@@ -26,8 +27,34 @@
     }
 }
 
-/// How often an update was sent, and a number that rises with each place in the queue.
-type SpreadOrder = (u32, u64);
+/// How many times as often a drain is sent as another update.
+///
+/// With the usual number, about 9 copies reach each of 30 entries; at 50 % loss one entry in 500 got none.
+const DRAIN_COPIES: u32 = 3;
+
+/// Which updates go first.
+///
+/// Questions and answers about silent endpoints are many when messages are lost; a drain, which has to be known
+/// everywhere within 3 s, does not wait behind them. Drains are too few to hold anything else back.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum SpreadRank {
+    Drain,
+    Other,
+}
+
+impl SpreadRank {
+    fn of(update: &MemberUpdate) -> Self {
+        match update {
+            MemberUpdate::Endpoint { record, .. } if record.state == EndpointState::Draining => {
+                Self::Drain
+            }
+            _ => Self::Other,
+        }
+    }
+}
+
+/// Rank, how often an update was sent, and a number that rises with each place in the queue.
+type SpreadOrder = (SpreadRank, u32, u64);
 
 /// Sends each update a bounded number of times, the least sent first.
 #[derive(Debug, Default)]
@@ -42,16 +69,16 @@
     /// Adds an update and drops a waiting one with the same subject.
     pub(super) fn push(&mut self, update: MemberUpdate) {
         let subject = SpreadSubject::of(&update);
-        let order = self.next_order(0);
+        let order = self.next_order(SpreadRank::of(&update), 0);
         if let Some((old, _)) = self.updates.insert(subject.clone(), (order, update)) {
             self.order.remove(&old);
         }
         self.order.insert(order, subject);
     }
 
-    fn next_order(&mut self, sent: u32) -> SpreadOrder {
+    fn next_order(&mut self, rank: SpreadRank, sent: u32) -> SpreadOrder {
         self.last_number += 1;
-        (sent, self.last_number)
+        (rank, sent, self.last_number)
     }
 
     /// Returns whether nothing waits.
@@ -59,7 +86,8 @@
         self.order.is_empty()
     }
 
-    /// Returns updates of at most `budget` bytes; each is dropped after `limit` calls that returned it.
+    /// Returns updates of at most `budget` bytes; each is dropped after `limit` calls that returned it, a drain
+    /// after [`DRAIN_COPIES`] times as many.
     pub(super) fn take(&mut self, mut budget: usize, limit: u32) -> Vec<MemberUpdate> {
         let mut chosen = Vec::new();
         for (order, subject) in &self.order {
@@ -77,12 +105,16 @@
         for (order, subject, update) in chosen {
             updates.push(update);
             self.order.remove(&order);
-            let sent = order.0 + 1;
+            let sent = order.1 + 1;
+            let limit = match order.0 {
+                SpreadRank::Drain => limit * DRAIN_COPIES,
+                SpreadRank::Other => limit,
+            };
             if sent >= limit {
                 self.updates.remove(&subject);
                 continue;
             }
-            let order = self.next_order(sent);
+            let order = self.next_order(order.0, sent);
             if let Some(waiting) = self.updates.get_mut(&subject) {
                 waiting.0 = order;
             }
