--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -6,19 +6,16 @@
 use anyhow::{anyhow, Context, Result};
 use quetzalhill_core::catalogue::validate::validate;
 use quetzalhill_core::catalogue::CatalogueSnapshot;
-use quetzalhill_core::ids::{address_of, id_of};
+use quetzalhill_core::ids::id_of;
 use quetzalhill_core::member::announce::AnnounceController;
 use quetzalhill_core::member::message::{MemberMessage, OutgoingMessage};
 use quetzalhill_core::member::{EndpointRecord, EndpointState};
-use quetzalhill_core::replicate::{
-    AdoptOutcome, CatalogueAction, CatalogueChange, CatalogueController,
-};
+use quetzalhill_core::replicate::{AdoptOutcome, CatalogueChange, CatalogueController};
 use quetzalhill_node::admin::{self, AdminPages};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::fetch;
 use quetzalhill_node::keys::KeyWatch;
 use quetzalhill_wire::control::ControlMessage;
-use quetzalhill_wire::fetch::FetchRequest;
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -282,23 +279,9 @@
 
     fn start_fetch(&mut self) {
         let action = self.catalogue.tick(Instant::now(), &mut self.rng);
-        let Some(CatalogueAction::Fetch {
-            peer,
-            from,
-            deadline,
-        }) = action
-        else {
-            return;
-        };
-        let ring = self.shared.ring.load_full();
-        let fetched = self.fetched.clone();
         let service = Some(self.announce.record().service.clone());
-        ntex::rt::spawn(async move {
-            let request = FetchRequest { from, service };
-            let change = fetch::fetch(address_of(peer), &request, &ring, deadline).await;
-            // Fails only when the control thread ends.
-            let _ = fetched.send(change.ok()).await;
-        });
+        let ring = self.shared.ring.load_full();
+        fetch::start(action, service, ring, self.fetched.clone());
     }
 
     fn adopt(&mut self, change: Option<CatalogueChange>) {
--- a/crates/core/tests/member/fleet.rs
+++ b/crates/core/tests/member/fleet.rs
@@ -1,4 +1,6 @@
-//! Entries and agents in virtual time, joined by a network that loses, delays, repeats and reorders messages.
+//! Entries and agents in virtual time; longer than 500 lines, because one event loop drives both kinds of nodes.
+//!
+//! The network between them loses, delays, repeats and reorders messages.
 
 use quetzalhill_core::catalogue::{CatalogueSnapshot, ServiceEntry};
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, EntryId};
--- a/crates/entry/src/control/turns.rs
+++ b/crates/entry/src/control/turns.rs
@@ -5,16 +5,15 @@
 use crate::reader::ReaderInput;
 use crate::shared::SharedState;
 use quetzalhill_core::catalogue::CatalogueSnapshot;
-use quetzalhill_core::ids::{address_of, RevisionNumber};
+use quetzalhill_core::ids::RevisionNumber;
 use quetzalhill_core::member::controller::{ActionList, MemberAction};
 use quetzalhill_core::member::message::OutgoingMessage;
 use quetzalhill_core::member::routes::build_table;
-use quetzalhill_core::replicate::{AdoptOutcome, CatalogueAction, CatalogueChange};
+use quetzalhill_core::replicate::{AdoptOutcome, CatalogueChange};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::fetch;
 use quetzalhill_node::keys::KeyWatch;
 use quetzalhill_wire::control::ControlMessage;
-use quetzalhill_wire::fetch::FetchRequest;
 use quetzalhill_wire::key::KeyRing;
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use rand::rngs::SmallRng;
@@ -165,31 +164,10 @@
     }
 
     fn start_fetch(&mut self) {
-        let action = self
-            .state
-            .borrow_mut()
-            .catalogue
-            .tick(Instant::now(), &mut self.rng);
-        let Some(CatalogueAction::Fetch {
-            peer,
-            from,
-            deadline,
-        }) = action
-        else {
-            return;
-        };
+        let now = Instant::now();
+        let action = self.state.borrow_mut().catalogue.tick(now, &mut self.rng);
         let ring = self.shared.ring.load_full();
-        let fetched = self.fetched.clone();
-        ntex::rt::spawn(async move {
-            let request = FetchRequest {
-                from,
-                service: None,
-            };
-            let change = fetch::fetch(address_of(peer), &request, &ring, deadline).await;
-            // Fails only when the control thread ends.
-            let _ = fetched.send(change.ok()).await;
-        })
-        .detach();
+        fetch::start(action, None, ring, self.fetched.clone());
     }
 
     /// Publishes catalogue and route table if one of them has changed.
--- a/crates/node/src/fetch.rs
+++ b/crates/node/src/fetch.rs
@@ -1,12 +1,15 @@
 //! Catalogue fetches over TCP, on both sides.
 
-use quetzalhill_core::replicate::CatalogueChange;
+use quetzalhill_core::ids::{address_of, ServiceName};
+use quetzalhill_core::replicate::{CatalogueAction, CatalogueChange};
 use quetzalhill_wire::fetch::{FetchReply, FetchRequest};
 use quetzalhill_wire::frame::{handshake, ConnectionNonce, FrameError, FrameSide};
 use quetzalhill_wire::key::KeyRing;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
 /// Time for one connection on the serving side.
@@ -17,6 +20,32 @@
     rand::random()
 }
 
+/// Starts the fetch that the catalogue controller asks for, if any, on the runtime of the control thread.
+///
+/// `service` names the only service that an agent needs. The outcome, `None` after a failure, goes to `fetched`.
+pub fn start(
+    action: Option<CatalogueAction>,
+    service: Option<ServiceName>,
+    ring: Arc<KeyRing>,
+    fetched: mpsc::Sender<Option<CatalogueChange>>,
+) {
+    let Some(CatalogueAction::Fetch {
+        peer,
+        from,
+        deadline,
+    }) = action
+    else {
+        return;
+    };
+    ntex::rt::spawn(async move {
+        let request = FetchRequest { from, service };
+        let change = fetch(address_of(peer), &request, &ring, deadline).await;
+        // Fails only when the control thread ends.
+        let _ = fetched.send(change.ok()).await;
+    })
+    .detach();
+}
+
 /// Fetches the changes that `request` asks for.
 ///
 /// # Errors
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -1,7 +1,9 @@
 //! Control datagrams: announcements, gossip and load.
 
 use crate::key::{KeyRing, TAG_BYTES};
-use crate::packet::{DropReason, DATAGRAM_MAX, KIND_CONTROL, PREFIX_BYTES, WIRE_VERSION};
+use crate::packet::{
+    check_prefix, DropReason, DATAGRAM_MAX, KIND_CONTROL, PREFIX_BYTES, WIRE_VERSION,
+};
 use quetzalhill_core::dispatch::LoadReport;
 use quetzalhill_core::ids::EndpointId;
 use quetzalhill_core::member::message::MemberMessage;
@@ -54,19 +56,7 @@
     ///
     /// Returns why the datagram has to be dropped.
     pub fn open(ring: &KeyRing, datagram: &[u8]) -> Result<Self, DropReason> {
-        if datagram.len() < PREFIX_BYTES + TAG_BYTES {
-            return Err(DropReason::Short);
-        }
-        if datagram.len() > DATAGRAM_MAX {
-            return Err(DropReason::Long);
-        }
-        if datagram[0] != WIRE_VERSION {
-            return Err(DropReason::Version);
-        }
-        if datagram[1] != KIND_CONTROL {
-            return Err(DropReason::Kind);
-        }
-        let key = ring.find(datagram[2]).ok_or(DropReason::Key)?;
+        let key = check_prefix(ring, datagram, KIND_CONTROL)?;
         let end = datagram.len() - TAG_BYTES;
         if key.tag(&[&datagram[..end]]) != datagram[end..] {
             return Err(DropReason::Tag);
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -3,7 +3,7 @@
 //! A datagram is version, kind, key number, postcard header, payload and tag. The tag covers the header, the
 //! payload's length and its first bytes; QUIC itself protects the rest. See docs/design.md, section 5.
 
-use crate::key::{KeyRing, TAG_BYTES};
+use crate::key::{ControlKey, KeyRing, TAG_BYTES};
 use quetzalhill_core::ids::ServiceNumber;
 use serde::de::{SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
@@ -197,19 +197,7 @@
         ring: &KeyRing,
         datagram: &[u8],
     ) -> Result<(PacketHeader, std::ops::Range<usize>), DropReason> {
-        if datagram.len() < PREFIX_BYTES + TAG_BYTES {
-            return Err(DropReason::Short);
-        }
-        if datagram.len() > DATAGRAM_MAX {
-            return Err(DropReason::Long);
-        }
-        if datagram[0] != WIRE_VERSION {
-            return Err(DropReason::Version);
-        }
-        if datagram[1] != KIND_PACKET {
-            return Err(DropReason::Kind);
-        }
-        let key = ring.find(datagram[2]).ok_or(DropReason::Key)?;
+        let key = check_prefix(ring, datagram, KIND_PACKET)?;
         let end = datagram.len() - TAG_BYTES;
         let (header, rest) =
             postcard::take_from_bytes::<PacketHeader>(&datagram[PREFIX_BYTES..end])
@@ -223,7 +211,32 @@
     }
 }
 
-fn payload_tag(key: &crate::key::ControlKey, head: &[u8], payload: &[u8]) -> [u8; TAG_BYTES] {
+/// Checks the length, version and kind of a datagram and returns the key that it was made with.
+///
+/// # Errors
+///
+/// Returns why the datagram has to be dropped.
+pub(crate) fn check_prefix<'a>(
+    ring: &'a KeyRing,
+    datagram: &[u8],
+    kind: u8,
+) -> Result<&'a ControlKey, DropReason> {
+    if datagram.len() < PREFIX_BYTES + TAG_BYTES {
+        return Err(DropReason::Short);
+    }
+    if datagram.len() > DATAGRAM_MAX {
+        return Err(DropReason::Long);
+    }
+    if datagram[0] != WIRE_VERSION {
+        return Err(DropReason::Version);
+    }
+    if datagram[1] != kind {
+        return Err(DropReason::Kind);
+    }
+    ring.find(datagram[2]).ok_or(DropReason::Key)
+}
+
+fn payload_tag(key: &ControlKey, head: &[u8], payload: &[u8]) -> [u8; TAG_BYTES] {
     // CAST: Payload lengths fit 64 bits on every supported target.
     let length = (payload.len() as u64).to_le_bytes();
     let covered = &payload[..payload.len().min(TAGGED_PAYLOAD)];
