Wait for the count of bad frames in a test of the hand-over

Change: the test waits up to its step limit for the third count, and then requires exactly 3 as before. Conclusion: a race of the test, not of the agent.

--- a/crates/agent/tests/traffic/handover.rs
+++ b/crates/agent/tests/traffic/handover.rs
@@ -204,6 +204,11 @@
     valid.stream.write_all(&frame).unwrap();
     valid.wait_closed();
     assert_eq!(site.log.requests.load(Ordering::SeqCst), 1);
+    // The agent counts a frame after it has closed the connection.
+    let end = Instant::now() + STEP;
+    while counters(&site).bad_frames.load(Ordering::SeqCst) < 3 && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(5));
+    }
     assert_eq!(counters(&site).bad_frames.load(Ordering::SeqCst), 3);
 }
 
