--- a/crates/standins/src/fabric.rs
+++ b/crates/standins/src/fabric.rs
@@ -7,9 +7,9 @@
 use anyhow::{Context, Result};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -18,6 +18,9 @@
 
 const DATAGRAM_MAX: usize = 65_536;
 
+/// Datagrams of callers that are kept for a replay.
+const RECENT_MAX: usize = 1_000;
+
 /// How the fabric treats packets; each direction of a packet is treated by itself.
 #[derive(Clone, Debug, Default)]
 pub struct FabricRules {
@@ -49,6 +52,14 @@
     rng: Mutex<SmallRng>,
     counters: FabricCounters,
     delay: DelayHandle,
+    recording: AtomicBool,
+    recent: Mutex<VecDeque<RecordedPacket>>,
+}
+
+/// A datagram of a caller, with the socket that the fabric keeps for the caller.
+struct RecordedPacket {
+    back: Arc<std::net::UdpSocket>,
+    payload: Vec<u8>,
 }
 
 /// The fabric in front of one service address.
@@ -79,6 +90,8 @@
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             counters: FabricCounters::default(),
             delay: line.handle(),
+            recording: AtomicBool::new(false),
+            recent: Mutex::default(),
         });
         let (stop, stopped) = oneshot::channel();
         let shared = Arc::clone(&state);
@@ -122,6 +135,31 @@
         );
     }
 
+    /// Keeps the last 1,000 datagrams of callers from now on, for [`FabricStandin::replay`].
+    pub fn record(&self) {
+        self.state.recording.store(true, Ordering::Relaxed);
+    }
+
+    /// Sends up to `count` of the last datagrams of callers once more, each to an entry drawn anew, and returns how
+    /// many were sent.
+    pub fn replay(&self, count: usize) -> usize {
+        let recent = self
+            .state
+            .recent
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut sent = 0;
+        for packet in recent.iter().rev().take(count) {
+            let fate = self.state.fate();
+            let Some(entry) = fate.entry else {
+                continue;
+            };
+            self.state.send(&packet.back, entry, &packet.payload, &fate);
+            sent += 1;
+        }
+        sent
+    }
+
     /// Returns what has been counted.
     pub fn counters(&self) -> &FabricCounters {
         &self.state.counters
@@ -147,6 +185,17 @@
 }
 
 impl FabricState {
+    fn remember(&self, back: &Arc<std::net::UdpSocket>, payload: &[u8]) {
+        let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
+        if recent.len() == RECENT_MAX {
+            recent.pop_front();
+        }
+        recent.push_back(RecordedPacket {
+            back: Arc::clone(back),
+            payload: payload.to_vec(),
+        });
+    }
+
     fn fate(&self) -> PacketFate {
         let rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
         let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
@@ -215,6 +264,9 @@
                 back
             }
         };
+        if state.recording.load(Ordering::Relaxed) {
+            state.remember(&back, &buffer[..length]);
+        }
         let fate = state.fate();
         let Some(entry) = fate.entry else {
             state.counters.lost.fetch_add(1, Ordering::Relaxed);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod link;
 pub mod node;
 pub mod payload;
+pub mod scenario;
 pub mod site;
 pub mod store;
 pub mod testbed;
--- /dev/null
+++ b/crates/standins/src/scenario.rs
@@ -0,0 +1,20 @@
+//! Scenario scripts: failure cases of operators and developers, run against real processes on loopback.
+//!
+//! The language is described in docs/scenarios.md. [`report::run_file`] reads, checks and runs a file.
+
+pub mod bed;
+pub mod catalogue;
+pub mod check;
+pub mod evaluate;
+pub mod faults;
+mod interim;
+pub mod loads;
+pub mod measure;
+pub mod operator;
+pub mod parse;
+pub mod process;
+pub mod report;
+pub mod run;
+pub mod steps;
+pub mod values;
+pub mod words;
--- /dev/null
+++ b/crates/standins/src/scenario/catalogue.rs
@@ -0,0 +1,92 @@
+//! Steps that change the catalogue, as edits of a snapshot.
+
+use super::bed::ScenarioBed;
+use super::operator::CatalogueEdit;
+use super::steps::{AddServiceStep, MoveAddressStep, ScenarioStep};
+use super::values::LimitValue;
+use anyhow::{bail, Context, Result};
+use quetzalhill_core::catalogue::{CatalogueSnapshot, LimitSet, ServiceEntry};
+
+/// Returns the edits of a step, which are to be made at the same time.
+///
+/// # Errors
+///
+/// The endpoints of a new service cannot be started, or the step does not change the catalogue.
+pub fn edits_of(bed: &mut ScenarioBed, step: &ScenarioStep) -> Result<Vec<CatalogueEdit>> {
+    Ok(match step {
+        ScenarioStep::SetLimit(step) => vec![limit_edit(&step.service, &step.limit)],
+        ScenarioStep::Race(step) => vec![
+            limit_edit(&step.service, &step.first),
+            limit_edit(&step.service, &step.second),
+        ],
+        ScenarioStep::SetClass(step) => {
+            let class = step.class;
+            vec![service_edit(&step.service, move |entry| {
+                entry.class = class;
+            })]
+        }
+        ScenarioStep::SetOwner(step) => {
+            let owner = step.owner.clone();
+            vec![service_edit(&step.service, move |entry| {
+                entry.owner = owner;
+            })]
+        }
+        ScenarioStep::RemoveService(step) => {
+            let name = step.name.clone();
+            vec![Box::new(move |snapshot| {
+                snapshot.services.remove(&name);
+            })]
+        }
+        ScenarioStep::MoveAddress(step) => vec![move_edit(bed, step)?],
+        ScenarioStep::AddService(step) => vec![add_service(bed, step)?],
+        _ => bail!("this step does not change the catalogue"),
+    })
+}
+
+fn service_edit(service: &str, edit: impl FnOnce(&mut ServiceEntry) + 'static) -> CatalogueEdit {
+    let name = service.to_string();
+    Box::new(move |snapshot| {
+        if let Some(entry) = snapshot.services.get_mut(&name) {
+            edit(entry);
+        }
+    })
+}
+
+fn limit_edit(service: &str, limit: &LimitValue) -> CatalogueEdit {
+    let limit = limit.clone();
+    service_edit(service, move |entry| {
+        // The parser has checked the name.
+        let _ = limit.set(&mut entry.limits);
+    })
+}
+
+fn move_edit(bed: &ScenarioBed, step: &MoveAddressStep) -> Result<CatalogueEdit> {
+    let address = bed.address_of(&step.from, step.address);
+    let address = address.context("no such address")?;
+    let to = step.to.clone();
+    Ok(Box::new(move |snapshot: &mut CatalogueSnapshot| {
+        for entry in snapshot.services.values_mut() {
+            entry.addresses.retain(|known| *known != address);
+        }
+        if let Some(entry) = snapshot.services.get_mut(&to) {
+            entry.addresses.push(address);
+        }
+    }))
+}
+
+fn add_service(bed: &mut ScenarioBed, step: &AddServiceStep) -> Result<CatalogueEdit> {
+    bed.start_endpoints(&step.name, step.endpoints, step.slots)?;
+    let address = bed.address_of(&step.name, 0);
+    let entry = ServiceEntry {
+        number: 0,
+        owner: step.owner.clone(),
+        class: step.class,
+        addresses: address.into_iter().collect(),
+        path_classes: Default::default(),
+        limits: LimitSet::default(),
+    };
+    let name = step.name.clone();
+    Ok(Box::new(move |snapshot| {
+        snapshot.services.insert(name, entry);
+    }))
+}
--- /dev/null
+++ b/crates/standins/src/scenario/check.rs
@@ -0,0 +1,362 @@
+//! Checks of a whole scenario before anything starts: order of the steps, and names that steps refer to.
+
+use super::measure::MeasureSubject;
+use super::parse::ParsedStep;
+use super::steps::{ExpectStep, ScenarioStep};
+use super::values::{EndpointName, NodeName};
+use super::words::{column_of, FileError, WordError};
+use crate::layout::LISTENERS_MAX;
+use std::collections::BTreeMap;
+
+/// Most processes of one scenario.
+const PROCESSES_MAX: usize = 48;
+
+/// What the steps so far have defined.
+#[derive(Default)]
+struct KnownNames {
+    zones: usize,
+    entries: usize,
+    /// Endpoints and addresses of each service.
+    services: BTreeMap<String, KnownService>,
+    loads: Vec<String>,
+    /// Sets of idle sessions.
+    sessions: Vec<String>,
+    marks: Vec<String>,
+    started: bool,
+}
+
+#[derive(Clone, Copy)]
+struct KnownService {
+    endpoints: usize,
+    addresses: usize,
+}
+
+/// Checks the steps of a file.
+///
+/// # Errors
+///
+/// Returns the first word that refers to nothing, or the first step at a wrong place.
+pub fn check_steps(file: &str, steps: &[ParsedStep]) -> Result<(), FileError> {
+    let mut known = KnownNames::default();
+    for parsed in steps {
+        known.step(&parsed.step).map_err(|error| FileError {
+            file: file.into(),
+            line: parsed.line,
+            column: column_of(&parsed.words, &error.word),
+            message: error.message,
+        })?;
+    }
+    if known.started {
+        return Ok(());
+    }
+    let last = steps.last();
+    Err(FileError {
+        file: file.into(),
+        line: last.map_or(1, |step| step.line),
+        column: 1,
+        message: "the file has no line `start`".into(),
+    })
+}
+
+/// An error about the step as a whole, which is shown at its verb.
+fn at_verb(message: impl Into<String>) -> WordError {
+    WordError::new("", message)
+}
+
+impl KnownNames {
+    fn step(&mut self, step: &ScenarioStep) -> Result<(), WordError> {
+        let setup = match step {
+            ScenarioStep::Zones(_)
+            | ScenarioStep::Entries(_)
+            | ScenarioStep::Service(_)
+            | ScenarioStep::Seed(_)
+            | ScenarioStep::Start(_) => true,
+            // The fabric can be set before and after the start.
+            ScenarioStep::Fabric(_) => !self.started,
+            _ => false,
+        };
+        if setup && self.started {
+            return Err(at_verb("allowed only before `start`"));
+        }
+        if !setup && !self.started {
+            return Err(at_verb("allowed only after `start`"));
+        }
+        self.define(step)?;
+        self.refer(step)
+    }
+
+    fn define(&mut self, step: &ScenarioStep) -> Result<(), WordError> {
+        match step {
+            ScenarioStep::Zones(zones) => {
+                self.zones = zones.names.len();
+                match zones.names.is_empty() {
+                    true => Err(at_verb("expected at least one zone")),
+                    false => Ok(()),
+                }
+            }
+            ScenarioStep::Entries(entries) => {
+                self.entries = entries.count.into();
+                Ok(())
+            }
+            ScenarioStep::Service(service) => {
+                self.add_service(&service.name, service.endpoints, service.addresses)
+            }
+            ScenarioStep::AddService(service) => {
+                self.add_service(&service.name, service.endpoints, 1)
+            }
+            ScenarioStep::Start(_) => self.start(),
+            ScenarioStep::Load(load) => define(&mut self.loads, &self.sessions, &load.name),
+            ScenarioStep::Streams(load) => define(&mut self.loads, &self.sessions, &load.name),
+            ScenarioStep::Sessions(set) => define(&mut self.sessions, &self.loads, &set.name),
+            ScenarioStep::Mark(mark) => define(&mut self.marks, &[], &mark.name),
+            _ => Ok(()),
+        }
+    }
+
+    fn add_service(
+        &mut self,
+        name: &str,
+        endpoints: u16,
+        addresses: usize,
+    ) -> Result<(), WordError> {
+        if name.is_empty() || name.contains(':') {
+            let message = "expected a name without `:`";
+            return Err(WordError::new(name, message));
+        }
+        if self.services.contains_key(name) {
+            let message = format!("the service {name} is defined already; expected a new name");
+            return Err(WordError::new(name, message));
+        }
+        let service = KnownService {
+            endpoints: endpoints.into(),
+            addresses,
+        };
+        self.services.insert(name.into(), service);
+        let count: usize = self.services.values().map(|known| known.addresses).sum();
+        if count > LISTENERS_MAX {
+            return Err(at_verb(format!(
+                "{count} addresses in all; at most {LISTENERS_MAX} are allowed"
+            )));
+        }
+        self.check_processes()
+    }
+
+    fn check_processes(&self) -> Result<(), WordError> {
+        let endpoints: usize = self.services.values().map(|known| known.endpoints).sum();
+        let count = endpoints + self.entries;
+        match count > PROCESSES_MAX {
+            true => Err(at_verb(format!(
+                "{count} entries and agents in all; at most {PROCESSES_MAX} are allowed"
+            ))),
+            false => Ok(()),
+        }
+    }
+
+    fn start(&mut self) -> Result<(), WordError> {
+        if self.zones == 0 || self.entries == 0 || self.services.is_empty() {
+            return Err(at_verb(
+                "expected `zones`, `entries` and `service` before `start`",
+            ));
+        }
+        self.started = true;
+        self.check_processes()
+    }
+
+    fn refer(&self, step: &ScenarioStep) -> Result<(), WordError> {
+        match step {
+            ScenarioStep::Load(step) => {
+                self.address(&step.service, step.address)?;
+                self.optional_service(step.answered_by.as_deref())
+            }
+            ScenarioStep::Streams(step) => {
+                self.address(&step.service, step.address)?;
+                self.optional_service(step.answered_by.as_deref())
+            }
+            ScenarioStep::Sessions(step) => self.address(&step.service, step.address),
+            ScenarioStep::Finish(step) => step.names.iter().try_for_each(|name| self.load(name)),
+            ScenarioStep::Close(step) => self.close(&step.names),
+            ScenarioStep::Kill(step) => self.nodes(&step.nodes),
+            ScenarioStep::Pause(step) => self.nodes(&step.nodes),
+            ScenarioStep::Resume(step) => self.nodes(&step.nodes),
+            ScenarioStep::Stop(step) => self.nodes(&step.nodes),
+            ScenarioStep::Drain(step) => self.nodes(&step.nodes),
+            ScenarioStep::Restart(step) => self.nodes(&step.nodes),
+            ScenarioStep::Replace(step) => self.nodes(&step.nodes),
+            ScenarioStep::Cut(step) => self.only_entries(&step.nodes),
+            ScenarioStep::Heal(step) => self.only_entries(&step.nodes),
+            ScenarioStep::Upstream(step) => self.endpoint(&step.endpoint),
+            ScenarioStep::Fabric(step) => self.optional_service(step.service.as_deref()),
+            ScenarioStep::Replay(step) => self.optional_service(step.service.as_deref()),
+            ScenarioStep::SetLimit(step) => self.service(&step.service),
+            ScenarioStep::SetClass(step) => self.service(&step.service),
+            ScenarioStep::SetOwner(step) => self.service(&step.service),
+            ScenarioStep::RemoveService(step) => self.service(&step.name),
+            ScenarioStep::MoveAddress(step) => {
+                self.address(&step.from, step.address)?;
+                self.service(&step.to)
+            }
+            ScenarioStep::Race(step) => self.service(&step.service),
+            ScenarioStep::Corrupt(step) if step.what == "head" => Ok(()),
+            ScenarioStep::Corrupt(step) => self.service(&step.what),
+            ScenarioStep::Expect(step) => self.expect(step),
+            _ => Ok(()),
+        }
+    }
+
+    fn service(&self, name: &str) -> Result<(), WordError> {
+        match self.services.contains_key(name) {
+            true => Ok(()),
+            false => {
+                let names: Vec<&str> = self.services.keys().map(String::as_str).collect();
+                let message = format!("no service '{name}'; allowed: {}", names.join(", "));
+                Err(WordError::new(name, message))
+            }
+        }
+    }
+
+    fn optional_service(&self, name: Option<&str>) -> Result<(), WordError> {
+        name.map_or(Ok(()), |name| self.service(name))
+    }
+
+    fn address(&self, service: &str, address: usize) -> Result<(), WordError> {
+        self.service(service)?;
+        let count = self.services[service].addresses;
+        match address < count {
+            true => Ok(()),
+            false => {
+                let message = format!("{service} has addresses 0 to {}", count - 1);
+                Err(WordError::new(address.to_string(), message))
+            }
+        }
+    }
+
+    fn endpoint(&self, name: &EndpointName) -> Result<(), WordError> {
+        self.service(&name.service)
+            .map_err(|error| WordError::new(name.to_string(), error.message))?;
+        let count = self.services[&name.service].endpoints;
+        match name.index < count {
+            true => Ok(()),
+            false => {
+                let message = format!(
+                    "{} has {count} endpoints; they are counted from 0",
+                    name.service
+                );
+                Err(WordError::new(name.to_string(), message))
+            }
+        }
+    }
+
+    fn node(&self, name: &NodeName) -> Result<(), WordError> {
+        match name {
+            NodeName::Entry(index) if *index < self.entries => Ok(()),
+            NodeName::Entry(_) => {
+                let message = format!("expected entry:0 to entry:{}", self.entries - 1);
+                Err(WordError::new(name.to_string(), message))
+            }
+            NodeName::Agent(endpoint) => self.endpoint(endpoint),
+        }
+    }
+
+    fn nodes(&self, names: &[NodeName]) -> Result<(), WordError> {
+        if names.is_empty() {
+            return Err(at_verb("expected at least one entry:N or agent:SERVICE:N"));
+        }
+        for (index, name) in names.iter().enumerate() {
+            self.node(name)?;
+            if names[..index].contains(name) {
+                let message = "named twice; expected different processes";
+                return Err(WordError::new(name.to_string(), message));
+            }
+        }
+        Ok(())
+    }
+
+    fn only_entries(&self, names: &[NodeName]) -> Result<(), WordError> {
+        self.nodes(names)?;
+        let agent = names.iter().find(|name| matches!(name, NodeName::Agent(_)));
+        match agent {
+            None => Ok(()),
+            Some(agent) => Err(WordError::new(agent.to_string(), "expected entry:N")),
+        }
+    }
+
+    fn load(&self, name: &str) -> Result<(), WordError> {
+        match self.loads.iter().any(|known| known == name) {
+            true => Ok(()),
+            false => {
+                let allowed = self.loads.join(", ");
+                let message = format!("no load or streams '{name}' before; allowed: {allowed}");
+                Err(WordError::new(name, message))
+            }
+        }
+    }
+
+    fn sessions(&self, name: &str) -> Result<(), WordError> {
+        if self.sessions.iter().any(|known| known == name) {
+            return Ok(());
+        }
+        self.load(name).map_err(|error| {
+            let message = format!("{}, {}", error.message, self.sessions.join(", "));
+            WordError::new(name, message)
+        })
+    }
+
+    fn close(&self, names: &[String]) -> Result<(), WordError> {
+        if names.is_empty() {
+            return Err(at_verb("expected at least one name"));
+        }
+        names.iter().try_for_each(|name| self.sessions(name))
+    }
+
+    fn expect(&self, step: &ExpectStep) -> Result<(), WordError> {
+        let value = step.measure.parse_value(&step.value);
+        value.map_err(|message| WordError::new(&step.value, message))?;
+        if let Some(mark) = &step.since {
+            if !self.marks.contains(mark) {
+                let allowed = self.marks.join(", ");
+                let message = format!("no mark '{mark}' before; allowed: {allowed}");
+                return Err(WordError::new(mark, message));
+            }
+        }
+        let name = step.measure.name();
+        let Some(of) = &step.of else {
+            let needs = match step.measure.subject() {
+                MeasureSubject::Service => "a service",
+                MeasureSubject::OneNode => "entry:N or agent:SERVICE:N",
+                _ => return Ok(()),
+            };
+            return Err(WordError::new(
+                name,
+                format!("{name} needs --of with {needs}"),
+            ));
+        };
+        match step.measure.subject() {
+            MeasureSubject::Load => self.load(of),
+            MeasureSubject::Sessions => self.sessions(of),
+            MeasureSubject::Service => self.service(of),
+            MeasureSubject::Upstream => match of.contains(':') {
+                true => self.endpoint(&parse(of)?),
+                false => self.service(of),
+            },
+            MeasureSubject::Node | MeasureSubject::OneNode => self.node(&parse(of)?),
+            MeasureSubject::Whole => {
+                let message = format!("{name} is counted over everything and takes no --of");
+                Err(WordError::new(of, message))
+            }
+        }
+    }
+}
+
+fn parse<T: std::str::FromStr<Err = String>>(text: &str) -> Result<T, WordError> {
+    text.parse()
+        .map_err(|message: String| WordError::new(text, message))
+}
+
+fn define(names: &mut Vec<String>, others: &[String], name: &str) -> Result<(), WordError> {
+    if names.iter().chain(others).any(|known| known == name) {
+        let message = format!("the name '{name}' is in use; expected a new name");
+        return Err(WordError::new(name, message));
+    }
+    names.push(name.into());
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/scenario/faults.rs
@@ -0,0 +1,104 @@
+//! Bad input and damaged values.
+
+use super::bed::ScenarioBed;
+use anyhow::{Context, Result};
+use quetzalhill_store::catalogue::{shard_key, shard_of, HEAD_KEY};
+use rand::rngs::SmallRng;
+use rand::{Rng, RngCore, SeedableRng};
+use serde_json::Value;
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpStream, UdpSocket};
+use std::time::Duration;
+
+/// Longest wait for a connection that takes garbage.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Connections with garbage to each socket; a connection costs more than a datagram.
+const CONNECTIONS_MAX: u32 = 20;
+
+/// Values of the store before they were damaged, by key.
+#[derive(Debug, Default)]
+pub struct DamagedValues(Vec<(String, Vec<u8>)>);
+
+impl DamagedValues {
+    /// Overwrites the head, or the shard of a service under a new head.
+    ///
+    /// # Errors
+    ///
+    /// The store has no catalogue.
+    pub fn corrupt(&mut self, bed: &ScenarioBed, what: &str, value: &str) -> Result<()> {
+        let head = bed.store.value(HEAD_KEY).context("no head in the store")?;
+        if what == "head" {
+            self.put(bed, HEAD_KEY, value.as_bytes());
+            return Ok(());
+        }
+        let mut fresh: Value = serde_json::from_slice(&head).context("the head is damaged")?;
+        let revision = fresh["revision"]
+            .as_u64()
+            .context("no revision in the head")?;
+        fresh["revision"] = (revision + 1).into();
+        self.put(bed, &shard_key(shard_of(what)), value.as_bytes());
+        self.put(bed, HEAD_KEY, &serde_json::to_vec(&fresh)?);
+        Ok(())
+    }
+
+    fn put(&mut self, bed: &ScenarioBed, key: &str, value: &[u8]) {
+        if let Some(old) = bed.store.value(key) {
+            self.0.push((key.into(), old));
+        }
+        bed.store.put(key, value);
+    }
+
+    /// Writes the values back, the last one first.
+    pub fn repair(&mut self, bed: &ScenarioBed) {
+        while let Some((key, value)) = self.0.pop() {
+            bed.store.put(&key, &value);
+        }
+    }
+}
+
+/// Sends random bytes to every socket, and returns the number of datagrams and of connections.
+///
+/// # Errors
+///
+/// No socket can be opened to send from.
+pub fn send_garbage(bed: &ScenarioBed, count: u32, bytes: usize, seed: u64) -> Result<(u32, u32)> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (datagrams, streams) = bed.sockets();
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let mut sent = (0, 0);
+    for address in datagrams {
+        for _ in 0..count {
+            let payload = random_bytes(&mut rng, bytes);
+            // A socket that is gone refuses the datagram.
+            if socket.send_to(&payload, address).is_ok() {
+                sent.0 += 1;
+            }
+        }
+    }
+    for address in streams {
+        for _ in 0..count.min(CONNECTIONS_MAX) {
+            let payload = random_bytes(&mut rng, bytes);
+            if send_stream(address, &payload).is_ok() {
+                sent.1 += 1;
+            }
+        }
+    }
+    Ok(sent)
+}
+
+fn random_bytes(rng: &mut SmallRng, most: usize) -> Vec<u8> {
+    let mut payload = vec![0; rng.random_range(1..=most)];
+    rng.fill_bytes(&mut payload);
+    // Half of them start as a message of the current version does, so that later checks see them too.
+    if rng.random_bool(0.5) {
+        payload[0] = 1;
+    }
+    payload
+}
+
+fn send_stream(address: SocketAddrV4, payload: &[u8]) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect_timeout(&address.into(), CONNECT_LIMIT)?;
+    stream.set_write_timeout(Some(CONNECT_LIMIT))?;
+    stream.write_all(payload)
+}
--- /dev/null
+++ b/crates/standins/src/scenario/report.rs
@@ -0,0 +1,164 @@
+//! What a scenario prints, and its verdict.
+
+use super::check::check_steps;
+use super::parse::{parse_text, ParsedStep};
+use super::run::{ExpectOutcome, ScenarioRun};
+use super::steps::ScenarioStep;
+use super::words::{column_of, FileError};
+use std::fs;
+use std::io::Write;
+use std::time::Instant;
+
+/// What one step showed.
+pub enum StepReport {
+    /// Nothing to say.
+    Done,
+    /// Figures or outcomes.
+    Note(String),
+    /// An expectation was evaluated.
+    Expected(ExpectOutcome),
+}
+
+/// How a file ended; the last one that is worst decides about the exit status.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum FileVerdict {
+    /// Every expectation held.
+    Passed = 0,
+    /// An expectation did not hold or a step could not be carried out.
+    Failed = 1,
+    /// The file is wrong.
+    Wrong = 2,
+}
+
+/// Runs a file and prints its steps, expectations and verdict to `out`.
+///
+/// # Errors
+///
+/// The output cannot be written.
+pub fn run_file(path: &str, out: &mut dyn Write) -> std::io::Result<FileVerdict> {
+    match fs::read_to_string(path) {
+        Ok(text) => run_text(path, &text, out),
+        Err(error) => {
+            writeln!(out, "{path}:1:1: {error}; expected a scenario file")?;
+            writeln!(out, "FAIL {path} (wrong file)")?;
+            Ok(FileVerdict::Wrong)
+        }
+    }
+}
+
+/// As [`run_file`], with the text of the file.
+///
+/// # Errors
+///
+/// The output cannot be written.
+pub fn run_text(path: &str, text: &str, out: &mut dyn Write) -> std::io::Result<FileVerdict> {
+    let steps = match read_text(path, text) {
+        Ok(steps) => steps,
+        Err(error) => {
+            writeln!(out, "{error}")?;
+            writeln!(out, "FAIL {path} (wrong file)")?;
+            return Ok(FileVerdict::Wrong);
+        }
+    };
+    writeln!(out, "{path}")?;
+    let verdict = match ScenarioRun::new(&steps) {
+        Ok(mut run) => run_steps(path, &mut run, &steps, out)?,
+        Err(error) => {
+            writeln!(out, "  {error:#}")?;
+            FileVerdict::Failed
+        }
+    };
+    let word = match verdict {
+        FileVerdict::Passed => "PASS",
+        FileVerdict::Failed => "FAIL",
+        FileVerdict::Wrong => {
+            writeln!(out, "FAIL {path} (wrong file)")?;
+            return Ok(verdict);
+        }
+    };
+    writeln!(out, "{word} {path}")?;
+    Ok(verdict)
+}
+
+/// Reads and checks the text of a file without running it.
+///
+/// # Errors
+///
+/// Returns the first word that is not allowed.
+pub fn read_text(path: &str, text: &str) -> Result<Vec<ParsedStep>, FileError> {
+    let steps = parse_text(path, text)?;
+    check_steps(path, &steps)?;
+    Ok(steps)
+}
+
+fn run_steps(
+    path: &str,
+    run: &mut ScenarioRun<'_>,
+    steps: &[ParsedStep],
+    out: &mut dyn Write,
+) -> std::io::Result<FileVerdict> {
+    let begin = Instant::now();
+    let mut verdict = FileVerdict::Passed;
+    for parsed in steps {
+        let result = run.step(&parsed.step);
+        let seconds = begin.elapsed().as_secs_f64();
+        write!(
+            out,
+            "  {seconds:7.3}s  {:3}  {}",
+            parsed.line,
+            parsed.text()
+        )?;
+        match result {
+            Ok(StepReport::Done) => writeln!(out)?,
+            Ok(StepReport::Note(note)) => writeln!(out, "  -> {note}")?,
+            Ok(StepReport::Expected(outcome)) => {
+                let worst = show_outcome(path, parsed, &outcome, out)?;
+                verdict = verdict.max(worst);
+            }
+            Err(error) => {
+                writeln!(out, "  -> FAILED: {error:#}")?;
+                verdict = verdict.max(FileVerdict::Failed);
+                break;
+            }
+        }
+    }
+    if verdict != FileVerdict::Passed {
+        for note in run.notes() {
+            writeln!(out, "  note: {note}")?;
+        }
+    }
+    Ok(verdict)
+}
+
+fn show_outcome(
+    path: &str,
+    parsed: &ParsedStep,
+    outcome: &ExpectOutcome,
+    out: &mut dyn Write,
+) -> std::io::Result<FileVerdict> {
+    let ScenarioStep::Expect(expect) = &parsed.step else {
+        return Ok(FileVerdict::Passed);
+    };
+    let wanted = format!("expected {} {}", expect.operator, expect.value);
+    match outcome {
+        ExpectOutcome::Holds(seen) => {
+            writeln!(out, "  -> {wanted}, seen {seen}")?;
+            Ok(FileVerdict::Passed)
+        }
+        ExpectOutcome::Fails(seen) => {
+            writeln!(out, "  -> FAILED: {wanted}, seen {seen}")?;
+            Ok(FileVerdict::Failed)
+        }
+        ExpectOutcome::NoValue(why) => {
+            writeln!(out, "  -> no value")?;
+            let column = column_of(&parsed.words, expect.measure.name());
+            writeln!(
+                out,
+                "{path}:{}:{column}: {} has no value here: {why}",
+                parsed.line,
+                expect.measure.name()
+            )?;
+            Ok(FileVerdict::Wrong)
+        }
+    }
+}
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Stand-in for an upstream: HTTP/1.1 with slots, long streams, and faults that can be switched on.
 //!
-//! - `/work?id=N&ms=N&bytes=N` occupies a slot for `ms` and answers with the body that belongs to `id`.
+//! - `/work?id=N&ms=N&bytes=N`, or a path below `/work`, occupies a slot for `ms` and answers with the body that
+//!   belongs to `id`.
 //! - `/stream?id=N&ms=N&count=N` sends `count` events of 64 bytes, one every `ms`, as `text/event-stream`.
 //! - `/health` answers 200, or 503 while the upstream drains.
 
@@ -167,7 +168,7 @@
         let server = web::server(async move || {
             App::new()
                 .state(Arc::clone(&state))
-                .service(web::resource("/work").to(work))
+                .service(web::resource(["/work", "/work/{part}*"]).to(work))
                 .service(web::resource("/stream").to(stream))
                 .service(web::resource("/health").to(health))
         });
