--- a/crates/core/src/replicate.rs
+++ b/crates/core/src/replicate.rs
@@ -93,6 +93,8 @@
     validate: ValidateFn,
     /// The only service that this node holds; none on an entry.
     scope: Option<ServiceName>,
+    /// The last good catalogue, which stays in force whatever arrives after it ("fail stale" in
+    /// PAPER-fail-stale-0540.md). docs/measurements.md compares this with the other ways.
     snapshot: Arc<CatalogueSnapshot>,
     stamp: CatalogueStamp,
     history: VecDeque<(RevisionNumber, BTreeSet<ServiceName>)>,
--- /dev/null
+++ b/crates/core/tests/fail_stale.rs
@@ -0,0 +1,103 @@
+//! What a node does with an invalid catalogue, compared over the code that decides it.
+//!
+//! The three ways are those of PAPER-fail-stale-0540.md: keep the last good catalogue, serve without the part that
+//! is not valid, and refuse to serve.
+
+use quetzalhill_core::catalogue::validate::validate;
+use quetzalhill_core::catalogue::{CatalogueSnapshot, ServiceEntry};
+use quetzalhill_core::member::routes::build_table;
+use quetzalhill_core::member::{EndpointRecord, EndpointState};
+use quetzalhill_core::replicate::{AdoptOutcome, CatalogueController};
+use quetzalhill_core::route::RouteTable;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Instant;
+
+const SERVICES: u16 = 10;
+const REQUESTS: u16 = 10_000;
+
+fn address(service: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, 4_000 + service)
+}
+
+fn good() -> CatalogueSnapshot {
+    let mut snapshot = CatalogueSnapshot {
+        revision: 1,
+        ..CatalogueSnapshot::default()
+    };
+    for service in 0..SERVICES {
+        let text = format!(
+            r#"{{"number": {}, "owner": "bakery", "addresses": ["{}"]}}"#,
+            service + 1,
+            address(service)
+        );
+        let entry: ServiceEntry = serde_json::from_str(&text).expect("an entry");
+        snapshot.services.insert(format!("s{service}"), entry);
+    }
+    snapshot
+}
+
+/// Returns the next revision, in which two services have no owner.
+fn invalid() -> CatalogueSnapshot {
+    let mut snapshot = good();
+    snapshot.revision = 2;
+    for name in ["s3", "s7"] {
+        let entry = snapshot.services.get_mut(name).expect("a service");
+        entry.owner.clear();
+    }
+    snapshot
+}
+
+fn endpoints() -> Vec<EndpointRecord> {
+    let record = |service: u16| EndpointRecord {
+        id: u64::from(service) + 1,
+        incarnation: 1,
+        sequence: 1,
+        service: format!("s{service}"),
+        number: u32::from(service) + 1,
+        zone: "a".into(),
+        peer: address(100 + service),
+        state: EndpointState::Ready,
+        slots: 4,
+    };
+    (0..SERVICES).map(record).collect()
+}
+
+/// Returns how many requests, spread over all services, find an endpoint.
+fn served(table: &RouteTable) -> u16 {
+    let mut served = 0;
+    for request in 0..REQUESTS {
+        let Some(route) = table.service_at(address(request % SERVICES)) else {
+            continue;
+        };
+        served += u16::from(route.candidates(&request.to_le_bytes()).is_some());
+    }
+    served
+}
+
+fn check(snapshot: &CatalogueSnapshot) -> Result<(), String> {
+    validate(snapshot).map_err(|errors| errors[0].to_string())
+}
+
+/// Guards against an invalid catalogue that takes the last good one out of force, and shows what that would cost.
+#[test]
+fn last_good_catalogue_serves_the_most() {
+    let endpoints = endpoints();
+    let mut controller = CatalogueController::new(check, None, Instant::now());
+    assert_eq!(controller.adopt(good()), AdoptOutcome::InForce);
+    let outcome = controller.adopt(invalid());
+    assert!(matches!(outcome, AdoptOutcome::Invalid(_)), "{outcome:?}");
+    let keep = build_table(controller.snapshot(), endpoints.iter(), &[]);
+    let mut without = invalid();
+    for error in validate(&without).expect_err("not valid") {
+        without.services.remove(&error.service);
+    }
+    let without = build_table(&without, endpoints.iter(), &[]);
+    let refuse = build_table(&CatalogueSnapshot::default(), endpoints.iter(), &[]);
+    let counts = [&keep, &without, &refuse].map(served);
+    println!(
+        "requests {REQUESTS}: keep {}, without {}, refuse {}",
+        counts[0], counts[1], counts[2]
+    );
+    assert_eq!(counts[0], REQUESTS);
+    assert!(counts[0] > counts[1] && counts[1] > counts[2]);
+}
