Ask the former service of a route, and notice silent connections to the store

Change: agents report to which addresses their open flows were opened, and whether they have seen all of them; an entry resets an unknown flow only if all have. Connections to the store are probed by the transport, and a failed poll is followed by a read.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -345,7 +345,10 @@
     }
 
     fn report_to(&mut self, entries: &[SocketAddrV4], now: Instant) {
-        let load = self.state.meter().counts(now);
+        let (load, addresses) = {
+            let mut meter = self.state.meter();
+            (meter.counts(now), meter.addresses())
+        };
         let counters = &self.state.counters;
         counters.flows.set(load.flows.into());
         counters.busy.set(load.busy.into());
@@ -357,6 +360,8 @@
             state: self.presence.state(),
             stopping: self.stopping,
             load,
+            addresses,
+            covers: self.presence.covers(now),
             cold_until: upstream.and_then(|known| known.announcement.cold_until),
         };
         let notice = RelayNotice::Report(ReportNotice::of(&report, now));
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -241,7 +241,7 @@
     fn find(&mut self, head: &PacketHead, view: &RelayView) -> Option<RelayVerdict> {
         let record = self.flows.record(head.flow);
         let mut silent = None;
-        let mut complete = view.synced;
+        let mut complete = view.synced && view.attributed;
         for name in holder_services(view, head.flow) {
             let Some(service) = view.services.get(name) else {
                 complete = false;
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -6,7 +6,8 @@
 
 use crate::ids::{EndpointId, IncarnationNumber, ServiceName, ZoneName};
 use crate::relay::intake::UpstreamState;
-use crate::relay::load::LoadCounts;
+use crate::relay::load::{AddressList, LoadCounts};
+use crate::relay::routes::FormerServices;
 use crate::relay::view::{EndpointStatus, ServiceView, ViewEndpoint};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -49,6 +50,10 @@
     pub stopping: bool,
     /// Load of the upstream.
     pub load: LoadCounts,
+    /// Addresses to which the open flows of the upstream were opened.
+    pub addresses: AddressList,
+    /// Whether the agent has seen all open flows of the upstream, so that `addresses` is complete.
+    pub covers: bool,
     /// Until when the upstream is slow after its start.
     pub cold_until: Option<Instant>,
 }
@@ -190,6 +195,29 @@
         !self.known.is_empty() && self.known.values().all(|known| known.is_fresh(now))
     }
 
+    /// Adds to `former` the services that hold flows to an address, as their agents report.
+    pub fn add_holders(&self, former: &mut FormerServices) {
+        for known in self.known.values() {
+            let Some(last) = &known.last else {
+                continue;
+            };
+            for address in &last.report.addresses {
+                let services = former.entry(*address).or_default();
+                if !services.contains(&known.endpoint.service) {
+                    services.push(known.endpoint.service.clone());
+                }
+            }
+        }
+    }
+
+    /// Returns whether the agents know where all open flows are.
+    pub fn is_attributed(&self) -> bool {
+        self.known.values().all(|known| {
+            let report = known.last.as_ref().map(|last| &last.report);
+            report.is_some_and(|report| report.covers || report.state == UpstreamState::Gone)
+        })
+    }
+
     /// Returns the endpoints by service.
     pub fn services(&self, now: Instant) -> HashMap<ServiceName, ServiceView> {
         let mut services: HashMap<ServiceName, ServiceView> = HashMap::new();
--- a/crates/core/src/relay/load.rs
+++ b/crates/core/src/relay/load.rs
@@ -4,11 +4,19 @@
 //! from the upstream ends that.
 
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
+use smallvec::SmallVec;
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-/// Idle time after which a flow does not count any more.
-const IDLE_MAX: Duration = Duration::from_secs(15);
+/// Idle time after which a flow does not count any more; twice the usual idle timeout of the catalogue.
+pub const IDLE_MAX: Duration = Duration::from_secs(30);
+
+/// Addresses that a report names; a service has a few.
+const ADDRESSES_MAX: usize = 64;
+
+/// Addresses of services with open flows.
+pub type AddressList = SmallVec<[SocketAddrV4; 4]>;
 
 /// Flows that are counted; an upstream holds some thousands.
 const FLOWS_MAX: usize = 8_192;
@@ -89,4 +97,19 @@
             busy: u32::try_from(busy).unwrap_or(u32::MAX),
         }
     }
+    /// Returns the addresses that the open flows were opened to.
+    ///
+    /// A route may have turned to another service since, so that the routes alone do not say where its flows are.
+    pub fn addresses(&self) -> AddressList {
+        let mut addresses = AddressList::new();
+        for flow in self.flows.keys() {
+            if addresses.len() >= ADDRESSES_MAX {
+                break;
+            }
+            if !addresses.contains(&flow.service) {
+                addresses.push(flow.service);
+            }
+        }
+        addresses
+    }
 }
--- a/crates/core/src/relay/presence.rs
+++ b/crates/core/src/relay/presence.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{IncarnationNumber, ServiceName, UpstreamName, ZoneName};
 use crate::relay::intake::UpstreamState;
+use crate::relay::load::IDLE_MAX;
 use std::time::{Duration, Instant};
 
 /// Announcement intervals without an announcement after which an upstream counts as lost: two may be missed.
@@ -11,6 +12,9 @@
 /// earlier, as it does when the clock was set back.
 const TAKEOVER_INTERVALS: u32 = 2;
 
+/// Highest sequence number of an announcement that may be the first of its life; one may have been lost.
+const FIRST_SEQUENCE: u64 = 2;
+
 /// Longest time between two ticks during which silence counts; an agent that was paused has heard nothing itself.
 const TICK_MAX: Duration = Duration::from_millis(1_000);
 
@@ -64,6 +68,8 @@
     interval: Duration,
     upstream: Option<UpstreamRecord>,
     state: UpstreamState,
+    /// From when on the agent has seen all open flows of the upstream.
+    covers_from: Instant,
     ticked: Instant,
 }
 
@@ -75,6 +81,7 @@
             interval,
             upstream: None,
             state: UpstreamState::Unknown,
+            covers_from: now + IDLE_MAX,
             ticked: now,
         }
     }
@@ -89,6 +96,12 @@
         self.upstream.as_ref()
     }
 
+    /// Returns whether the agent has seen all open flows of the upstream: those of a life that began under its eyes,
+    /// or those that have not been idle since the agent started.
+    pub fn covers(&self, now: Instant) -> bool {
+        self.covers_from <= now
+    }
+
     /// Takes an announcement.
     pub fn announce(
         &mut self,
@@ -109,6 +122,9 @@
             known.announcement.incarnation == announcement.incarnation
                 && known.announcement.name == announcement.name
         });
+        if !same_life && announcement.sequence <= FIRST_SEQUENCE {
+            self.covers_from = now;
+        }
         let changed = !same_life || state != self.state;
         self.state = state;
         self.upstream = Some(UpstreamRecord {
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -23,6 +23,9 @@
 /// The services of one route.
 pub type TargetList = SmallVec<[RouteTarget; 2]>;
 
+/// Services that may hold flows to an address, by the address.
+pub type FormerServices = HashMap<SocketAddrV4, SmallVec<[ServiceName; 2]>>;
+
 /// All routes of one revision; published whole and never changed.
 #[derive(Clone, Debug, Default)]
 pub struct RouteSet {
@@ -77,7 +80,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteController {
     current: RouteSet,
-    former: HashMap<SocketAddrV4, SmallVec<[ServiceName; 2]>>,
+    former: FormerServices,
 }
 
 impl RouteController {
@@ -87,7 +90,7 @@
     }
 
     /// Returns the services that took flows to `address` before and take none now.
-    pub fn former(&self) -> &HashMap<SocketAddrV4, SmallVec<[ServiceName; 2]>> {
+    pub fn former(&self) -> &FormerServices {
         &self.former
     }
 
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -1,10 +1,8 @@
 //! What a traffic thread of an entry knows of routes and endpoints; published whole and never changed.
 
 use crate::ids::{EndpointId, IncarnationNumber, ServiceName};
-use crate::relay::routes::RouteSet;
-use smallvec::SmallVec;
+use crate::relay::routes::{FormerServices, RouteSet};
 use std::collections::HashMap;
-use std::net::SocketAddrV4;
 use std::time::Instant;
 
 /// What an entry believes of an endpoint.
@@ -57,8 +55,10 @@
 pub struct RelayView {
     /// Routes in force.
     pub routes: RouteSet,
-    /// Services that took flows of an address before and may hold some.
-    pub former: HashMap<SocketAddrV4, SmallVec<[ServiceName; 2]>>,
+    /// Services that took flows of an address before, or report that they hold some.
+    pub former: FormerServices,
+    /// Whether `former` names all services that hold flows.
+    pub attributed: bool,
     /// Endpoints by service.
     pub services: HashMap<ServiceName, ServiceView>,
     /// Whether routes and endpoints come from a store that answers.
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -406,9 +406,12 @@
 
     fn publish(&mut self, now: Instant) {
         self.published = now;
+        let mut former = self.routes.former().clone();
+        self.fleet.add_holders(&mut former);
         let view = RelayView {
             routes: self.routes.current().clone(),
-            former: self.routes.former().clone(),
+            former,
+            attributed: self.fleet.is_attributed(),
             services: self.fleet.services(now),
             synced: self.routes_range.current && self.endpoints_range.current,
         };
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -51,7 +51,8 @@
     }
 }
 
-/// Watches until the store has lost the history that the watch needs.
+/// Watches until the store has lost the history that the watch needs, or does not answer. A read shows sooner than
+/// a long poll that the store is back.
 async fn watch<S: CatalogueStore>(
     store: &S,
     range: &KeyRange,
@@ -75,7 +76,7 @@
             Ok(WatchBatch::Compacted { .. }) => return,
             Err(error) => {
                 sink(FollowEvent::Failed);
-                failures.pause(&error).await;
+                return failures.pause(&error).await;
             }
         }
     }
--- a/crates/node/src/relay/settings.rs
+++ b/crates/node/src/relay/settings.rs
@@ -49,10 +49,9 @@
     pub poll_ms: u64,
 }
 
-/// A watch whose connection went silent delays changes by this time and the timeout of a call, which together
-/// stay within the bound on a change of the catalogue after a disruption.
+/// The store counts each poll. Keep-alive probes find a dead connection, so that a poll may take long.
 fn default_poll_ms() -> u64 {
-    5_000
+    25_000
 }
 
 /// Longest poll that the store accepts, in milliseconds.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod catalogue;
 pub mod codec;
+mod connect;
 pub mod etcd;
 mod http;
 pub mod polled;
--- a/crates/store/src/polled.rs
+++ b/crates/store/src/polled.rs
@@ -6,6 +6,7 @@
 };
 use crate::budget::{BudgetLimits, CallBudget, CallCounts, CallKind};
 use crate::codec::{CallMethod, HttpAnswer, HttpCall, StoreCodec};
+use crate::connect::ProbedConnector;
 use crate::http::{client_error, millis, not_applied, unknown, without_effect};
 use ntex::client::{Client, ClientRequest, Connector};
 use ntex::http::header::CONTENT_TYPE;
@@ -55,7 +56,7 @@
     /// Returns [`StoreError::NotApplied`] if the HTTP client cannot be set up.
     pub async fn new(settings: PolledSettings, codec: C) -> Result<Self, StoreError> {
         let client = Client::builder()
-            .connector::<()>(Connector::new())
+            .connector::<()>(Connector::new().connector(ProbedConnector))
             .disable_timeout()
             .disable_redirects()
             .response_payload_limit(ANSWER_MAX_BYTES)
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -5,7 +5,7 @@
 //! protected end to end. See docs/relay.md.
 
 use crate::packet::WIRE_VERSION;
-use quetzalhill_core::ids::{EndpointId, IncarnationNumber, ServiceName, ZoneName};
+use quetzalhill_core::ids::{address_of, id_of, EndpointId, IncarnationNumber, ServiceName, ZoneName};
 use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint};
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
 use quetzalhill_core::relay::load::LoadCounts;
@@ -180,6 +180,10 @@
     pub busy: u32,
     /// How much longer the upstream is slow after its start, in milliseconds.
     pub cold_left_ms: u32,
+    /// Packed addresses to which the open flows were opened.
+    pub addresses: Vec<u64>,
+    /// Whether `addresses` is complete.
+    pub covers: bool,
 }
 
 /// A datagram that has been decoded.
@@ -338,6 +342,8 @@
             flows: report.load.flows,
             busy: report.load.busy,
             cold_left_ms: u32::try_from(cold_left_ms).unwrap_or(u32::MAX),
+            addresses: report.addresses.iter().copied().map(id_of).collect(),
+            covers: report.covers,
         }
     }
 
@@ -360,6 +366,8 @@
                 busy: self.busy,
             },
             cold_until: (!cold.is_zero()).then_some(now + cold),
+            addresses: self.addresses.into_iter().map(address_of).collect(),
+            covers: self.covers,
         }
     }
 }
