Count an upstream that started just before its agent as seen from its start

Cause: after a loss of power an upstream may announce itself two or three times before its agent is up.

Change: a life that began at most 200 ms before its agent is seen whole. Events on single flows get their own limit of log lines.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -211,14 +211,15 @@
     ) -> Self {
         let relay = &setup.settings.relay;
         let interval = Duration::from_millis(relay.announce_ms);
+        let started = wall_millis();
         Self {
             settings: setup.settings.clone(),
             state: Arc::clone(&setup.state),
             sockets: Arc::clone(&setup.sockets),
-            presence: PresenceController::new(relay.service.clone(), interval, now),
+            presence: PresenceController::new(relay.service.clone(), interval, started, now),
             wanted,
             contacts: HashMap::new(),
-            started: wall_millis(),
+            started,
             reports: 0,
             ticks: now + REPORT_INTERVAL,
             stopping: false,
@@ -301,12 +302,16 @@
             incarnation: self.incarnation(),
         };
         self.state.belief.store(Arc::new(belief));
+        let upstream = self.presence.upstream();
+        let sequence = upstream.map_or(0, |known| known.announcement.sequence);
         emit(
             EventCode::UpstreamChanged,
             &[
                 ("state", &state.name()),
                 ("cause", &cause),
                 ("incarnation", &belief.incarnation),
+                ("sequence", &sequence),
+                ("covers", &self.presence.covers(now)),
             ],
         );
         self.report(now);
--- a/crates/core/src/relay/presence.rs
+++ b/crates/core/src/relay/presence.rs
@@ -15,6 +15,10 @@
 /// Highest sequence number of an announcement that may be the first of its life; one may have been lost.
 const FIRST_SEQUENCE: u64 = 2;
 
+/// Time for which an agent that is restarted is away at least, in milliseconds; an upstream that started within it
+/// before the agent cannot have taken flows through an earlier agent.
+const RESTART_MS: u64 = 200;
+
 /// Longest time between two ticks during which silence counts; an agent that was paused has heard nothing itself.
 const TICK_MAX: Duration = Duration::from_millis(1_000);
 
@@ -66,6 +70,8 @@
 pub struct PresenceController {
     service: ServiceName,
     interval: Duration,
+    /// Start of the agent by the clock that also dates the lives of the upstream, in Unix milliseconds.
+    started: IncarnationNumber,
     upstream: Option<UpstreamRecord>,
     state: UpstreamState,
     /// From when on the agent has seen all open flows of the upstream.
@@ -74,11 +80,18 @@
 }
 
 impl PresenceController {
-    /// Makes a controller for the upstream of `service`, which announces itself every `interval`.
-    pub fn new(service: ServiceName, interval: Duration, now: Instant) -> Self {
+    /// Makes a controller for the upstream of `service`, which announces itself every `interval`. The agent started
+    /// at `started`, in Unix milliseconds.
+    pub fn new(
+        service: ServiceName,
+        interval: Duration,
+        started: IncarnationNumber,
+        now: Instant,
+    ) -> Self {
         Self {
             service,
             interval,
+            started,
             upstream: None,
             state: UpstreamState::Unknown,
             covers_from: now + IDLE_MAX,
@@ -122,7 +135,7 @@
             known.announcement.incarnation == announcement.incarnation
                 && known.announcement.name == announcement.name
         });
-        if !same_life && announcement.sequence <= FIRST_SEQUENCE {
+        if !same_life && self.has_seen_start(&announcement) {
             self.covers_from = now;
         }
         let changed = !same_life || state != self.state;
@@ -137,6 +150,12 @@
         }
     }
 
+    /// Returns whether no earlier agent can have passed flows to this life of the upstream.
+    fn has_seen_start(&self, announcement: &UpstreamAnnouncement) -> bool {
+        announcement.sequence <= FIRST_SEQUENCE
+            || announcement.incarnation.saturating_add(RESTART_MS) >= self.started
+    }
+
     fn is_late(&self, announcement: &UpstreamAnnouncement, now: Instant) -> bool {
         let Some(known) = &self.upstream else {
             return false;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -110,6 +110,28 @@
     KeysInvalid = 5003, Error, "keys-invalid";
 }
 
+impl EventCode {
+    /// Returns the event with this number.
+    pub fn of_number(number: u16) -> Option<Self> {
+        let mut codes = EventCode::ALL.iter().copied();
+        codes.find(|code| code.number() == number)
+    }
+
+    /// Returns whether the event concerns one flow or packet, so that many of them are usual.
+    pub fn concerns_flow(self) -> bool {
+        matches!(
+            self,
+            EventCode::FlowPlaced
+                | EventCode::FlowAsked
+                | EventCode::FlowReturned
+                | EventCode::FlowReset
+                | EventCode::FlowDropped
+                | EventCode::PacketReturned
+                | EventCode::RequestSeen
+        )
+    }
+}
+
 /// Logs one event with its fields, as `QH1001 entry-started address=127.0.0.1:7100`.
 pub fn emit(code: EventCode, fields: &[(&str, &dyn Display)]) {
     let mut line = format!("QH{} {}", code.number(), code.name());
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -3,6 +3,7 @@
 //! Repeated events are limited, because a fault that repeats thousands of times a second must not fill the log or
 //! slow the process down. The next line of the event says how many were left out.
 
+use crate::event::EventCode;
 use crate::output::{self, LineQueue};
 use crate::settings::{LogFormat, LogSettings};
 use anyhow::{anyhow, Context, Result};
@@ -16,6 +17,10 @@
 /// Lines of one event that are written in one window.
 pub const LINES_PER_WINDOW: u32 = 20;
 
+/// Lines of an event on one flow or packet that are written in one window. A burst of a few hundred flows stays whole,
+/// and a line takes some microseconds.
+pub const FLOW_LINES_PER_WINDOW: u32 = 400;
+
 /// Length of a window.
 pub const WINDOW: Duration = Duration::from_secs(10);
 
@@ -51,8 +56,13 @@
 }
 
 impl RepeatLimit {
-    /// Decides on a line of the event `key` at `now`.
+    /// Decides on a line of the event `key` at `now`, of which [`LINES_PER_WINDOW`] are written in a window.
     pub fn check(&mut self, key: &str, now: Instant) -> LineVerdict {
+        self.check_limit(key, LINES_PER_WINDOW, now)
+    }
+
+    /// Decides on a line of the event `key` at `now`, of which `limit` are written in a window.
+    pub fn check_limit(&mut self, key: &str, limit: u32, now: Instant) -> LineVerdict {
         let known = self.windows.contains_key(key);
         let key = match known || self.windows.len() < KEYS_MAX {
             true => key,
@@ -67,7 +77,7 @@
             window.started = now;
             window.written = 0;
         }
-        if window.written >= LINES_PER_WINDOW {
+        if window.written >= limit {
             window.suppressed += 1;
             return LineVerdict::Suppress;
         }
@@ -131,7 +141,7 @@
     let verdict = limit
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
-        .check(key, Instant::now());
+        .check_limit(key, line_limit(key), Instant::now());
     let LineVerdict::Write { suppressed } = verdict else {
         return;
     };
@@ -146,6 +156,16 @@
     }
 }
 
+/// Returns the lines of the event `key` that are written in a window.
+fn line_limit(key: &str) -> u32 {
+    let number = key.strip_prefix("QH").and_then(|text| text.parse().ok());
+    let code = number.and_then(EventCode::of_number);
+    match code {
+        Some(code) if code.concerns_flow() => FLOW_LINES_PER_WINDOW,
+        _ => LINES_PER_WINDOW,
+    }
+}
+
 /// Returns the number of an event, or the target of another line.
 fn event_key<'a>(target: &'a str, message: &'a str) -> &'a str {
     match target {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -5,7 +5,9 @@
 //! protected end to end. See docs/relay.md.
 
 use crate::packet::WIRE_VERSION;
-use quetzalhill_core::ids::{address_of, id_of, EndpointId, IncarnationNumber, ServiceName, ZoneName};
+use quetzalhill_core::ids::{
+    address_of, id_of, EndpointId, IncarnationNumber, ServiceName, ZoneName,
+};
 use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint};
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
 use quetzalhill_core::relay::load::LoadCounts;
