--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -5,6 +5,7 @@
 use super::shared::{AgentState, UpstreamBelief};
 use super::traffic::{AgentSockets, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::Client;
 use ntex::time::{sleep, timeout, Millis};
 use ntex::SharedCfg;
@@ -20,6 +21,7 @@
 use quetzalhill_wire::relay::{RelayNotice, ReportNotice};
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::{SocketAddrV4, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -34,7 +36,7 @@
 /// Entries that get reports; more than any site of today has.
 const CONTACTS_MAX: usize = 256;
 
-/// Health probes after the start, before the first announcement has arrived.
+/// Health probes while announcements are missing; each takes a slot of the upstream for a moment.
 const PROBES: u32 = 2;
 
 /// Time between the probes.
@@ -121,7 +123,8 @@
         ntex::rt::spawn(calls::serve(listener, handler)).detach();
     }
     ntex::rt::spawn(keep_registered(store, registered)).detach();
-    ntex::rt::spawn(probe(core.clone(), setup.settings.relay.upstream)).detach();
+    let doubts = core.borrow().doubts.subscribe();
+    ntex::rt::spawn(probe(core.clone(), doubts)).detach();
     let mut events = setup.events;
     loop {
         let tick = core.borrow().ticks;
@@ -139,25 +142,49 @@
     }
 }
 
-/// Asks the upstream whether it is healthy, so that an agent that restarts need not wait for an announcement.
-async fn probe(core: Rc<RefCell<AgentControl>>, upstream: SocketAddrV4) {
+/// Asks the upstream whether it is healthy while announcements do not say so: at the start, so that an agent that
+/// restarts need not wait for one, and when they stop.
+async fn probe(core: Rc<RefCell<AgentControl>>, mut doubts: watch::Receiver<u64>) {
     let Ok(client) = Client::builder().build(SharedCfg::default()).await else {
         return;
     };
-    for _ in 0..PROBES {
-        if core.borrow().presence.state() != UpstreamState::Unknown {
+    loop {
+        for _ in 0..PROBES {
+            let upstream = match core.borrow().doubted_upstream() {
+                Some(upstream) => upstream,
+                None => break,
+            };
+            let outcome = probe_once(&client, upstream).await;
+            core.borrow_mut().probed(outcome, Instant::now());
+            sleep(PROBE_PAUSE).await;
+        }
+        if doubts.changed().await.is_err() {
             return;
         }
-        let url = format!("http://{upstream}{}", server::HEALTH_PATH);
-        let request = client.get(url).address(upstream.into()).force_close();
-        // An upstream that does not answer has its announcements to make itself known.
-        if let Ok(Ok(response)) = timeout(PROBE_LIMIT, request.send()).await {
-            if response.status().is_success() {
-                core.borrow_mut().probed(Instant::now());
-                return;
-            }
+    }
+}
+
+/// What a probe found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ProbeOutcome {
+    Healthy,
+    /// No process listens at the address.
+    Refused,
+    /// Neither is known; announcements have to tell.
+    Unclear,
+}
+
+async fn probe_once(client: &Client, upstream: SocketAddrV4) -> ProbeOutcome {
+    let url = format!("http://{upstream}{}", server::HEALTH_PATH);
+    let request = client.get(url).address(upstream.into()).force_close();
+    match timeout(PROBE_LIMIT, request.send()).await {
+        Ok(Ok(response)) if response.status().is_success() => ProbeOutcome::Healthy,
+        Ok(Err(ClientError::Connect(ConnectError::Disconnected(Some(error)))))
+            if error.kind() == ErrorKind::ConnectionRefused =>
+        {
+            ProbeOutcome::Refused
         }
-        sleep(PROBE_PAUSE).await;
+        _ => ProbeOutcome::Unclear,
     }
 }
 
@@ -195,6 +222,8 @@
     sockets: Arc<AgentSockets>,
     presence: PresenceController,
     wanted: watch::Sender<Option<ListedEndpoint>>,
+    /// Counts the times that the upstream fell silent, each of which is followed by probes.
+    doubts: watch::Sender<u64>,
     /// Entries that get reports, and until when.
     contacts: HashMap<SocketAddrV4, Instant>,
     started: u64,
@@ -218,6 +247,7 @@
             sockets: Arc::clone(&setup.sockets),
             presence: PresenceController::new(relay.service.clone(), interval, started, now),
             wanted,
+            doubts: watch::Sender::new(0),
             contacts: HashMap::new(),
             started,
             reports: 0,
@@ -260,9 +290,21 @@
         CallReply::json(200, server::ACKNOWLEDGEMENT)
     }
 
-    fn probed(&mut self, now: Instant) {
-        if self.presence.probed() == PresenceOutcome::Changed {
-            self.changed("probe", now);
+    /// Returns the address of the upstream if nothing is known of it or it has fallen silent.
+    fn doubted_upstream(&self) -> Option<SocketAddrV4> {
+        let state = self.presence.state();
+        let doubted = matches!(state, UpstreamState::Unknown | UpstreamState::Lost);
+        doubted.then_some(self.settings.relay.upstream)
+    }
+
+    fn probed(&mut self, outcome: ProbeOutcome, now: Instant) {
+        let (outcome, cause) = match outcome {
+            ProbeOutcome::Healthy => (self.presence.probed(), "probe"),
+            ProbeOutcome::Refused => (self.presence.refused(), "refused"),
+            ProbeOutcome::Unclear => return,
+        };
+        if outcome == PresenceOutcome::Changed {
+            self.changed(cause, now);
         }
     }
 
@@ -289,6 +331,7 @@
     fn tick(&mut self, now: Instant) {
         self.ticks = now + REPORT_INTERVAL;
         if self.presence.tick(now) == PresenceOutcome::Changed {
+            self.doubts.send_modify(|count| *count += 1);
             return self.changed("silence", now);
         }
         self.report(now);
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -8,6 +8,7 @@
 pub mod chain;
 pub mod fleet;
 pub mod flows;
+pub mod hold;
 pub mod intake;
 pub mod load;
 pub mod packet;
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -23,6 +23,9 @@
 /// Endpoints that are asked at once after the candidates of new flows; a service of the largest site has 50.
 const ROUND_MAX: usize = 16;
 
+/// Silent endpoints that a packet is sent to at once, since it is probably lost there.
+const SILENT_MAX: usize = 2;
+
 /// Endpoints on which the entry counts its own new flows; one entry sees only its service's endpoints.
 const PENDING_MAX: usize = 4_096;
 
@@ -85,6 +88,8 @@
     },
     /// Tell the caller that there is no flow.
     Reset(ResetReason),
+    /// Decide again when the entry has loaded its view.
+    Hold,
     /// Do nothing.
     Drop(RelayDrop),
 }
@@ -93,14 +98,16 @@
 #[derive(Clone, Copy, Debug)]
 enum RelayFilter {
     Kind,
+    Loaded,
     Route,
     Memory,
     Place,
     Find,
 }
 
-const CHAIN: [RelayFilter; 5] = [
+const CHAIN: [RelayFilter; 6] = [
     RelayFilter::Kind,
+    RelayFilter::Loaded,
     RelayFilter::Route,
     RelayFilter::Memory,
     RelayFilter::Place,
@@ -147,6 +154,7 @@
         for filter in CHAIN {
             let verdict = match filter {
                 RelayFilter::Kind => check_kind(head),
+                RelayFilter::Loaded => (!view.loaded).then_some(RelayVerdict::Hold),
                 RelayFilter::Route => check_route(head, view),
                 RelayFilter::Memory => self.check_memory(head, view, now),
                 RelayFilter::Place => self.place(head, view, now),
@@ -292,11 +300,11 @@
                 if record.tried.contains(&endpoint.life()) {
                     continue;
                 }
-                let list = match endpoint.status {
-                    EndpointStatus::Silent => &mut silent,
-                    _ => &mut targets,
+                let (list, limit) = match endpoint.status {
+                    EndpointStatus::Silent => (&mut silent, SILENT_MAX),
+                    _ => (&mut targets, round),
                 };
-                if list.len() < round {
+                if list.len() < limit {
                     list.push(DeliverTarget {
                         endpoint: endpoint.life(),
                         service: service.digest,
--- a/crates/core/src/relay/presence.rs
+++ b/crates/core/src/relay/presence.rs
@@ -172,7 +172,7 @@
         !ended && silent < self.interval * TAKEOVER_INTERVALS
     }
 
-    /// Notes that a probe found the upstream `name` healthy before any announcement arrived.
+    /// Notes that a probe found the upstream healthy before any announcement arrived.
     pub fn probed(&mut self) -> PresenceOutcome {
         if self.state != UpstreamState::Unknown {
             return PresenceOutcome::Late;
@@ -191,8 +191,15 @@
     }
 
     /// Notes that the instance reports no process at the address of the upstream.
+    ///
+    /// An upstream that announces itself is believed more than a refusal, which may be older.
     pub fn refused(&mut self) -> PresenceOutcome {
-        self.set_gone()
+        match self.state {
+            UpstreamState::Unknown | UpstreamState::Lost => self.set_gone(),
+            UpstreamState::Ready | UpstreamState::Draining | UpstreamState::Gone => {
+                PresenceOutcome::Confirmed
+            }
+        }
     }
 
     fn set_gone(&mut self) -> PresenceOutcome {
--- a/crates/core/src/relay/registration.rs
+++ b/crates/core/src/relay/registration.rs
@@ -7,11 +7,12 @@
 use crate::relay::fleet::ListedEndpoint;
 use std::time::{Duration, Instant};
 
-/// Life of the lease. While an agent restarts, its endpoint must not seem to be gone, since it keeps its flows.
-pub const LEASE_TTL: Duration = Duration::from_secs(15);
+/// Life of the lease. An agent restarts within a second or two, and its endpoint, which keeps its flows, must not
+/// seem to be gone meanwhile. A lost machine keeps entries from ending flows until its lease ends.
+pub const LEASE_TTL: Duration = Duration::from_secs(6);
 
 /// Time between renewals: a third of the lease's life. Keys that were taken away unnoticed return after this time.
-const RENEW_INTERVAL: Duration = Duration::from_secs(5);
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Shortest pause after a failed call.
 const RETRY_MIN: Duration = Duration::from_millis(100);
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -65,4 +65,6 @@
     pub services: HashMap<ServiceName, ServiceView>,
     /// Whether routes and endpoints come from a store that answers.
     pub synced: bool,
+    /// Whether the entry has loaded its routes and heard of its endpoints.
+    pub loaded: bool,
 }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod chain;
 mod fleet;
+mod hold;
 mod load;
 mod place;
 mod presence;
--- a/crates/core/tests/relay/presence.rs
+++ b/crates/core/tests/relay/presence.rs
@@ -153,3 +153,16 @@
     let expected = returned.map_or(IntakeVerdict::Deliver, IntakeVerdict::Return);
     assert_eq!(decide(kind, state, own), expected);
 }
+
+/// Guards against a machine whose upstream has left and that keeps entries from ending flows, and against a refusal
+/// that ends an upstream which announces itself.
+#[test]
+fn refused_probe_ends_only_a_doubted_upstream() {
+    let now = Instant::now();
+    let mut presence = controller(now);
+    assert_eq!(presence.refused(), PresenceOutcome::Changed);
+    assert_eq!(presence.state(), UpstreamState::Gone);
+    presence.announce(announcement(5, 1), now);
+    assert_eq!(presence.refused(), PresenceOutcome::Confirmed);
+    assert_eq!(presence.state(), UpstreamState::Ready);
+}
--- a/crates/core/tests/relay/registration.rs
+++ b/crates/core/tests/relay/registration.rs
@@ -52,7 +52,7 @@
             other => panic!("{other:?}"),
         }
     }
-    // Every five seconds, the first after five.
+    // Every third of its life, the first after a third.
     assert_eq!(renewals, 11);
 }
 
@@ -61,7 +61,7 @@
 fn lost_lease_is_followed_by_a_new_registration() {
     let now = Instant::now();
     let mut controller = registered(now);
-    let later = now + Duration::from_secs(5);
+    let later = now + LEASE_TTL / 3;
     let renew = controller.next(later);
     controller.finish(&renew, RegistrationOutcome::LeaseLost, 0.0, later);
     assert_eq!(controller.next(later), RegistrationAction::Grant);
--- a/crates/core/tests/relay/support.rs
+++ b/crates/core/tests/relay/support.rs
@@ -107,6 +107,7 @@
         .into(),
         attributed: true,
         synced: true,
+        loaded: true,
         ..RelayView::default()
     }
 }
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -3,7 +3,7 @@
 use super::counters::RelayCounters;
 use super::settings::RelaySettings;
 use super::shared::RelayState;
-use super::traffic::{ArrivedReport, RelaySockets};
+use super::traffic::{ArrivedReport, RelaySockets, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
 use prometheus::{Encoder, Registry, TextEncoder};
 use quetzalhill_core::ids::{address_of, EndpointId};
@@ -12,7 +12,7 @@
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::relay::follow::{follow, FollowEvent};
+use quetzalhill_node::relay::follow::{follow, FollowEvent, FollowPlan};
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
 use quetzalhill_platform::manifest::{self, MANIFEST_KEY};
 use quetzalhill_platform::server::{self, ServerCall};
@@ -27,7 +27,7 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::timeout_at;
 
 /// Time between two looks at what has become silent or has to be greeted.
@@ -41,7 +41,13 @@
 
 /// Time after the first list for which an entry waits for the reports of its endpoints before it says that it is
 /// ready.
-const SETTLE_TIME: Duration = Duration::from_millis(400);
+const SETTLE_TIME: Duration = Duration::from_millis(300);
+
+/// Pause between two polls for routes; a change is due everywhere within three seconds.
+const ROUTES_PAUSE: Duration = Duration::from_millis(300);
+
+/// Pause between two polls for endpoints. A new endpoint is cold for some seconds and gets its flows a little later.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// The control thread as the process that starts it sees it.
 #[derive(Debug)]
@@ -82,7 +88,7 @@
     pub(super) settings: RelaySettings,
     pub(super) state: Arc<RelayState>,
     pub(super) sockets: Arc<RelaySockets>,
-    pub(super) reports: mpsc::Receiver<ArrivedReport>,
+    pub(super) events: mpsc::Receiver<TrafficEvent>,
     pub(super) registry: Registry,
 }
 
@@ -130,20 +136,31 @@
         ntex::rt::spawn(calls::serve(listener, handler)).detach();
     }
     let follower = core.clone();
-    let range = KeyRange::Key(MANIFEST_KEY.into());
-    let routes = follow(store.clone(), range, "routes", move |event| {
+    let hurry = core.borrow().hurry.clone();
+    let plan = FollowPlan {
+        name: "routes",
+        range: KeyRange::Key(MANIFEST_KEY.into()),
+        pause: ROUTES_PAUSE,
+        hurry: Rc::default(),
+    };
+    let routes = follow(store.clone(), plan, move |event| {
         follower.borrow_mut().follow_routes(event);
     });
     ntex::rt::spawn(routes).detach();
     let follower = core.clone();
-    let range = KeyRange::Prefix(ENDPOINT_PREFIX.into());
-    let endpoints = follow(store, range, "endpoints", move |event| {
+    let plan = FollowPlan {
+        name: "endpoints",
+        range: KeyRange::Prefix(ENDPOINT_PREFIX.into()),
+        pause: ENDPOINTS_PAUSE,
+        hurry,
+    };
+    let endpoints = follow(store, plan, move |event| {
         follower
             .borrow_mut()
             .follow_endpoints(event, Instant::now());
     });
     ntex::rt::spawn(endpoints).detach();
-    let mut reports = setup.reports;
+    let mut events = setup.events;
     loop {
         let tick = core.borrow().ticks;
         tokio::select! {
@@ -154,8 +171,11 @@
                 }
                 core.borrow_mut().stop();
             }
-            received = timeout_at(tick.into(), reports.recv()) => match received {
-                Ok(Some(report)) => core.borrow_mut().take_report(report, Instant::now()),
+            received = timeout_at(tick.into(), events.recv()) => match received {
+                Ok(Some(TrafficEvent::Report(report))) => {
+                    core.borrow_mut().take_report(report, Instant::now());
+                }
+                Ok(Some(TrafficEvent::Doubt)) => core.borrow().hurry.notify_waiters(),
                 Ok(None) => return Ok(()),
                 Err(_) => core.borrow_mut().tick(Instant::now()),
             },
@@ -201,9 +221,12 @@
     listed: HashMap<String, EndpointId>,
     hellos: HashMap<EndpointId, Instant>,
     settles: Option<Instant>,
+    /// Makes the follower of the endpoints poll at once.
+    hurry: Rc<Notify>,
     ticks: Instant,
     published: Instant,
     stopping: bool,
+    loaded: bool,
     ready: bool,
 }
 
@@ -220,9 +243,11 @@
             listed: HashMap::new(),
             hellos: HashMap::new(),
             settles: None,
+            hurry: Rc::default(),
             ticks: now + TICK_INTERVAL,
             published: now,
             stopping: false,
+            loaded: false,
             ready: false,
         }
     }
@@ -253,6 +278,8 @@
                 }
             }
             FollowEvent::Failed => self.routes_range.current = false,
+            // The routes may be late by the pause; a flow is not ended for that.
+            FollowEvent::Pausing | FollowEvent::Polling => {}
         }
         if before != self.routes_range {
             self.publish(Instant::now());
@@ -296,7 +323,8 @@
                     self.change_endpoint(event, now);
                 }
             }
-            FollowEvent::Failed => self.endpoints_range.current = false,
+            FollowEvent::Failed | FollowEvent::Pausing => self.endpoints_range.current = false,
+            FollowEvent::Polling => self.endpoints_range.current = true,
         }
         self.greet(now);
         self.publish(now);
@@ -414,10 +442,20 @@
             attributed: self.fleet.is_attributed(),
             services: self.fleet.services(now),
             synced: self.routes_range.current && self.endpoints_range.current,
+            loaded: self.is_loaded(now),
         };
         self.state.view.store(Arc::new(view));
     }
 
+    /// Returns whether routes and endpoints are known well enough to place flows.
+    fn is_loaded(&mut self, now: Instant) -> bool {
+        let settled =
+            self.fleet.is_settled(now) || self.settles.is_some_and(|settles| settles <= now);
+        let known = self.routes_range.loaded && self.routes.current().revision > 0;
+        self.loaded |= known && self.endpoints_range.loaded && settled;
+        self.loaded
+    }
+
     fn is_ready(&mut self, now: Instant) -> bool {
         let settled =
             self.fleet.is_settled(now) || self.settles.is_some_and(|settles| settles <= now);
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -106,6 +106,7 @@
             ResetReason::Refused => "reset-refused",
             ResetReason::Ended => "reset-ended",
         },
+        RelayVerdict::Hold => "hold",
         RelayVerdict::Drop(reason) => match reason {
             RelayDrop::Unexpected => "drop-unexpected",
             RelayDrop::NoRoute => "drop-no-route",
--- a/crates/entry/src/relay/run.rs
+++ b/crates/entry/src/relay/run.rs
@@ -13,8 +13,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
-/// Reports on their way to the control thread; one round of all agents of the largest site.
-const REPORTS_MAX: usize = 256;
+/// Events on their way to the control thread; one round of reports of all agents of the largest site.
+const EVENTS_MAX: usize = 256;
 
 /// A running entry.
 #[derive(Debug)]
@@ -35,13 +35,13 @@
     let state = RelayState::new(counters, Instant::now());
     let relay = &settings.relay;
     let sockets = RelaySockets::bind(relay.packets, relay.agents)?;
-    let (sender, reports) = mpsc::channel(REPORTS_MAX);
+    let (sender, events) = mpsc::channel(EVENTS_MAX);
     let traffic = TrafficThreads::start(&sockets, &state, sender)?;
     let control = control::start(ControlSetup {
         settings: settings.clone(),
         state: Arc::clone(&state),
         sockets,
-        reports,
+        events,
         registry,
     })?;
     emit(
--- a/crates/entry/src/relay/shared.rs
+++ b/crates/entry/src/relay/shared.rs
@@ -3,6 +3,7 @@
 use super::counters::RelayCounters;
 use arc_swap::ArcSwap;
 use quetzalhill_core::relay::chain::RelayChain;
+use quetzalhill_core::relay::hold::HoldQueue;
 use quetzalhill_core::relay::view::RelayView;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,6 +15,7 @@
     /// Routes and endpoints.
     pub(super) view: ArcSwap<RelayView>,
     chain: Mutex<RelayChain>,
+    hold: Mutex<HoldQueue>,
     /// What the traffic threads count.
     pub(super) counters: RelayCounters,
     /// Set when the traffic threads have to end.
@@ -26,11 +28,18 @@
         Arc::new(Self {
             view: ArcSwap::default(),
             chain: Mutex::new(RelayChain::new(now)),
+            hold: Mutex::default(),
             counters,
             stop: AtomicBool::new(false),
         })
     }
 
+    /// Returns the packets that wait for the view.
+    pub(super) fn hold(&self) -> MutexGuard<'_, HoldQueue> {
+        // A queue that a panic left behind has at most lost a packet.
+        self.hold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the chain for one packet.
     pub(super) fn chain(&self) -> MutexGuard<'_, RelayChain> {
         // The chain is only a memory that saves steps, so that what a panic left is still usable.
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -33,6 +33,15 @@
     pub(super) notice: ReportNotice,
 }
 
+/// What the traffic threads tell the control thread.
+#[derive(Debug)]
+pub(super) enum TrafficEvent {
+    /// An agent reports.
+    Report(ArrivedReport),
+    /// A flow could not be found, and the list of endpoints may be out of date.
+    Doubt,
+}
+
 /// The running traffic threads.
 #[derive(Debug)]
 pub(super) struct TrafficThreads {
@@ -82,16 +91,16 @@
     pub(super) fn start(
         sockets: &Arc<RelaySockets>,
         state: &Arc<RelayState>,
-        reports: mpsc::Sender<ArrivedReport>,
+        events: mpsc::Sender<TrafficEvent>,
     ) -> Result<Self> {
         let mut threads = Self {
             state: Arc::clone(state),
             threads: Vec::new(),
         };
-        let relay = PacketRelay::new(sockets, state);
+        let relay = PacketRelay::new(sockets, state, &events);
         threads.spawn("callers", move || relay.run_callers())?;
-        let relay = PacketRelay::new(sockets, state);
-        threads.spawn("agents", move || relay.run_agents(&reports))?;
+        let relay = PacketRelay::new(sockets, state, &events);
+        threads.spawn("agents", move || relay.run_agents())?;
         Ok(threads)
     }
 
@@ -122,16 +131,27 @@
 struct PacketRelay {
     sockets: Arc<RelaySockets>,
     state: Arc<RelayState>,
+    events: mpsc::Sender<TrafficEvent>,
 }
 
 impl PacketRelay {
-    fn new(sockets: &Arc<RelaySockets>, state: &Arc<RelayState>) -> Self {
+    fn new(
+        sockets: &Arc<RelaySockets>,
+        state: &Arc<RelayState>,
+        events: &mpsc::Sender<TrafficEvent>,
+    ) -> Self {
         Self {
             sockets: Arc::clone(sockets),
             state: Arc::clone(state),
+            events: events.clone(),
         }
     }
 
+    /// Tells the control thread; an event that finds the queue full comes again.
+    fn tell(&self, event: TrafficEvent) {
+        let _ = self.events.try_send(event);
+    }
+
     fn run_callers(&self) {
         let mut buffer = vec![0; DATAGRAM_MAX];
         while !self.state.stop.load(Ordering::Acquire) {
@@ -147,7 +167,7 @@
         }
     }
 
-    fn run_agents(&self, reports: &mpsc::Sender<ArrivedReport>) {
+    fn run_agents(&self) {
         let mut buffer = vec![0; DATAGRAM_MAX];
         while !self.state.stop.load(Ordering::Acquire) {
             let (length, from) = match self
@@ -156,14 +176,18 @@
                 .recv_from(&mut buffer[RELAY_HEADER_MAX..])
             {
                 Ok(received) => received,
-                Err(error) if is_idle(&error) => continue,
+                Err(error) if is_idle(&error) => {
+                    self.release_held(&mut buffer);
+                    continue;
+                }
                 // An ICMP error of an earlier send concerns one agent only.
                 Err(_) => continue,
             };
             let Ok(agent) = expect_v4(from) else {
                 continue;
             };
-            self.take_datagram(&mut buffer[..RELAY_HEADER_MAX + length], agent, reports);
+            self.take_datagram(&mut buffer[..RELAY_HEADER_MAX + length], agent);
+            self.release_held(&mut buffer);
         }
     }
 
@@ -180,12 +204,20 @@
         self.state.counters.decision.observe(elapsed);
     }
 
-    fn take_datagram(
-        &self,
-        buffer: &mut [u8],
-        agent: SocketAddrV4,
-        reports: &mpsc::Sender<ArrivedReport>,
-    ) {
+    /// Decides again on the packets that waited for the view.
+    fn release_held(&self, buffer: &mut [u8]) {
+        if self.state.hold().is_empty() || !self.state.view.load().loaded {
+            return;
+        }
+        let packets = self.state.hold().take(Instant::now());
+        for packet in packets {
+            let end = RELAY_HEADER_MAX + packet.len();
+            buffer[RELAY_HEADER_MAX..end].copy_from_slice(&packet);
+            self.take_packet(&mut buffer[..end]);
+        }
+    }
+
+    fn take_datagram(&self, buffer: &mut [u8], agent: SocketAddrV4) {
         match open(&mut buffer[RELAY_HEADER_MAX..]) {
             Ok(RelayDatagram::Flow(
                 RelayHeader::Return {
@@ -205,8 +237,7 @@
                 self.take_returned(&mut buffer[..RELAY_HEADER_MAX + length], life, reason);
             }
             Ok(RelayDatagram::Notice(RelayNotice::Report(notice))) => {
-                // A report that finds the queue full is followed by another one soon.
-                let _ = reports.try_send(ArrivedReport { agent, notice });
+                self.tell(TrafficEvent::Report(ArrivedReport { agent, notice }));
             }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
             | Ok(RelayDatagram::Notice(RelayNotice::Hello)) => self.count_malformed("unexpected"),
@@ -253,6 +284,13 @@
                 // The caller repeats its packet if the reset is lost.
                 let _ = self.sockets.callers.send_to(&reset, caller);
             }
+            RelayVerdict::Hold => {
+                let packet = &buffer[RELAY_HEADER_MAX..];
+                if !self.state.hold().push(packet, Instant::now()) {
+                    self.count_malformed("hold-full");
+                }
+            }
+            RelayVerdict::Drop(RelayDrop::NoHolder) => self.tell(TrafficEvent::Doubt),
             RelayVerdict::Drop(_) => {}
         }
     }
@@ -304,7 +342,7 @@
                     ("revision", &revision),
                 ],
             ),
-            RelayVerdict::Drop(RelayDrop::Copied) => {}
+            RelayVerdict::Hold | RelayVerdict::Drop(RelayDrop::Copied) => {}
             RelayVerdict::Drop(_) => emit(
                 EventCode::FlowDropped,
                 &[
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -9,6 +9,10 @@
 };
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// What a follower learns.
 #[derive(Debug)]
@@ -17,31 +21,45 @@
     Loaded(Vec<KeyValue>),
     /// Changes since then; empty if a poll found none.
     Changed(Vec<WatchEvent>),
+    /// Changes from now on are noticed late, because the follower pauses between two polls.
+    Pausing,
+    /// The follower polls again.
+    Polling,
     /// The store does not answer; what was known stays.
     Failed,
 }
 
-/// Follows `range` until the future is dropped.
-///
-/// `name` tells followers apart in the log.
+/// What a follower follows, and how.
+#[derive(Debug)]
+pub struct FollowPlan {
+    /// Tells followers apart in the log.
+    pub name: &'static str,
+    /// The keys.
+    pub range: KeyRange,
+    /// Pause after a poll that found changes, which gathers several changes in one call.
+    pub pause: Duration,
+    /// Ends a pause early.
+    pub hurry: Rc<Notify>,
+}
+
+/// Follows a range of keys until the future is dropped.
 pub async fn follow<S: CatalogueStore>(
     store: S,
-    range: KeyRange,
-    name: &str,
+    plan: FollowPlan,
     mut sink: impl FnMut(FollowEvent),
 ) {
     let mut failures = FailureLog {
-        name: name.into(),
+        name: plan.name.into(),
         count: 0,
         rng: SmallRng::from_os_rng(),
     };
     loop {
-        match store.range(&range).await {
+        match store.range(&plan.range).await {
             Ok(result) => {
                 failures.ended();
                 sink(FollowEvent::Loaded(result.entries));
                 let from = result.revision.saturating_add(1);
-                watch(&store, &range, from, &mut failures, &mut sink).await;
+                watch(&store, &plan, from, &mut failures, &mut sink).await;
             }
             Err(error) => {
                 sink(FollowEvent::Failed);
@@ -55,12 +73,12 @@
 /// a long poll that the store is back.
 async fn watch<S: CatalogueStore>(
     store: &S,
-    range: &KeyRange,
+    plan: &FollowPlan,
     from: StoreRevision,
     failures: &mut FailureLog,
     sink: &mut impl FnMut(FollowEvent),
 ) {
-    let mut watch = match store.watch(range, from).await {
+    let mut watch = match store.watch(&plan.range, from).await {
         Ok(watch) => watch,
         Err(error) => {
             sink(FollowEvent::Failed);
@@ -71,7 +89,14 @@
         match watch.next().await {
             Ok(WatchBatch::Events { events, .. }) => {
                 failures.ended();
+                let changed = !events.is_empty();
                 sink(FollowEvent::Changed(events));
+                if changed {
+                    sink(FollowEvent::Pausing);
+                    // The end of the pause and a call to hurry have the same effect.
+                    let _ = timeout(plan.pause, plan.hurry.notified()).await;
+                    sink(FollowEvent::Polling);
+                }
             }
             Ok(WatchBatch::Compacted { .. }) => return,
             Err(error) => {
@@ -114,4 +139,4 @@
 }
 
 /// Shortest pause between two calls to a store that does not answer, each of which it counts.
-const PAUSE_MIN: std::time::Duration = std::time::Duration::from_millis(100);
+const PAUSE_MIN: Duration = Duration::from_millis(100);
