--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -250,6 +250,7 @@
 
     fn deliver(&self, packet: &[u8], head: &PacketHead) {
         self.count("delivered");
+        self.log_request(packet, head);
         self.state.meter().delivered(head, Instant::now());
         let Err(error) = self.sockets.upstream.send(packet) else {
             return;
@@ -262,6 +263,26 @@
         let _ = self.sockets.upstream.send(packet);
     }
 
+    /// Ties the name of a request to its flow.
+    fn log_request(&self, packet: &[u8], head: &PacketHead) {
+        if head.data_len == 0 {
+            return;
+        }
+        let Some(request) = packet::request_name(packet) else {
+            return;
+        };
+        let belief = **self.state.belief.load();
+        emit(
+            EventCode::RequestSeen,
+            &[
+                ("request", &request),
+                ("flow", &head.flow),
+                ("state", &belief.state.name()),
+                ("incarnation", &belief.incarnation),
+            ],
+        );
+    }
+
     fn take_upstream(&self, buffer: &mut [u8]) {
         let bytes = &mut buffer[RELAY_HEADER_MAX..];
         match packet::decode_upstream(bytes) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod keys;
 pub mod log;
 pub mod metrics;
-mod output;
+pub mod output;
 pub mod relay;
 pub mod settings;
 pub mod status;
--- a/crates/node/src/output.rs
+++ b/crates/node/src/output.rs
@@ -19,7 +19,8 @@
 }
 
 /// Sends lines to the writer thread.
-pub(crate) struct LineQueue {
+#[derive(Debug)]
+pub struct LineQueue {
     sender: SyncSender<OutputItem>,
     lost: Arc<AtomicU64>,
 }
@@ -35,24 +36,33 @@
     if let Some(queue) = QUEUE.get() {
         return Ok(queue);
     }
-    let queue = start(std::io::stdout())?;
+    let queue = LineQueue::start(std::io::stdout())?;
     Ok(QUEUE.get_or_init(|| queue))
 }
 
-/// Starts a writer to `output`.
-pub(crate) fn start(output: impl Write + Send + 'static) -> std::io::Result<LineQueue> {
-    let (sender, receiver) = sync_channel(QUEUE_LINES);
-    let lost = Arc::new(AtomicU64::new(0));
-    let counter = Arc::clone(&lost);
-    Builder::new()
-        .name("log".into())
-        .spawn(move || write_lines(&receiver, output, &counter))?;
-    Ok(LineQueue { sender, lost })
-}
-
 impl LineQueue {
+    /// Starts a writer to `output`.
+    ///
+    /// # Errors
+    ///
+    /// The writer thread cannot be started.
+    pub fn start(output: impl Write + Send + 'static) -> std::io::Result<Self> {
+        let (sender, receiver) = sync_channel(QUEUE_LINES);
+        let lost = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&lost);
+        Builder::new()
+            .name("log".into())
+            .spawn(move || write_lines(&receiver, output, &counter))?;
+        Ok(Self { sender, lost })
+    }
+
+    /// Returns the lines lost since the writer last said so.
+    pub fn lost(&self) -> u64 {
+        self.lost.load(Ordering::Relaxed)
+    }
+
     /// Queues a line, or counts it as lost if the queue is full.
-    pub(crate) fn push(&self, line: String) {
+    pub fn push(&self, line: String) {
         match self.sender.try_send(OutputItem::Line(line)) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
@@ -62,7 +72,7 @@
     }
 
     /// Waits until the lines queued so far are written, at most for [`FLUSH_LIMIT`].
-    pub(crate) fn flush(&self) {
+    pub fn flush(&self) {
         let (sender, receiver) = sync_channel(1);
         if self.sender.try_send(OutputItem::Flush(sender)).is_ok() {
             // A writer that does not finish in time loses its lines with the process.
--- a/crates/platform/src/packet.rs
+++ b/crates/platform/src/packet.rs
@@ -180,3 +180,28 @@
     packet[FLAGS] = RST;
     packet
 }
+
+/// Header in which a caller names its request.
+const REQUEST_HEADER: &[u8] = b"x-request-id:";
+
+/// Returns the name of the request that begins in a caller's packet, if one does.
+///
+/// Requests are read only for the log: the bytes of a flow belong to its two ends. A request whose head spans
+/// several packets has no name here.
+pub fn request_name(packet: &[u8]) -> Option<&str> {
+    let data = packet.get(HEAD_BYTES..)?;
+    if !data.starts_with(b"GET ") && !data.starts_with(b"POST ") {
+        return None;
+    }
+    for line in data.split(|byte| *byte == b'\n') {
+        let Some(name) = line.get(..REQUEST_HEADER.len()) else {
+            continue;
+        };
+        if !name.eq_ignore_ascii_case(REQUEST_HEADER) {
+            continue;
+        }
+        let value = std::str::from_utf8(&line[REQUEST_HEADER.len()..]).ok()?;
+        return Some(value.trim());
+    }
+    None
+}
--- /dev/null
+++ b/crates/platform/tests/bodies.rs
@@ -0,0 +1,210 @@
+//! Announcements, manifests and calls.
+
+use proptest::prelude::*;
+use quetzalhill_platform::server::{decode as decode_call, ServerCall};
+use quetzalhill_platform::store::PlatformCodec;
+use quetzalhill_platform::{announcement, manifest};
+use quetzalhill_store::api::{
+    Compare, DeleteOp, KeyRange, PutOp, StoreError, Transaction, TransactionOutcome, WatchBatch,
+    WatchEvent,
+};
+use quetzalhill_store::codec::{HttpAnswer, StoreCodec};
+use std::time::{Duration, Instant};
+use yare::parameterized;
+
+const ANNOUNCEMENT: &str = r#"{"service":"huvo11a","address":"10.128.0.9:8080","zone":"aarhus",
+    "version":"v1","maxConcurrency":3,"state":"draining","coldLeftMs":1500,"sequence":4,
+    "born":1783371811029}"#;
+
+const MANIFEST: &str = r#"{"version":7,"routes":[
+    {"name":"one","host":"198.18.0.1","prefix":"/8080/","service":"huvo11a","priority":1},
+    {"name":"two","host":"198.18.0.1","prefix":"/8443/","weightedServices":[
+        {"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}]}],
+    "services":[],"limits":{"idleTimeoutMs":15000,"maxHeaderBytes":16384}}"#;
+
+/// Guards against fields that are taken for one another.
+#[test]
+fn announcement_is_decoded() {
+    let now = Instant::now();
+    let decoded = announcement::decode("i-1".into(), ANNOUNCEMENT.as_bytes(), now).expect("valid");
+    assert_eq!(decoded.service, "huvo11a");
+    assert_eq!(decoded.zone, "aarhus");
+    assert_eq!((decoded.slots, decoded.sequence), (3, 4));
+    assert_eq!(decoded.incarnation, 1_783_371_811_029);
+    assert!(decoded.draining);
+    assert_eq!(decoded.cold_until, Some(now + Duration::from_millis(1_500)));
+}
+
+/// Guards against an announcement of another writer that names an endpoint.
+#[parameterized(
+    state_not_named = { r#""draining""#, r#""leaving""# },
+    number_as_text = { r#""sequence":4"#, r#""sequence":"4""# },
+    born_as_text = { "1783371811029", r#""yesterday""# },
+    born_as_fraction = { "1783371811029", "17.5" },
+    service_missing = { r#""service":"huvo11a","#, "" },
+    slots_negative = { r#""maxConcurrency":3"#, r#""maxConcurrency":-3"# },
+    cold_too_long = { r#""coldLeftMs":1500"#, r#""coldLeftMs":1e99"# },
+)]
+fn wrong_announcement_is_refused(from: &str, to: &str) {
+    let body = ANNOUNCEMENT.replace(from, to);
+    assert_ne!(body, ANNOUNCEMENT);
+    announcement::decode("i-1".into(), body.as_bytes(), Instant::now()).expect_err("wrong");
+}
+
+/// Guards against routes that lead elsewhere than the operators wrote.
+#[test]
+fn manifest_is_decoded() {
+    let routes = manifest::decode(MANIFEST.as_bytes()).expect("valid");
+    assert_eq!(routes.revision, 7);
+    assert_eq!(routes.idle_timeout, Duration::from_secs(15));
+    let whole = &routes.by_address[&"198.18.0.1:8080".parse().expect("address")];
+    assert_eq!(whole.len(), 1);
+    let split = &routes.by_address[&"198.18.0.1:8443".parse().expect("address")];
+    let shares: Vec<_> = split
+        .iter()
+        .map(|target| (target.service.as_str(), target.weight))
+        .collect();
+    assert_eq!(shares, [("huvo11a", 90), ("wuno96b", 10)]);
+}
+
+/// Guards against a manifest that is taken in part, so that a route is missing.
+#[parameterized(
+    no_service = { r#""service":"huvo11a","priority":1"#, r#""priority":1"# },
+    host_name = { "198.18.0.1", "feed.example" },
+    port = { "/8443/", "/http/" },
+    no_limits = { r#","limits":{"idleTimeoutMs":15000,"maxHeaderBytes":16384}"#, "" },
+    version_as_text = { r#""version":7"#, r#""version":"7""# },
+)]
+fn wrong_manifest_is_refused(from: &str, to: &str) {
+    let body = MANIFEST.replace(from, to);
+    assert_ne!(body, MANIFEST);
+    manifest::decode(body.as_bytes()).expect_err("wrong");
+}
+
+/// Guards against a call that is taken for another.
+#[parameterized(
+    ready = { "GET", "/-/ready", ServerCall::Ready },
+    announce = { "POST", "/-/Instances.Heartbeat/i-7", ServerCall::Announce("i-7".into()) },
+    goodbye = { "POST", "/-/Instances.Deregister/i-7", ServerCall::Goodbye("i-7".into()) },
+    wrong_method = { "GET", "/-/Instances.Deregister/i-7", ServerCall::Other },
+    other = { "GET", "/", ServerCall::Other },
+)]
+fn calls_are_decoded(method: &str, path: &str, expected: ServerCall) {
+    assert_eq!(decode_call(method, path), expected);
+}
+
+fn answer(status: u16, body: &str) -> HttpAnswer<'_> {
+    HttpAnswer {
+        status,
+        body: body.as_bytes(),
+    }
+}
+
+fn prefix() -> KeyRange {
+    KeyRange::Prefix("my/".into())
+}
+
+/// Guards against events that are lost or taken for one another.
+#[test]
+fn watch_answer_is_decoded() {
+    let body = r#"{"events":[
+        {"key":"my/a","value":"bm9kZS0x","revision":412,"created":412,"lease":77120},
+        {"key":"my/b","revision":413,"removed":true}],"storeRevision":413}"#;
+    let batch = PlatformCodec
+        .decode_watch(&prefix(), 411, answer(200, body))
+        .expect("valid");
+    let WatchBatch::Events { revision, events } = batch else {
+        panic!("{batch:?}");
+    };
+    assert_eq!(revision, 413);
+    assert!(matches!(&events[0], WatchEvent::Put(entry) if entry.value == b"node-1"));
+    assert!(matches!(&events[1], WatchEvent::Delete { key, .. } if key == "my/b"));
+    let gone = PlatformCodec
+        .decode_watch(&prefix(), 411, answer(410, ""))
+        .expect("valid");
+    assert_eq!(gone, WatchBatch::Compacted { revision: 411 });
+}
+
+/// Guards against a call that is repeated although it took effect, or given up although it did not.
+#[parameterized(
+    unavailable = { 503, false },
+    too_many = { 429, false },
+    refused = { 403, false },
+    broken = { 500, true },
+    unreadable = { 200, true },
+)]
+fn effect_of_a_failed_call_is_known(status: u16, may_have_applied: bool) {
+    let error = PlatformCodec
+        .decode_commit(answer(status, "{"))
+        .expect_err("failed");
+    assert_eq!(error.may_have_applied(), may_have_applied);
+}
+
+/// Guards against a lease that is believed to be alive, and a conflict that is taken for a failure.
+#[test]
+fn ends_and_conflicts_are_outcomes() {
+    let ended = PlatformCodec.decode_grant(Some(9), answer(404, "{}"));
+    assert_eq!(ended, Err(StoreError::LeaseNotFound { id: 9 }));
+    let lost = PlatformCodec.decode_commit(answer(404, "{}"));
+    assert!(matches!(lost, Err(StoreError::LeaseNotFound { .. })));
+    let conflict = PlatformCodec.decode_commit(answer(412, r#"{"items":[]}"#));
+    assert!(matches!(conflict, Ok(TransactionOutcome::Conflict(_))));
+    let renewed = PlatformCodec.decode_grant(Some(9), answer(200, r#"{"ttlMs":3000}"#));
+    assert_eq!(renewed.expect("valid").ttl, Duration::from_secs(3));
+}
+
+/// Guards against a transaction that the store cannot express and that is sent in part.
+#[test]
+fn transaction_is_encoded_whole_or_not_at_all() {
+    let mut transaction = Transaction {
+        compares: vec![Compare::ModRevision {
+            key: "my/a".into(),
+            revision: 0,
+        }],
+        puts: vec![PutOp {
+            key: "my/a".into(),
+            value: b"node-1".into(),
+            lease: Some(77_120),
+        }],
+        deletes: vec![DeleteOp {
+            from: "my/b".into(),
+            to: "my/b\0".into(),
+        }],
+    };
+    let call = PlatformCodec
+        .encode_commit(&transaction)
+        .expect("expressible");
+    let body: serde_json::Value = serde_json::from_slice(&call.body.expect("body")).expect("JSON");
+    let expected = serde_json::json!({
+        "expectedRev": [{"key": "my/a", "revision": 0}],
+        "puts": [{"key": "my/a", "value": "bm9kZS0x", "lease": 77_120}],
+        "deletes": ["my/b"],
+    });
+    assert_eq!(body, expected);
+    transaction.deletes[0].to = "my/z".into();
+    let refused = PlatformCodec
+        .encode_commit(&transaction)
+        .expect_err("a range");
+    assert!(!refused.may_have_applied());
+}
+
+/// Guards against keys that change the meaning of a query.
+#[test]
+fn keys_are_escaped() {
+    let call = PlatformCodec.encode_range(&KeyRange::Key("a b&c=d".into()), None);
+    assert_eq!(call.path, "/-/kv-key?key=a%20b%26c%3Dd");
+}
+
+proptest! {
+    /// Guards against a panic on bodies of any kind.
+    #[test]
+    fn any_body_is_decoded_or_refused(status in 100_u16..600, body in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let answer = HttpAnswer { status, body: &body };
+        let _ = PlatformCodec.decode_range(&prefix(), answer);
+        let _ = PlatformCodec.decode_watch(&prefix(), 1, answer);
+        let _ = PlatformCodec.decode_commit(answer);
+        let _ = PlatformCodec.decode_grant(None, answer);
+        let _ = manifest::decode(&body);
+        let _ = announcement::decode("i".into(), &body, Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/relay.rs
@@ -0,0 +1,98 @@
+//! Datagrams of the relay.
+
+use proptest::prelude::*;
+use quetzalhill_core::ids::{id_of, service_digest};
+use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint};
+use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
+use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_wire::relay::{
+    decode_entry, encode_entry, open, RelayDatagram, RelayError, RelayHeader, RelayNotice,
+    ReportNotice, RELAY_HEADER_MAX,
+};
+use std::time::{Duration, Instant};
+
+fn endpoint() -> ListedEndpoint {
+    ListedEndpoint {
+        id: id_of("10.1.0.12:8172".parse().expect("address")),
+        service: "feed".into(),
+        zone: "bc-coast-a".into(),
+        incarnation: 1_783_371_811_029,
+        slots: 4,
+    }
+}
+
+fn header() -> impl Strategy<Value = RelayHeader> {
+    let reason = prop_oneof![
+        Just(ReturnReason::NotHeld),
+        Just(ReturnReason::NotReady),
+        Just(ReturnReason::WrongService),
+    ];
+    prop_oneof![
+        any::<u64>().prop_map(|service| RelayHeader::Deliver { service }),
+        (any::<u64>(), reason).prop_map(|(incarnation, reason)| RelayHeader::Return {
+            incarnation,
+            reason
+        }),
+    ]
+}
+
+proptest! {
+    /// Guards against a header or packet that changes on its way.
+    #[test]
+    fn packet_round_trip(header in header(), packet in proptest::collection::vec(any::<u8>(), 0..1300)) {
+        let mut buffer = vec![0; RELAY_HEADER_MAX];
+        buffer.extend_from_slice(&packet);
+        let start = header.seal(&mut buffer).expect("fits");
+        let mut expected = packet;
+        prop_assert_eq!(
+            open(&mut buffer[start..]),
+            Ok(RelayDatagram::Flow(header, &mut expected))
+        );
+    }
+
+    /// Guards against a panic on datagrams of any kind, also those that begin like ours.
+    #[test]
+    fn any_datagram_is_decoded_or_refused(kind in 0_u8..6, mut body in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = open(&mut body.clone());
+        body.splice(0..0, [1, kind]);
+        let _ = open(&mut body);
+        let _ = decode_entry(&body);
+    }
+}
+
+/// Guards against a report that says something else at its receiver.
+#[test]
+fn report_round_trip() {
+    let now = Instant::now();
+    let report = EndpointReport {
+        endpoint: endpoint(),
+        order: (7, 9),
+        state: UpstreamState::Draining,
+        stopping: true,
+        load: LoadCounts { flows: 30, busy: 2 },
+        addresses: ["198.18.0.1:443".parse().expect("address")]
+            .into_iter()
+            .collect(),
+        covers: true,
+        cold_until: Some(now + Duration::from_millis(500)),
+    };
+    let notice = RelayNotice::Report(ReportNotice::of(&report, now));
+    let mut datagram = notice.encode().expect("encodes");
+    let Ok(RelayDatagram::Notice(RelayNotice::Report(seen))) = open(&mut datagram) else {
+        panic!("not a report");
+    };
+    assert_eq!(seen.report(report.endpoint.id, now), report);
+}
+
+/// Guards against a record of another version or writer that names an endpoint.
+#[test]
+fn foreign_record_names_no_endpoint() {
+    let mut value = encode_entry(&endpoint()).expect("encodes");
+    assert_eq!(decode_entry(&value), Ok(endpoint()));
+    value.truncate(value.len() - 1);
+    assert_eq!(decode_entry(&value), Err(RelayError::Body));
+    value[0] = 9;
+    assert_eq!(decode_entry(&value), Err(RelayError::Foreign));
+    assert_eq!(decode_entry(b""), Err(RelayError::Foreign));
+    assert_ne!(service_digest("feed"), service_digest("batch"));
+}
