--- a/crates/standins/tests/settings_page.rs
+++ b/crates/standins/tests/settings_page.rs
@@ -4,6 +4,7 @@
 use quetzalhill::settings::{EntrySection, EntrySettings, ListenSettings, StoreSection};
 use quetzalhill_agent::settings::{AgentSection, AgentSettings};
 use quetzalhill_core::dispatch::DispatchPolicy;
+use quetzalhill_node::relay::settings::{RelayNode, RelayStore};
 use quetzalhill_node::settings::{LogSettings, NodeSettings};
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -78,6 +79,53 @@
     }
 }
 
+fn relay_node() -> RelayNode {
+    RelayNode {
+        name: "one".into(),
+        zone: "a".into(),
+        metrics: ADDRESS,
+    }
+}
+
+fn relay_store() -> RelayStore {
+    RelayStore {
+        address: ADDRESS,
+        poll_ms: 1,
+    }
+}
+
+fn relay_entry() -> quetzalhill::relay::settings::RelaySettings {
+    quetzalhill::relay::settings::RelaySettings {
+        node: relay_node(),
+        log: LogSettings::default(),
+        store: relay_store(),
+        relay: quetzalhill::relay::settings::RelaySection {
+            packets: ADDRESS,
+            agents: ADDRESS,
+            ready: ADDRESS,
+            linger_ms: 1,
+        },
+    }
+}
+
+fn relay_agent() -> quetzalhill_agent::relay::settings::RelaySettings {
+    quetzalhill_agent::relay::settings::RelaySettings {
+        node: relay_node(),
+        log: LogSettings::default(),
+        store: relay_store(),
+        relay: quetzalhill_agent::relay::settings::RelaySection {
+            service: "feed".into(),
+            upstream: ADDRESS,
+            outbound: ADDRESS,
+            packets: ADDRESS,
+            announcements: ADDRESS,
+            ready: ADDRESS,
+            entry_port: 1,
+            announce_ms: 1,
+        },
+    }
+}
+
 /// Adds the dotted names of all keys below a value.
 fn add_keys(value: &toml::Value, prefix: &str, keys: &mut BTreeSet<String>) {
     match value {
@@ -115,6 +163,8 @@
     keys_of(&entry(), &mut code);
     keys_of(&agent(), &mut code);
     keys_of(&operator(), &mut code);
+    keys_of(&relay_entry(), &mut code);
+    keys_of(&relay_agent(), &mut code);
     let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `"));
     let page: BTreeSet<String> = rows
         .filter_map(|row| row.split_once('`'))
@@ -122,3 +172,54 @@
         .collect();
     assert_eq!(page, code);
 }
+
+/// Guards against a deploy template that the programs refuse at their start.
+#[test]
+fn templates_are_valid_settings() {
+    let entry = fill(include_str!("../../../deploy/entry.toml.template"));
+    let entry: quetzalhill::relay::settings::RelaySettings = toml::from_str(&entry).expect("entry");
+    quetzalhill::relay::settings::check(&entry).expect("entry");
+    let agent = fill(include_str!("../../../deploy/agent.toml.template"));
+    let agent: quetzalhill_agent::relay::settings::RelaySettings =
+        toml::from_str(&agent).expect("agent");
+    quetzalhill_agent::relay::settings::check(&agent).expect("agent");
+    assert_eq!(agent.relay.entry_port, entry.relay.agents.port());
+}
+
+/// Fills a template as the platform does, with ports for whatever has a port.
+fn fill(template: &str) -> String {
+    let mut text = template.to_string();
+    for (name, value) in [
+        ("nodeName", "edge-a-1"),
+        ("zone", "a"),
+        ("ip", "127.0.0.1"),
+        ("portRange.0", "7720"),
+        ("portRange.1", "7721"),
+        ("platform.address", "127.0.0.1:8169"),
+        ("listen.datagramAddr", "127.0.0.1:8172"),
+        ("listen.ready", "127.0.0.1:8167"),
+        ("listen.control", "127.0.0.1:8166"),
+        ("listen.outbound", "127.0.0.1:8162"),
+        ("service", "feed"),
+        ("app", "127.0.0.1:8165"),
+        ("heartbeatMs", "770"),
+    ] {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    text
+}
+
+/// Guards against a wrong value that a process starts with.
+#[test]
+fn wrong_relay_settings_are_named() {
+    let mut entry = relay_entry();
+    entry.store.poll_ms = 30_001;
+    let error = quetzalhill::relay::settings::check(&entry).expect_err("too long");
+    assert_eq!(error.key, "store.poll_ms");
+    let mut agent = relay_agent();
+    agent.store.poll_ms = 100;
+    agent.relay.service.clear();
+    let error = quetzalhill_agent::relay::settings::check(&agent).expect_err("empty");
+    assert_eq!(error.key, "relay.service");
+}
