Send new flows elsewhere while an upstream is busy, and weigh zones by requests

Change: an agent whose upstream has three requests in progress for each slot returns a first packet as busy; after three such answers the flow waits at its first choice. An endpoint in another zone counts as one request busier in place of 1.6 times as busy; two local and three remote candidates.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -343,6 +343,10 @@
         let belief = UpstreamBelief {
             state,
             incarnation: self.incarnation(),
+            slots: self
+                .presence
+                .upstream()
+                .map_or(0, |known| known.announcement.slots),
         };
         self.state.belief.store(Arc::new(belief));
         let upstream = self.presence.upstream();
--- a/crates/agent/src/relay/shared.rs
+++ b/crates/agent/src/relay/shared.rs
@@ -15,6 +15,8 @@
     pub(super) state: UpstreamState,
     /// Life; 0 while it is not known.
     pub(super) incarnation: IncarnationNumber,
+    /// Requests that it runs at the same time; 0 while it is not known.
+    pub(super) slots: u32,
 }
 
 /// Shared state; the control thread replaces the belief as a whole, and traffic threads feed the meter.
@@ -36,6 +38,7 @@
             belief: ArcSwap::from_pointee(UpstreamBelief {
                 state: UpstreamState::Unknown,
                 incarnation: 0,
+                slots: 0,
             }),
             meter: Mutex::default(),
             counters,
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -6,8 +6,8 @@
 use super::shared::AgentState;
 use anyhow::{Context, Result};
 use quetzalhill_core::ids::{service_digest, ServiceDigest};
-use quetzalhill_core::relay::intake::{decide, IntakeVerdict, ReturnReason};
-use quetzalhill_core::relay::packet::PacketHead;
+use quetzalhill_core::relay::intake::{decide, IntakeFacts, IntakeVerdict, ReturnReason};
+use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_platform::packet::{self, PacketSender, UpstreamPacket};
 use quetzalhill_wire::packet::DATAGRAM_MAX;
@@ -213,13 +213,14 @@
 
     fn take_datagram(&self, buffer: &mut [u8], entry: SocketAddrV4) {
         match open(&mut buffer[RELAY_HEADER_MAX..]) {
-            Ok(RelayDatagram::Flow(RelayHeader::Deliver { service }, packet)) => {
+            Ok(RelayDatagram::Flow(RelayHeader::Deliver { service, forced }, packet)) => {
                 let length = packet.len();
                 // The packet moves to where a header fits before it, should it be returned.
                 let end = buffer.len();
                 buffer.copy_within(end - length.., RELAY_HEADER_MAX);
                 let own = service == self.sockets.service;
-                self.take_packet(&mut buffer[..RELAY_HEADER_MAX + length], entry, own);
+                let buffer = &mut buffer[..RELAY_HEADER_MAX + length];
+                self.take_packet(buffer, entry, own, forced);
             }
             Ok(RelayDatagram::Notice(RelayNotice::Hello)) => {
                 self.tell(TrafficEvent::Hello(entry));
@@ -232,14 +233,26 @@
         }
     }
 
-    fn take_packet(&self, buffer: &mut [u8], entry: SocketAddrV4, own_service: bool) {
+    fn take_packet(&self, buffer: &mut [u8], entry: SocketAddrV4, own_service: bool, forced: bool) {
         let bytes = &mut buffer[RELAY_HEADER_MAX..];
         let head = match packet::decode(bytes, PacketSender::Caller) {
             Ok(head) => head,
             Err(error) => return self.count_malformed(&format!("{error:?}")),
         };
         let belief = **self.state.belief.load();
-        match decide(head.kind, belief.state, own_service) {
+        let busy = match head.kind {
+            PacketKind::Opening { .. } => self.state.meter().pressure(Instant::now()),
+            _ => 0,
+        };
+        let facts = IntakeFacts {
+            kind: head.kind,
+            state: belief.state,
+            own_service,
+            forced,
+            busy,
+            slots: belief.slots,
+        };
+        match decide(&facts) {
             IntakeVerdict::Return(reason) => self.give_back(buffer, &head, reason, *entry.ip()),
             IntakeVerdict::Deliver => {
                 packet::mark(bytes, u32::from(*entry.ip()));
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::{EndpointId, ServiceDigest, ServiceName};
 use crate::relay::flows::{FlowRecord, FlowTable};
+use crate::relay::intake::ReturnReason;
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use crate::relay::place::{self, EndpointLife};
 use crate::relay::routes::choose_target;
@@ -23,6 +24,9 @@
 /// Endpoints that are asked at once after the candidates of new flows; a service of the largest site has 50.
 const ROUND_MAX: usize = 16;
 
+/// Busy endpoints after which a new flow goes to the first of them; each question takes a round trip.
+const BUSY_MAX: usize = 3;
+
 /// Silent endpoints that a packet is sent to at once, since it is probably lost there.
 const SILENT_MAX: usize = 2;
 
@@ -71,6 +75,8 @@
     pub endpoint: EndpointLife,
     /// Service that must be that of the endpoint.
     pub service: ServiceDigest,
+    /// Whether the endpoint takes a new flow although it is busy.
+    pub forced: bool,
 }
 
 /// Endpoints that receive a packet; one for most packets.
@@ -172,6 +178,7 @@
         &mut self,
         head: &PacketHead,
         life: EndpointLife,
+        reason: ReturnReason,
         view: &RelayView,
         now: Instant,
     ) -> RelayVerdict {
@@ -181,6 +188,9 @@
         let opening = matches!(head.kind, PacketKind::Opening { .. });
         let record = self.flows.record(head.flow);
         let known = view_life(view, head.flow, life.id).unwrap_or(life);
+        if reason == ReturnReason::Busy && !record.busy.contains(&known) {
+            record.busy.push(known);
+        }
         // The view may be behind the agent; the life in it is not asked again either, or the packet would circle.
         for life in [life, known] {
             if !record.tried.contains(&life) {
@@ -261,17 +271,30 @@
         let (pending, suspects) = (&self.pending, &self.suspects);
         let count = |id| pending_of(service, pending, id);
         let avoid = |id| suspects.get(&id).is_some_and(|until| now < *until);
-        let Some(index) = place::place(service, head.flow, &record.tried, count, avoid, now) else {
+        let mut index = None;
+        if record.busy.len() < BUSY_MAX {
+            index = place::place(service, head.flow, &record.tried, count, avoid, now);
+        }
+        if let (None, Some(best), false) = (index, record.busy.first(), record.forced) {
+            // Waiting at the first choice beats a refusal, and more questions would add to the load.
+            index = service
+                .endpoints
+                .iter()
+                .position(|known| known.life() == *best);
+            record.forced = true;
+        }
+        let Some(index) = index else {
             return refused;
         };
         let endpoint = &service.endpoints[index];
         record.asked = smallvec![endpoint.life()];
         record.ended = false;
-        self.count_pending(endpoint);
         let target = DeliverTarget {
             endpoint: endpoint.life(),
             service: service.digest,
+            forced: record.forced,
         };
+        self.count_pending(endpoint);
         Some(RelayVerdict::Deliver {
             targets: smallvec![target],
             reason: DeliverReason::Placed,
@@ -308,6 +331,7 @@
                     list.push(DeliverTarget {
                         endpoint: endpoint.life(),
                         service: service.digest,
+                        forced: false,
                     });
                 }
             }
@@ -442,6 +466,7 @@
             return Some(DeliverTarget {
                 endpoint: life,
                 service: service.digest,
+                forced: false,
             });
         }
     }
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -24,6 +24,10 @@
     pub pivot: Option<EndpointLife>,
     /// Endpoints that do not hold the flow.
     pub tried: TriedList,
+    /// Endpoints that were too busy for the new flow, the best first.
+    pub busy: AskedList,
+    /// Whether the new flow went to a busy endpoint because others were busy too.
+    pub forced: bool,
     /// Whether only first packets of the flow have been seen.
     pub opening: bool,
     /// Whether the flow is known to have ended.
--- a/crates/core/src/relay/intake.rs
+++ b/crates/core/src/relay/intake.rs
@@ -46,6 +46,8 @@
     NotHeld,
     /// The endpoint takes no new flows.
     NotReady,
+    /// The upstream has so many requests in progress that those of a new flow would wait for long.
+    Busy,
     /// The endpoint belongs to another service.
     WrongService,
 }
@@ -56,24 +58,56 @@
         match self {
             ReturnReason::NotHeld => "not-held",
             ReturnReason::NotReady => "not-ready",
+            ReturnReason::Busy => "busy",
             ReturnReason::WrongService => "wrong-service",
         }
     }
 }
 
-/// Decides on a packet; `own_service` says whether the entry meant the service of this agent.
+/// Requests in progress for each slot from which new flows are asked to go elsewhere. Behind two waiting requests a
+/// new one is answered at about four times its own service time, and the upstream rejects requests from five on.
+const BUSY_PER_SLOT: u32 = 3;
+
+/// What is known of a packet when the decision is due.
+#[derive(Clone, Copy, Debug)]
+pub struct IntakeFacts {
+    /// What the packet does to its flow.
+    pub kind: PacketKind,
+    /// State of the upstream.
+    pub state: UpstreamState,
+    /// Whether the entry meant the service of this agent.
+    pub own_service: bool,
+    /// Whether the entry found the other candidates busy too.
+    pub forced: bool,
+    /// Requests in progress or about to arrive at the upstream.
+    pub busy: u32,
+    /// Requests that the upstream runs at the same time; 0 while it is not known.
+    pub slots: u32,
+}
+
+/// Decides on a packet.
 ///
 /// An address may pass to an endpoint of another service while an entry still has the old view, so that the check
 /// stands at the last process before the upstream. Packets of open flows reach an upstream of which nothing is
 /// known, because it knows its flows better than an agent that has just started.
-pub fn decide(kind: PacketKind, state: UpstreamState, own_service: bool) -> IntakeVerdict {
-    if !own_service {
+///
+/// The load meant for the check on requests in progress is a crest, when many callers open flows within the time
+/// between two reports: the agent knows the load of this moment, the entries that of the last report.
+pub fn decide(facts: &IntakeFacts) -> IntakeVerdict {
+    if !facts.own_service {
         return IntakeVerdict::Return(ReturnReason::WrongService);
     }
-    match (state, kind) {
+    match (facts.state, facts.kind) {
         (UpstreamState::Gone, _) => IntakeVerdict::Return(ReturnReason::NotHeld),
+        (UpstreamState::Ready, PacketKind::Opening { .. }) if is_busy(facts) => {
+            IntakeVerdict::Return(ReturnReason::Busy)
+        }
         (UpstreamState::Ready, _) => IntakeVerdict::Deliver,
         (_, PacketKind::Opening { .. }) => IntakeVerdict::Return(ReturnReason::NotReady),
         (_, _) => IntakeVerdict::Deliver,
     }
 }
+
+fn is_busy(facts: &IntakeFacts) -> bool {
+    !facts.forced && facts.slots > 0 && facts.busy >= facts.slots * BUSY_PER_SLOT
+}
--- a/crates/core/src/relay/load.rs
+++ b/crates/core/src/relay/load.rs
@@ -12,6 +12,9 @@
 /// Idle time after which a flow does not count any more; twice the usual idle timeout of the catalogue.
 pub const IDLE_MAX: Duration = Duration::from_secs(30);
 
+/// Time after its opening for which a flow counts as busy; a caller sends its request with the end of the handshake.
+const AWAIT_TIME: Duration = Duration::from_millis(50);
+
 /// Addresses that a report names; a service has a few.
 const ADDRESSES_MAX: usize = 64;
 
@@ -25,6 +28,8 @@
 struct FlowActivity {
     /// Since when a request is in progress.
     busy: Option<Instant>,
+    /// Until when the first request of a new flow counts although it has not arrived.
+    awaited_until: Option<Instant>,
     expires: Instant,
 }
 
@@ -55,6 +60,7 @@
         };
         if head.data_len > 0 {
             activity.busy = activity.busy.or(Some(now));
+            activity.awaited_until = None;
         }
         activity.expires = now + IDLE_MAX;
     }
@@ -74,6 +80,7 @@
         }
         let activity = self.flows.entry(head.flow).or_insert(FlowActivity {
             busy: None,
+            awaited_until: Some(now + AWAIT_TIME),
             expires: now,
         });
         activity.expires = now + IDLE_MAX;
@@ -84,6 +91,14 @@
         Some(now.saturating_duration_since(busy))
     }
 
+    /// Returns the requests in progress or about to arrive.
+    pub fn pressure(&self, now: Instant) -> u32 {
+        let active = self.flows.values().filter(|activity| {
+            activity.busy.is_some() || activity.awaited_until.is_some_and(|until| now < until)
+        });
+        u32::try_from(active.count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the counts without the flows that have been idle for too long.
     pub fn counts(&mut self, now: Instant) -> LoadCounts {
         self.flows.retain(|_, activity| now < activity.expires);
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -13,10 +13,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Candidates for a new flow in the entry's own zone.
-const LOCAL_CHOICES: usize = 3;
+const LOCAL_CHOICES: usize = 2;
 
 /// Candidates for a new flow in all other zones.
-const REMOTE_CHOICES: usize = 2;
+const REMOTE_CHOICES: usize = 3;
 
 /// Candidates for a new flow; a flow is looked for among them first.
 pub const CHOICES: usize = LOCAL_CHOICES + REMOTE_CHOICES;
@@ -27,8 +27,9 @@
 /// Requests that every endpoint counts as busy with, so that the first flows of a quiet zone stay in it.
 const IDLE_REQUESTS: f64 = 1.0;
 
-/// Factor on the load of an endpoint in another zone, which costs the round trip and the bytes between zones.
-const REMOTE_FACTOR: f64 = 1.6;
+/// Requests that an endpoint in another zone counts as busy with beyond its own. The zone of the caller saves the bytes
+/// between zones as long as its endpoints are at most this much busier, which counts for little at a crest.
+const REMOTE_REQUESTS: f64 = 1.0;
 
 /// Factor on the load of an endpoint that is slow after its start.
 const COLD_FACTOR: f64 = 2.0;
@@ -91,11 +92,11 @@
 /// Returns the load of an endpoint in units of its slots, as placement compares it.
 fn weigh(endpoint: &ViewEndpoint, pending: u32, now: Instant) -> f64 {
     let flows = f64::from(endpoint.flows.saturating_add(pending));
-    let requests = IDLE_REQUESTS + f64::from(endpoint.busy) + flows / FLOWS_PER_REQUEST;
-    let mut load = requests / f64::from(endpoint.slots.max(1));
+    let mut requests = IDLE_REQUESTS + f64::from(endpoint.busy) + flows / FLOWS_PER_REQUEST;
     if !endpoint.same_zone {
-        load *= REMOTE_FACTOR;
+        requests += REMOTE_REQUESTS;
     }
+    let mut load = requests / f64::from(endpoint.slots.max(1));
     if endpoint.cold_until.is_some_and(|until| now < until) {
         load *= COLD_FACTOR;
     }
--- a/crates/core/tests/relay/chain.rs
+++ b/crates/core/tests/relay/chain.rs
@@ -4,6 +4,7 @@
 use quetzalhill_core::relay::chain::{
     DeliverReason, RelayChain, RelayDrop, RelayVerdict, ResetReason,
 };
+use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_core::relay::place::EndpointLife;
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView, ServiceView};
@@ -43,7 +44,8 @@
             if Some(target.endpoint) == holder {
                 continue;
             }
-            let verdict = chain.decide_returned(head, target.endpoint, view, now);
+            let verdict =
+                chain.decide_returned(head, target.endpoint, ReturnReason::NotHeld, view, now);
             if verdict != RelayVerdict::Drop(RelayDrop::Copied) {
                 assert!(next.is_none(), "the packet was sent on twice");
                 next = Some(verdict);
@@ -182,12 +184,18 @@
     let now = Instant::now();
     let mut chain = RelayChain::new(now);
     let first = delivered(&chain.decide(&opening(46), &view, now));
-    let second = chain.decide_returned(&opening(46), first, &view, now);
+    let second = chain.decide_returned(&opening(46), first, ReturnReason::NotHeld, &view, now);
     assert_ne!(delivered(&second), first);
     let refusing = delivered(&second);
     let next = chain.decide(&established(46), &view, now);
     assert_eq!(delivered(&next), refusing);
-    let next = chain.decide_returned(&established(46), refusing, &view, now);
+    let next = chain.decide_returned(
+        &established(46),
+        refusing,
+        ReturnReason::NotHeld,
+        &view,
+        now,
+    );
     let RelayVerdict::Deliver { targets, .. } = next else {
         panic!("{next:?}");
     };
@@ -255,7 +263,8 @@
             assert!(!asked.contains(&id), "asked again");
             asked.push(id);
             let life = EndpointLife { id, incarnation };
-            verdict = chain.decide_returned(&established(50), life, &view, now);
+            verdict =
+                chain.decide_returned(&established(50), life, ReturnReason::NotHeld, &view, now);
         }
     }
     assert_eq!(verdict, RelayVerdict::Reset(ResetReason::Ended));
@@ -277,7 +286,13 @@
     // Both packets come back from all endpoints of the round, and each goes to the next round once.
     let mut sent_on = 0;
     for target in asked.iter().chain(&asked) {
-        let verdict = chain.decide_returned(&established(54), target.endpoint, &view, now);
+        let verdict = chain.decide_returned(
+            &established(54),
+            target.endpoint,
+            ReturnReason::NotHeld,
+            &view,
+            now,
+        );
         sent_on += usize::from(matches!(verdict, RelayVerdict::Deliver { .. }));
     }
     assert_eq!(sent_on, 2);
@@ -333,3 +348,29 @@
         assert!((4..=7).any(|number| id == life(number).id));
     }
 }
+
+/// Load: a crest at which every endpoint is busy. Guards against a flow that asks all endpoints one after the other,
+/// and against a refusal while the first choice would queue it.
+#[test]
+fn new_flow_waits_at_its_first_choice_if_others_are_busy_too() {
+    let view = view();
+    let now = Instant::now();
+    let mut chain = RelayChain::new(now);
+    let mut verdict = chain.decide(&opening(60), &view, now);
+    let first = delivered(&verdict);
+    for _ in 0..3 {
+        let RelayVerdict::Deliver { targets, .. } = &verdict else {
+            panic!("{verdict:?}");
+        };
+        assert!(!targets[0].forced);
+        let life = targets[0].endpoint;
+        verdict = chain.decide_returned(&opening(60), life, ReturnReason::Busy, &view, now);
+    }
+    assert_eq!(delivered(&verdict), first);
+    let RelayVerdict::Deliver { targets, .. } = &verdict else {
+        panic!("{verdict:?}");
+    };
+    assert!(targets[0].forced);
+    let verdict = chain.decide_returned(&opening(60), first, ReturnReason::NotReady, &view, now);
+    assert_eq!(verdict, RelayVerdict::Reset(ResetReason::Refused));
+}
--- a/crates/core/tests/relay/load.rs
+++ b/crates/core/tests/relay/load.rs
@@ -19,7 +19,11 @@
     let mut meter = LoadMeter::default();
     meter.answered(&packet(1, PacketKind::Accepting), now);
     assert_eq!((meter.counts(now).flows, meter.counts(now).busy), (1, 0));
+    // The request of a new flow is on its way.
+    assert_eq!(meter.pressure(now), 1);
+    assert_eq!(meter.pressure(now + Duration::from_millis(60)), 0);
     meter.delivered(&data(1), now);
+    assert_eq!(meter.pressure(now + Duration::from_millis(60)), 1);
     assert_eq!(meter.counts(now).busy, 1);
     let later = now + Duration::from_millis(30);
     assert_eq!(meter.answered(&established(1), later), None);
--- a/crates/core/tests/relay/presence.rs
+++ b/crates/core/tests/relay/presence.rs
@@ -1,7 +1,9 @@
 //! Announcements of an upstream at its agent.
 
 use crate::support::FEED;
-use quetzalhill_core::relay::intake::{decide, IntakeVerdict, ReturnReason, UpstreamState};
+use quetzalhill_core::relay::intake::{
+    decide, IntakeFacts, IntakeVerdict, ReturnReason, UpstreamState,
+};
 use quetzalhill_core::relay::packet::PacketKind;
 use quetzalhill_core::relay::presence::{
     PresenceController, PresenceOutcome, UpstreamAnnouncement,
@@ -151,7 +153,47 @@
         false => PacketKind::Established,
     };
     let expected = returned.map_or(IntakeVerdict::Deliver, IntakeVerdict::Return);
-    assert_eq!(decide(kind, state, own), expected);
+    let facts = IntakeFacts {
+        kind,
+        state,
+        own_service: own,
+        forced: false,
+        busy: 0,
+        slots: 4,
+    };
+    assert_eq!(decide(&facts), expected);
+}
+
+/// Load: a crest. Guards against new flows that queue at one upstream while others are free, against open flows that
+/// are turned away, and against a check that acts before the slots are known.
+#[parameterized(
+    free = { 11, 4, false, true, None },
+    busy = { 12, 4, false, true, Some(ReturnReason::Busy) },
+    busy_but_forced = { 12, 4, true, true, None },
+    busy_open_flow = { 12, 4, false, false, None },
+    slots_unknown = { 12, 0, false, true, None },
+)]
+fn busy_upstream(
+    busy: u32,
+    slots: u32,
+    forced: bool,
+    opening: bool,
+    returned: Option<ReturnReason>,
+) {
+    let kind = match opening {
+        true => PacketKind::Opening { copies: 0 },
+        false => PacketKind::Established,
+    };
+    let facts = IntakeFacts {
+        kind,
+        state: UpstreamState::Ready,
+        own_service: true,
+        forced,
+        busy,
+        slots,
+    };
+    let expected = returned.map_or(IntakeVerdict::Deliver, IntakeVerdict::Return);
+    assert_eq!(decide(&facts), expected);
 }
 
 /// Guards against a machine whose upstream has left and that keeps entries from ending flows, and against a refusal
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -263,7 +263,10 @@
         );
         let view = self.state.view.load();
         let now = Instant::now();
-        let verdict = self.state.chain().decide_returned(&head, life, &view, now);
+        let verdict = self
+            .state
+            .chain()
+            .decide_returned(&head, life, reason, &view, now);
         self.execute(&head, &verdict, buffer);
     }
 
@@ -298,6 +301,7 @@
     fn deliver(&self, target: &DeliverTarget, buffer: &mut [u8]) {
         let header = RelayHeader::Deliver {
             service: target.service,
+            forced: target.forced,
         };
         let Ok(start) = header.seal(buffer) else {
             return self.count_malformed("seal");
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -39,6 +39,8 @@
     Deliver {
         /// Service that must be that of the endpoint.
         service: ServiceDigest,
+        /// Whether a new flow is for the endpoint although it is busy, since others are too.
+        forced: bool,
     },
     /// From an agent: the endpoint does not hold the flow.
     Return {
@@ -62,22 +64,22 @@
 const TAG_NOT_HELD: u8 = 1;
 const TAG_NOT_READY: u8 = 2;
 const TAG_WRONG_SERVICE: u8 = 3;
+const TAG_BUSY: u8 = 4;
 
 // The visitor is written by hand, because every packet has this header and derived code would nest two enums.
 impl Serialize for RelayHeader {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let (tag, value) = match *self {
-            RelayHeader::Deliver { service } => (TAG_DELIVER, service),
+        let (tag, value, forced) = match *self {
+            RelayHeader::Deliver { service, forced } => (TAG_DELIVER, service, forced),
             RelayHeader::Return {
                 incarnation,
                 reason,
-            } => (reason_tag(reason), incarnation),
+            } => (reason_tag(reason), incarnation, false),
         };
         let mut tuple = serializer.serialize_tuple(FIELDS)?;
         tuple.serialize_element(&tag)?;
         tuple.serialize_element(&value)?;
-        // Reserved for a key number.
-        tuple.serialize_element(&0_u8)?;
+        tuple.serialize_element(&forced)?;
         tuple.end()
     }
 }
@@ -87,6 +89,7 @@
         ReturnReason::NotHeld => TAG_NOT_HELD,
         ReturnReason::NotReady => TAG_NOT_READY,
         ReturnReason::WrongService => TAG_WRONG_SERVICE,
+        ReturnReason::Busy => TAG_BUSY,
     }
 }
 
@@ -103,12 +106,18 @@
         let missing = || A::Error::custom("the relay header is too short");
         let tag: u8 = seq.next_element()?.ok_or_else(missing)?;
         let value: u64 = seq.next_element()?.ok_or_else(missing)?;
-        let _key: u8 = seq.next_element()?.ok_or_else(missing)?;
+        let forced: bool = seq.next_element()?.ok_or_else(missing)?;
         let reason = match tag {
-            TAG_DELIVER => return Ok(RelayHeader::Deliver { service: value }),
+            TAG_DELIVER => {
+                return Ok(RelayHeader::Deliver {
+                    service: value,
+                    forced,
+                })
+            }
             TAG_NOT_HELD => ReturnReason::NotHeld,
             TAG_NOT_READY => ReturnReason::NotReady,
             TAG_WRONG_SERVICE => ReturnReason::WrongService,
+            TAG_BUSY => ReturnReason::Busy,
             _ => return Err(A::Error::custom("an unknown kind of relay header")),
         };
         Ok(RelayHeader::Return {
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -26,9 +26,11 @@
         Just(ReturnReason::NotHeld),
         Just(ReturnReason::NotReady),
         Just(ReturnReason::WrongService),
+        Just(ReturnReason::Busy),
     ];
     prop_oneof![
-        any::<u64>().prop_map(|service| RelayHeader::Deliver { service }),
+        (any::<u64>(), any::<bool>())
+            .prop_map(|(service, forced)| RelayHeader::Deliver { service, forced }),
         (any::<u64>(), reason).prop_map(|(incarnation, reason)| RelayHeader::Return {
             incarnation,
             reason
