--- a/crates/core/src/relay/intake.rs
+++ b/crates/core/src/relay/intake.rs
@@ -64,9 +64,9 @@
     }
 }
 
-/// Requests in progress for each slot from which new flows are asked to go elsewhere. Behind two waiting requests a
-/// new one is answered at about four times its own service time, and the upstream rejects requests from five on.
-const BUSY_PER_SLOT: u32 = 3;
+/// Requests in progress for each slot from which new flows are asked to go elsewhere: one runs and one waits, so that
+/// a further request takes three times its own service time.
+const BUSY_PER_SLOT: u32 = 2;
 
 /// What is known of a packet when the decision is due.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/tests/relay/presence.rs
+++ b/crates/core/tests/relay/presence.rs
@@ -167,11 +167,11 @@
 /// Load: a crest. Guards against new flows that queue at one upstream while others are free, against open flows that
 /// are turned away, and against a check that acts before the slots are known.
 #[parameterized(
-    free = { 11, 4, false, true, None },
-    busy = { 12, 4, false, true, Some(ReturnReason::Busy) },
-    busy_but_forced = { 12, 4, true, true, None },
-    busy_open_flow = { 12, 4, false, false, None },
-    slots_unknown = { 12, 0, false, true, None },
+    free = { 7, 4, false, true, None },
+    busy = { 8, 4, false, true, Some(ReturnReason::Busy) },
+    busy_but_forced = { 8, 4, true, true, None },
+    busy_open_flow = { 8, 4, false, false, None },
+    slots_unknown = { 8, 0, false, true, None },
 )]
 fn busy_upstream(
     busy: u32,
