--- a/crates/standins/examples/platform.rs
+++ b/crates/standins/examples/platform.rs
@@ -1,5 +1,5 @@
 //! Plays the platform and the callers for a deployment that is started by hand: a store, a fabric for two services,
-//! four upstreams, and two requests a second. docs/operations.md uses it.
+//! four upstreams, and two requests a second. docs/OPERATIONS.md uses it.
 
 use anyhow::Result;
 use argh::FromArgs;
