Share the traffic threads and the metrics page of the relay's processes

Change: node/relay/threads, calls::answer_metrics; the test of the templates moves to platform/. No decision changes.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -9,11 +9,13 @@
 use ntex::client::Client;
 use ntex::time::{sleep, timeout, Millis};
 use ntex::SharedCfg;
-use prometheus::{Encoder, Registry, TextEncoder};
+use prometheus::Registry;
 use quetzalhill_core::ids::{id_of, IncarnationNumber};
 use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint, REPORT_INTERVAL};
 use quetzalhill_core::relay::intake::UpstreamState;
-use quetzalhill_core::relay::presence::{PresenceController, PresenceOutcome};
+use quetzalhill_core::relay::presence::{
+    PresenceController, PresenceOutcome, UpstreamAnnouncement,
+};
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_platform::announcement;
@@ -190,12 +192,8 @@
 
 /// Answers an announcement, a probe or a request for the metrics.
 fn answer(core: &RefCell<AgentControl>, registry: &Registry, call: &ArrivedCall) -> CallReply {
-    if call.method == "GET" && call.path == "/metrics" {
-        let mut text = Vec::new();
-        return match TextEncoder::new().encode(&registry.gather(), &mut text) {
-            Ok(()) => CallReply::text(200, text),
-            Err(error) => CallReply::text(500, error.to_string()),
-        };
+    if let Some(reply) = calls::answer_metrics(registry, call) {
+        return reply;
     }
     let now = Instant::now();
     match server::decode(&call.method, &call.path) {
@@ -256,11 +254,7 @@
         }
     }
 
-    fn announce(
-        &mut self,
-        announcement: quetzalhill_core::relay::presence::UpstreamAnnouncement,
-        now: Instant,
-    ) -> CallReply {
+    fn announce(&mut self, announcement: UpstreamAnnouncement, now: Instant) -> CallReply {
         let (name, sequence) = (announcement.name.clone(), announcement.sequence);
         let incarnation = announcement.incarnation;
         let outcome = self.presence.announce(announcement, now);
--- a/crates/agent/src/relay/run.rs
+++ b/crates/agent/src/relay/run.rs
@@ -4,10 +4,11 @@
 use super::counters::AgentCounters;
 use super::settings::RelaySettings;
 use super::shared::AgentState;
-use super::traffic::{AgentSockets, SocketPlan, TrafficThreads};
+use super::traffic::{self, AgentSockets, SocketPlan};
 use anyhow::Result;
 use prometheus::Registry;
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::relay::threads::TrafficThreads;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -39,7 +40,7 @@
         service: relay.service.clone(),
     })?;
     let (sender, events) = mpsc::channel(EVENTS_MAX);
-    let traffic = TrafficThreads::start(&sockets, &state, &sender)?;
+    let traffic = traffic::start(&sockets, &state, &sender)?;
     let control = control::start(ControlSetup {
         settings: settings.clone(),
         state: Arc::clone(&state),
--- a/crates/agent/src/relay/shared.rs
+++ b/crates/agent/src/relay/shared.rs
@@ -28,7 +28,7 @@
     /// What the traffic threads count.
     pub(super) counters: AgentCounters,
     /// Set when the traffic threads have to end.
-    pub(super) stop: AtomicBool,
+    pub(super) stop: Arc<AtomicBool>,
 }
 
 impl AgentState {
@@ -42,7 +42,7 @@
             }),
             meter: Mutex::default(),
             counters,
-            stop: AtomicBool::new(false),
+            stop: Arc::default(),
         })
     }
 
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -9,6 +9,7 @@
 use quetzalhill_core::relay::intake::{decide, IntakeFacts, IntakeVerdict, ReturnReason};
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::relay::threads::TrafficThreads;
 use quetzalhill_platform::packet::{self, PacketSender, UpstreamPacket};
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use quetzalhill_wire::relay::{open, RelayDatagram, RelayHeader, RelayNotice, RELAY_HEADER_MAX};
@@ -16,7 +17,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::thread::{sleep, Builder, JoinHandle};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
@@ -108,56 +109,22 @@
     Ok(socket)
 }
 
-/// The running traffic threads.
-#[derive(Debug)]
-pub(super) struct TrafficThreads {
-    state: Arc<AgentState>,
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl TrafficThreads {
-    /// Starts the threads.
-    ///
-    /// # Errors
-    ///
-    /// Names the thread that could not be started.
-    pub(super) fn start(
-        sockets: &Arc<AgentSockets>,
-        state: &Arc<AgentState>,
-        events: &mpsc::Sender<TrafficEvent>,
-    ) -> Result<Self> {
-        let mut threads = Self {
-            state: Arc::clone(state),
-            threads: Vec::new(),
-        };
-        let relay = AgentRelay::new(sockets, state, events);
-        threads.spawn("entries", move || relay.run_entries())?;
-        let relay = AgentRelay::new(sockets, state, events);
-        threads.spawn("upstream", move || relay.run_upstream())?;
-        Ok(threads)
-    }
-
-    fn spawn(&mut self, name: &str, body: impl FnOnce() + Send + 'static) -> Result<()> {
-        let thread = Builder::new().name(name.into()).spawn(body);
-        self.threads
-            .push(thread.with_context(|| format!("thread {name}"))?);
-        Ok(())
-    }
-
-    /// Ends the threads and waits for them.
-    ///
-    /// # Errors
-    ///
-    /// A thread had panicked.
-    pub(super) fn stop(self) -> Result<()> {
-        self.state.stop.store(true, Ordering::Release);
-        for thread in self.threads {
-            let name = thread.thread().name().unwrap_or_default().to_string();
-            let ended = thread.join();
-            anyhow::ensure!(ended.is_ok(), "the thread {name} panicked");
-        }
-        Ok(())
-    }
+/// Starts the threads.
+///
+/// # Errors
+///
+/// Names the thread that could not be started.
+pub(super) fn start(
+    sockets: &Arc<AgentSockets>,
+    state: &Arc<AgentState>,
+    events: &mpsc::Sender<TrafficEvent>,
+) -> Result<TrafficThreads> {
+    let mut threads = TrafficThreads::new(Arc::clone(&state.stop));
+    let relay = AgentRelay::new(sockets, state, events);
+    threads.spawn("entries", move || relay.run_entries())?;
+    let relay = AgentRelay::new(sockets, state, events);
+    threads.spawn("upstream", move || relay.run_upstream())?;
+    Ok(threads)
 }
 
 struct AgentRelay {
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -1,12 +1,12 @@
 //! The control thread of an entry of the relay: routes, endpoints, readiness.
 
-use super::counters::RelayCounters;
+use super::counters::set;
 use super::settings::RelaySettings;
 use super::shared::RelayState;
 use super::traffic::{ArrivedReport, RelaySockets, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
-use prometheus::{Encoder, Registry, TextEncoder};
-use quetzalhill_core::ids::{address_of, EndpointId};
+use prometheus::Registry;
+use quetzalhill_core::ids::{address_of, id_of, EndpointId};
 use quetzalhill_core::relay::fleet::{FleetController, ListedEndpoint, ReportOutcome};
 use quetzalhill_core::relay::routes::{RouteController, RouteOutcome};
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
@@ -185,12 +185,8 @@
 
 /// Answers a probe of the fabric or a request for the metrics.
 fn answer(core: &RefCell<RelayControl>, registry: &Registry, call: &ArrivedCall) -> CallReply {
-    if call.method == "GET" && call.path == "/metrics" {
-        let mut text = Vec::new();
-        return match TextEncoder::new().encode(&registry.gather(), &mut text) {
-            Ok(()) => CallReply::text(200, text),
-            Err(error) => CallReply::text(500, error.to_string()),
-        };
+    if let Some(reply) = calls::answer_metrics(registry, call) {
+        return reply;
     }
     match server::decode(&call.method, &call.path) {
         ServerCall::Ready => match core.borrow_mut().is_ready(Instant::now()) {
@@ -252,10 +248,6 @@
         }
     }
 
-    fn counters(&self) -> &RelayCounters {
-        &self.state.counters
-    }
-
     fn follow_routes(&mut self, event: FollowEvent) {
         let before = self.routes_range;
         match event {
@@ -309,8 +301,7 @@
                 ("store_revision", &entry.mod_revision),
             ],
         );
-        let gauge = i64::try_from(revision).unwrap_or(i64::MAX);
-        self.counters().revision.set(gauge);
+        set(&self.state.counters.revision, revision);
         self.publish(Instant::now());
     }
 
@@ -386,7 +377,7 @@
     }
 
     fn take_report(&mut self, arrived: ArrivedReport, now: Instant) {
-        let id = quetzalhill_core::ids::id_of(arrived.agent);
+        let id = id_of(arrived.agent);
         let report = arrived.notice.report(id, now);
         let (state, incarnation) = (report.state, report.endpoint.incarnation);
         let (order, stopping) = (report.order, report.stopping);
@@ -483,9 +474,8 @@
     }
 
     fn update_metrics(&self) {
-        let counters = self.counters();
-        let flows = self.state.chain().flows();
-        counters.flows.set(i64::try_from(flows).unwrap_or(i64::MAX));
+        let counters = &self.state.counters;
+        set(&counters.flows, self.state.chain().flows());
         let view = self.state.view.load();
         for (status, name) in [
             (EndpointStatus::Ready, "ready"),
@@ -498,13 +488,11 @@
             let count = endpoints
                 .filter(|endpoint| endpoint.status == status)
                 .count();
-            let gauge = i64::try_from(count).unwrap_or(i64::MAX);
-            counters.endpoints.with_label_values(&[name]).set(gauge);
+            set(&counters.endpoints.with_label_values(&[name]), count);
         }
         let calls = self.store.counts();
         for (kind, count) in [("read", calls.reads), ("write", calls.writes)] {
-            let gauge = i64::try_from(count).unwrap_or(i64::MAX);
-            counters.store_calls.with_label_values(&[kind]).set(gauge);
+            set(&counters.store_calls.with_label_values(&[kind]), count);
         }
     }
 }
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -93,6 +93,11 @@
     }
 }
 
+/// Sets a gauge to a count; one beyond its range shows as the largest value.
+pub(super) fn set(gauge: &IntGauge, count: impl TryInto<i64>) {
+    gauge.set(count.try_into().unwrap_or(i64::MAX));
+}
+
 /// Returns the name of a verdict in logs and metrics.
 pub(super) fn verdict_name(verdict: &RelayVerdict) -> &'static str {
     match verdict {
--- a/crates/entry/src/relay/run.rs
+++ b/crates/entry/src/relay/run.rs
@@ -4,10 +4,11 @@
 use super::counters::RelayCounters;
 use super::settings::RelaySettings;
 use super::shared::RelayState;
-use super::traffic::{RelaySockets, TrafficThreads};
+use super::traffic::{self, RelaySockets};
 use anyhow::Result;
 use prometheus::Registry;
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::relay::threads::TrafficThreads;
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -36,7 +37,7 @@
     let relay = &settings.relay;
     let sockets = RelaySockets::bind(relay.packets, relay.agents)?;
     let (sender, events) = mpsc::channel(EVENTS_MAX);
-    let traffic = TrafficThreads::start(&sockets, &state, sender)?;
+    let traffic = traffic::start(&sockets, &state, &sender)?;
     let control = control::start(ControlSetup {
         settings: settings.clone(),
         state: Arc::clone(&state),
--- a/crates/entry/src/relay/shared.rs
+++ b/crates/entry/src/relay/shared.rs
@@ -19,7 +19,7 @@
     /// What the traffic threads count.
     pub(super) counters: RelayCounters,
     /// Set when the traffic threads have to end.
-    pub(super) stop: AtomicBool,
+    pub(super) stop: Arc<AtomicBool>,
 }
 
 impl RelayState {
@@ -30,7 +30,7 @@
             chain: Mutex::new(RelayChain::new(now)),
             hold: Mutex::default(),
             counters,
-            stop: AtomicBool::new(false),
+            stop: Arc::default(),
         })
     }
 
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -6,13 +6,14 @@
 use super::counters::verdict_name;
 use super::shared::RelayState;
 use crate::traffic::{bind, expect_v4, is_idle, ERROR_PAUSE};
-use anyhow::{Context, Result};
+use anyhow::Result;
 use quetzalhill_core::ids::{address_of, id_of};
 use quetzalhill_core::relay::chain::{DeliverReason, DeliverTarget, RelayDrop, RelayVerdict};
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_core::relay::place::EndpointLife;
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::relay::threads::TrafficThreads;
 use quetzalhill_platform::packet::{self, PacketSender};
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use quetzalhill_wire::relay::{
@@ -22,7 +23,7 @@
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::thread::{sleep, Builder, JoinHandle};
+use std::thread::sleep;
 use std::time::Instant;
 use tokio::sync::mpsc;
 
@@ -42,13 +43,6 @@
     Doubt,
 }
 
-/// The running traffic threads.
-#[derive(Debug)]
-pub(super) struct TrafficThreads {
-    state: Arc<RelayState>,
-    threads: Vec<JoinHandle<()>>,
-}
-
 /// The sockets of an entry.
 #[derive(Debug)]
 pub(super) struct RelaySockets {
@@ -82,49 +76,22 @@
     }
 }
 
-impl TrafficThreads {
-    /// Starts the threads.
-    ///
-    /// # Errors
-    ///
-    /// Names the thread that could not be started.
-    pub(super) fn start(
-        sockets: &Arc<RelaySockets>,
-        state: &Arc<RelayState>,
-        events: mpsc::Sender<TrafficEvent>,
-    ) -> Result<Self> {
-        let mut threads = Self {
-            state: Arc::clone(state),
-            threads: Vec::new(),
-        };
-        let relay = PacketRelay::new(sockets, state, &events);
-        threads.spawn("callers", move || relay.run_callers())?;
-        let relay = PacketRelay::new(sockets, state, &events);
-        threads.spawn("agents", move || relay.run_agents())?;
-        Ok(threads)
-    }
-
-    fn spawn(&mut self, name: &str, body: impl FnOnce() + Send + 'static) -> Result<()> {
-        let thread = Builder::new().name(name.into()).spawn(body);
-        self.threads
-            .push(thread.with_context(|| format!("thread {name}"))?);
-        Ok(())
-    }
-
-    /// Ends the threads and waits for them.
-    ///
-    /// # Errors
-    ///
-    /// A thread had panicked.
-    pub(super) fn stop(self) -> Result<()> {
-        self.state.stop.store(true, Ordering::Release);
-        for thread in self.threads {
-            let name = thread.thread().name().unwrap_or_default().to_string();
-            let ended = thread.join();
-            anyhow::ensure!(ended.is_ok(), "the thread {name} panicked");
-        }
-        Ok(())
-    }
+/// Starts the threads.
+///
+/// # Errors
+///
+/// Names the thread that could not be started.
+pub(super) fn start(
+    sockets: &Arc<RelaySockets>,
+    state: &Arc<RelayState>,
+    events: &mpsc::Sender<TrafficEvent>,
+) -> Result<TrafficThreads> {
+    let mut threads = TrafficThreads::new(Arc::clone(&state.stop));
+    let relay = PacketRelay::new(sockets, state, events);
+    threads.spawn("callers", move || relay.run_callers())?;
+    let relay = PacketRelay::new(sockets, state, events);
+    threads.spawn("agents", move || relay.run_agents())?;
+    Ok(threads)
 }
 
 /// Executes verdicts.
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -7,6 +7,7 @@
 use ntex::time::{sleep, Millis};
 use ntex::util::BytesMut;
 use ntex::{ServiceFactory, SharedCfg};
+use prometheus::{Encoder, Registry, TextEncoder};
 use std::cell::Cell;
 use std::io;
 use std::net::TcpListener;
@@ -63,6 +64,19 @@
     }
 }
 
+/// Answers a request for the metrics, or returns nothing if the call asks for something else.
+pub fn answer_metrics(registry: &Registry, call: &ArrivedCall) -> Option<CallReply> {
+    if call.method != "GET" || call.path != "/metrics" {
+        return None;
+    }
+    let mut text = Vec::new();
+    let reply = match TextEncoder::new().encode(&registry.gather(), &mut text) {
+        Ok(()) => CallReply::text(200, text),
+        Err(error) => CallReply::text(500, error.to_string()),
+    };
+    Some(reply)
+}
+
 /// Answers calls; runs on the control thread.
 pub type CallHandler = Rc<dyn Fn(ArrivedCall) -> CallReply>;
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,3 +3,4 @@
 pub mod follow;
 pub mod settings;
 pub mod signals;
+pub mod threads;
--- /dev/null
+++ b/crates/node/src/relay/threads.rs
@@ -0,0 +1,50 @@
+//! Traffic threads of a relay process.
+
+use anyhow::{Context, Result};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{Builder, JoinHandle};
+
+/// Threads that run until a flag is set.
+#[derive(Debug)]
+pub struct TrafficThreads {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl TrafficThreads {
+    /// Makes a set without threads; `stop` is what its threads look at.
+    pub fn new(stop: Arc<AtomicBool>) -> Self {
+        Self {
+            stop,
+            threads: Vec::new(),
+        }
+    }
+
+    /// Starts a thread.
+    ///
+    /// # Errors
+    ///
+    /// Names the thread that could not be started.
+    pub fn spawn(&mut self, name: &str, body: impl FnOnce() + Send + 'static) -> Result<()> {
+        let thread = Builder::new().name(name.into()).spawn(body);
+        self.threads
+            .push(thread.with_context(|| format!("thread {name}"))?);
+        Ok(())
+    }
+
+    /// Ends the threads and waits for them.
+    ///
+    /// # Errors
+    ///
+    /// A thread had panicked.
+    pub fn stop(self) -> Result<()> {
+        self.stop.store(true, Ordering::Release);
+        for thread in self.threads {
+            let name = thread.thread().name().unwrap_or_default().to_string();
+            let ended = thread.join();
+            anyhow::ensure!(ended.is_ok(), "the thread {name} panicked");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/templates.rs
@@ -0,0 +1,38 @@
+//! The deploy templates against the settings of the programs.
+
+/// Guards against a deploy template that the programs refuse at their start.
+#[test]
+fn templates_are_valid_settings() {
+    let entry = fill(include_str!("../../../deploy/entry.toml.template"));
+    let entry: quetzalhill::relay::settings::RelaySettings = toml::from_str(&entry).expect("entry");
+    quetzalhill::relay::settings::check(&entry).expect("entry");
+    let agent = fill(include_str!("../../../deploy/agent.toml.template"));
+    let agent: quetzalhill_agent::relay::settings::RelaySettings =
+        toml::from_str(&agent).expect("agent");
+    quetzalhill_agent::relay::settings::check(&agent).expect("agent");
+    assert_eq!(agent.relay.entry_port, entry.relay.agents.port());
+}
+
+/// Fills a template as the platform does, with ports for whatever has a port.
+fn fill(template: &str) -> String {
+    let mut text = template.to_string();
+    for (name, value) in [
+        ("nodeName", "edge-a-1"),
+        ("zone", "a"),
+        ("ip", "127.0.0.1"),
+        ("portRange.0", "7720"),
+        ("portRange.1", "7721"),
+        ("platform.address", "127.0.0.1:8169"),
+        ("listen.datagramAddr", "127.0.0.1:8172"),
+        ("listen.ready", "127.0.0.1:8167"),
+        ("listen.control", "127.0.0.1:8166"),
+        ("listen.outbound", "127.0.0.1:8162"),
+        ("service", "feed"),
+        ("app", "127.0.0.1:8165"),
+        ("heartbeatMs", "770"),
+    ] {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    assert!(!text.contains("{{"), "{text}");
+    text
+}
