Read the list once more before a flow is ended

The list of endpoints counted as current from the start of a poll, although the store had not answered it, and an endpoint that was listed meanwhile was missing. An entry also reset open flows on a route that it had not heard of yet.

Change: a flow that every known endpoint has returned waits for a read of the list that begins after the doubt arose, and an open flow without a route waits for a read of the routes. The packet stays in the hold queue meanwhile. The events that marked the list as late during a pause are gone.

Tests: flow_of_an_endpoint_that_the_list_misses_is_not_reset and open_flow_on_an_unknown_route_is_not_reset_by_old_routes; the chain reset both flows before.

Reads of the list after a loss of power cost up to five calls a second for each entry.

--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::{EndpointId, ServiceDigest, ServiceName};
 use crate::relay::flows::{FlowRecord, FlowTable};
+use crate::relay::hold::HoldReason;
 use crate::relay::intake::ReturnReason;
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use crate::relay::place::{self, EndpointLife};
@@ -94,8 +95,8 @@
     },
     /// Tell the caller that there is no flow.
     Reset(ResetReason),
-    /// Decide again when the entry has loaded its view.
-    Hold,
+    /// Decide again when the reason has passed.
+    Hold(HoldReason),
     /// Do nothing.
     Drop(RelayDrop),
 }
@@ -160,11 +161,13 @@
         for filter in CHAIN {
             let verdict = match filter {
                 RelayFilter::Kind => check_kind(head),
-                RelayFilter::Loaded => (!view.loaded).then_some(RelayVerdict::Hold),
-                RelayFilter::Route => check_route(head, view),
+                RelayFilter::Loaded => {
+                    (!view.loaded).then_some(RelayVerdict::Hold(HoldReason::Load))
+                }
+                RelayFilter::Route => self.check_route(head, view, now),
                 RelayFilter::Memory => self.check_memory(head, view, now),
                 RelayFilter::Place => self.place(head, view, now),
-                RelayFilter::Find => self.find(head, view),
+                RelayFilter::Find => self.find(head, view, now),
             };
             if let Some(verdict) = verdict {
                 return verdict;
@@ -182,7 +185,8 @@
         view: &RelayView,
         now: Instant,
     ) -> RelayVerdict {
-        if let Some(verdict) = check_kind(head).or_else(|| check_route(head, view)) {
+        let verdict = check_kind(head).or_else(|| self.check_route(head, view, now));
+        if let Some(verdict) = verdict {
             return verdict;
         }
         let opening = matches!(head.kind, PacketKind::Opening { .. });
@@ -212,10 +216,34 @@
         }
         let verdict = self.place(head, view, now);
         let verdict = verdict.or_else(|| self.check_memory(head, view, now));
-        let verdict = verdict.or_else(|| self.find(head, view));
+        let verdict = verdict.or_else(|| self.find(head, view, now));
         verdict.unwrap_or(RelayVerdict::Drop(RelayDrop::NoHolder))
     }
 
+    /// Ends flows to addresses that have no route. A caller may use a route that this entry has not heard of yet, so that
+    /// an open flow is ended only by routes which are read after its packet arrived.
+    fn check_route(
+        &mut self,
+        head: &PacketHead,
+        view: &RelayView,
+        now: Instant,
+    ) -> Option<RelayVerdict> {
+        if view.routes.targets(head.flow.service).is_some() {
+            return None;
+        }
+        if !view.synced {
+            return Some(RelayVerdict::Drop(RelayDrop::NoRoute));
+        }
+        if let PacketKind::Opening { .. } = head.kind {
+            return Some(RelayVerdict::Reset(ResetReason::NoRoute));
+        }
+        let doubted = *self.flows.record(head.flow).doubted.get_or_insert(now);
+        if view.routes_confirmed < Some(doubted) {
+            return Some(RelayVerdict::Hold(HoldReason::Routes(doubted)));
+        }
+        Some(RelayVerdict::Reset(ResetReason::NoRoute))
+    }
+
     /// Uses what the entry remembers of the flow.
     fn check_memory(
         &mut self,
@@ -302,7 +330,7 @@
     }
 
     /// Chooses the next endpoints to ask for a flow that the entry does not know.
-    fn find(&mut self, head: &PacketHead, view: &RelayView) -> Option<RelayVerdict> {
+    fn find(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> Option<RelayVerdict> {
         let record = self.flows.record(head.flow);
         let mut targets = DeliverList::new();
         let mut silent = DeliverList::new();
@@ -350,6 +378,11 @@
         if !complete {
             return None;
         }
+        // Its endpoint was listed before it took the flow, so that a list read after this moment names it.
+        let doubted = *record.doubted.get_or_insert(now);
+        if view.confirmed < Some(doubted) {
+            return Some(RelayVerdict::Hold(HoldReason::Confirmation(doubted)));
+        }
         record.ended = true;
         Some(RelayVerdict::Reset(ResetReason::Ended))
     }
@@ -380,16 +413,6 @@
     }
 }
 
-fn check_route(head: &PacketHead, view: &RelayView) -> Option<RelayVerdict> {
-    if view.routes.targets(head.flow.service).is_some() {
-        return None;
-    }
-    if !view.synced {
-        return Some(RelayVerdict::Drop(RelayDrop::NoRoute));
-    }
-    Some(RelayVerdict::Reset(ResetReason::NoRoute))
-}
-
 /// Starts a record anew for a first packet, and suspects the endpoint that left an earlier copy unanswered.
 fn note_copy(
     record: &mut FlowRecord,
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -30,6 +30,8 @@
     pub forced: bool,
     /// Whether only first packets of the flow have been seen.
     pub opening: bool,
+    /// Since when every known endpoint has returned packets of the flow.
+    pub doubted: Option<Instant>,
     /// Whether the flow is known to have ended.
     pub ended: bool,
 }
--- a/crates/core/src/relay/hold.rs
+++ b/crates/core/src/relay/hold.rs
@@ -1,10 +1,10 @@
-//! Packets that wait while an entry that has just started loads its view.
+//! Packets that wait while an entry loads its view, or reads the list of endpoints again before it ends a flow.
 //!
-//! The load meant is that of all callers returning at once after a loss of power: their first packets arrive while
-//! entries start, and a packet that is dropped is repeated only after some hundred milliseconds, if at all. An entry
-//! is loaded within a tenth of a second, so that the wait is short and bounded.
+//! The load meant is that of all callers returning at once after a loss of power: their packets arrive while entries
+//! start, and a packet that is dropped is repeated only after some hundred milliseconds, if at all. An entry is loaded
+//! within a tenth of a second and reads the list within some milliseconds, so that the wait is short and bounded.
 
-use std::collections::VecDeque;
+use crate::relay::view::RelayView;
 use std::time::{Duration, Instant};
 
 /// Longest wait of a packet; a caller repeats a first packet after 200 ms and again after 400 ms.
@@ -13,26 +13,49 @@
 /// Packets that wait; 600 KB at most.
 const PACKETS_MAX: usize = 512;
 
+/// What a packet waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HoldReason {
+    /// The entry has just started.
+    Load,
+    /// No known endpoint holds the flow of the packet, and the list has to be read once more from this moment on.
+    Confirmation(Instant),
+    /// No route leads to the address of an open flow, and the routes have to be read once more from this moment on.
+    Routes(Instant),
+}
+
+impl HoldReason {
+    fn is_over(self, view: &RelayView) -> bool {
+        match self {
+            HoldReason::Load => view.loaded,
+            HoldReason::Confirmation(doubted) => view.confirmed >= Some(doubted),
+            HoldReason::Routes(doubted) => view.routes_confirmed >= Some(doubted),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct HeldPacket {
     bytes: Vec<u8>,
+    reason: HoldReason,
     expires: Instant,
 }
 
 /// Packets in the order of their arrival.
 #[derive(Debug, Default)]
 pub struct HoldQueue {
-    packets: VecDeque<HeldPacket>,
+    packets: Vec<HeldPacket>,
 }
 
 impl HoldQueue {
     /// Keeps a packet, or returns false if there is no room.
-    pub fn push(&mut self, packet: &[u8], now: Instant) -> bool {
+    pub fn push(&mut self, packet: &[u8], reason: HoldReason, now: Instant) -> bool {
         if self.packets.len() >= PACKETS_MAX {
             return false;
         }
-        self.packets.push_back(HeldPacket {
+        self.packets.push(HeldPacket {
             bytes: packet.to_vec(),
+            reason,
             expires: now + HOLD_TIME,
         });
         true
@@ -43,10 +66,18 @@
         self.packets.is_empty()
     }
 
-    /// Returns the packets that have not waited for too long, and empties the queue.
-    pub fn take(&mut self, now: Instant) -> Vec<Vec<u8>> {
-        let packets = std::mem::take(&mut self.packets);
-        let live = packets.into_iter().filter(|packet| now < packet.expires);
-        live.map(|packet| packet.bytes).collect()
+    /// Removes and returns the packets whose wait `view` ends, and forgets those that have waited for too long.
+    pub fn take(&mut self, view: &RelayView, now: Instant) -> Vec<Vec<u8>> {
+        let mut ready = Vec::new();
+        for packet in std::mem::take(&mut self.packets) {
+            if now >= packet.expires {
+                continue;
+            }
+            match packet.reason.is_over(view) {
+                true => ready.push(packet.bytes),
+                false => self.packets.push(packet),
+            }
+        }
+        ready
     }
 }
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -65,6 +65,11 @@
     pub services: HashMap<ServiceName, ServiceView>,
     /// Whether routes and endpoints come from a store that answers.
     pub synced: bool,
+    /// When the read of the routes began that are in force, as `confirmed` says for the list.
+    pub routes_confirmed: Option<Instant>,
+    /// When the read of the list began that the endpoints come from. The list may have changed since, so that only a
+    /// flow which was missing before is known to be missing.
+    pub confirmed: Option<Instant>,
     /// Whether the entry has loaded its routes and heard of its endpoints.
     pub loaded: bool,
 }
--- a/crates/core/tests/relay/hold.rs
+++ b/crates/core/tests/relay/hold.rs
@@ -1,8 +1,11 @@
-//! Packets that wait while an entry loads.
+//! Packets that wait while an entry loads, or reads the list again.
 
 use crate::support::*;
-use quetzalhill_core::relay::chain::{RelayChain, RelayVerdict};
-use quetzalhill_core::relay::hold::HoldQueue;
+use quetzalhill_core::relay::chain::{RelayChain, RelayVerdict, ResetReason};
+use quetzalhill_core::relay::hold::{HoldQueue, HoldReason};
+use quetzalhill_core::relay::intake::ReturnReason;
+use quetzalhill_core::relay::packet::PacketHead;
+use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
 use std::time::{Duration, Instant};
 
 /// Load: all callers return while entries start. Guards against first packets that are dropped, or that all go to the
@@ -14,7 +17,8 @@
     let now = Instant::now();
     let mut chain = RelayChain::new(now);
     for head in [opening(1), established(2)] {
-        assert_eq!(chain.decide(&head, &view, now), RelayVerdict::Hold);
+        let held = RelayVerdict::Hold(HoldReason::Load);
+        assert_eq!(chain.decide(&head, &view, now), held);
     }
     view.loaded = true;
     delivered(&chain.decide(&opening(1), &view, now));
@@ -24,12 +28,109 @@
 #[test]
 fn queue_is_bounded_in_time_and_length() {
     let now = Instant::now();
+    let view = view();
     let mut queue = HoldQueue::default();
-    assert!(queue.push(b"late", now));
+    assert!(queue.push(b"late", HoldReason::Load, now));
     let later = now + Duration::from_millis(300);
-    assert!(queue.push(b"fresh", later));
-    assert_eq!(queue.take(now + Duration::from_millis(400)), [b"fresh"]);
+    assert!(queue.push(b"fresh", HoldReason::Load, later));
+    let taken = queue.take(&view, now + Duration::from_millis(400));
+    assert_eq!(taken, [b"fresh"]);
     assert!(queue.is_empty());
-    let kept = (0..10_000).filter(|_| queue.push(b"many", now)).count();
+    let kept = (0..10_000).filter(|_| queue.push(b"many", HoldReason::Load, now));
+    let kept = kept.count();
     assert!(kept < 1_000, "{kept} packets");
 }
+
+/// Guards against a packet that is released by a list which was read before the doubt about its flow arose.
+#[test]
+fn packet_in_doubt_waits_for_a_list_that_was_read_later() {
+    let now = Instant::now();
+    let mut view = view();
+    view.confirmed = Some(now - Duration::from_millis(1));
+    let mut queue = HoldQueue::default();
+    assert!(queue.push(b"doubted", HoldReason::Confirmation(now), now));
+    assert!(queue.take(&view, now).is_empty());
+    assert!(!queue.is_empty());
+    view.confirmed = Some(now);
+    assert_eq!(queue.take(&view, now), [b"doubted"]);
+}
+
+/// Lets every endpoint of `view` return `head` and returns the last verdict.
+fn exhaust(
+    chain: &mut RelayChain,
+    head: &PacketHead,
+    view: &RelayView,
+    now: Instant,
+) -> RelayVerdict {
+    let mut verdict = chain.decide(head, view, now);
+    while let RelayVerdict::Deliver { targets, .. } = verdict.clone() {
+        for target in targets {
+            let reason = ReturnReason::NotHeld;
+            verdict = chain.decide_returned(head, target.endpoint, reason, view, now);
+        }
+    }
+    verdict
+}
+
+/// Guards against the reset of an open flow whose endpoint was listed after this entry had last read the list, as on
+/// hunt-e037-3 (docs/incidents/hunt-e037-3.md).
+#[test]
+fn flow_of_an_endpoint_that_the_list_misses_is_not_reset() {
+    let now = Instant::now();
+    let mut behind = view();
+    behind.confirmed = Some(now - Duration::from_millis(900));
+    let mut chain = RelayChain::new(now);
+    let verdict = exhaust(&mut chain, &established(1), &behind, now);
+    let held = RelayVerdict::Hold(HoldReason::Confirmation(now));
+    assert_eq!(verdict, held);
+    // The list that is read next names the endpoint, whose agent has not reported yet.
+    let later = now + Duration::from_millis(5);
+    let mut current = view();
+    current.confirmed = Some(later);
+    let service = current.services.get_mut(FEED).expect("feed");
+    let mut joined = endpoint(8);
+    joined.status = EndpointStatus::Silent;
+    service.endpoints.push(joined);
+    service.complete = false;
+    assert_eq!(
+        delivered(&chain.decide(&established(1), &current, later)),
+        life(8)
+    );
+}
+
+/// Guards against callers that wait for a flow which is known to have ended: one later read of the list is enough.
+#[test]
+fn flow_is_reset_once_the_list_is_confirmed() {
+    let now = Instant::now();
+    let mut view = view();
+    view.confirmed = None;
+    let mut chain = RelayChain::new(now);
+    let held = RelayVerdict::Hold(HoldReason::Confirmation(now));
+    assert_eq!(exhaust(&mut chain, &established(2), &view, now), held);
+    view.confirmed = Some(now + Duration::from_millis(5));
+    let later = now + Duration::from_millis(9);
+    let reset = RelayVerdict::Reset(ResetReason::Ended);
+    assert_eq!(chain.decide(&established(2), &view, later), reset);
+}
+
+/// Guards against the reset of an open flow on a route that this entry has not heard of yet: the flow was opened
+/// through an entry that had.
+#[test]
+fn open_flow_on_an_unknown_route_is_not_reset_by_old_routes() {
+    let now = Instant::now();
+    let mut behind = view();
+    behind.routes.by_address.clear();
+    behind.routes_confirmed = Some(now - Duration::from_millis(300));
+    let mut chain = RelayChain::new(now);
+    let held = RelayVerdict::Hold(HoldReason::Routes(now));
+    assert_eq!(chain.decide(&established(3), &behind, now), held);
+    // A new flow has nothing to lose, and its caller tries again.
+    let refused = RelayVerdict::Reset(ResetReason::NoRoute);
+    assert_eq!(chain.decide(&opening(4), &behind, now), refused);
+    let later = now + Duration::from_millis(5);
+    let RelayVerdict::Deliver { .. } = chain.decide(&established(3), &view(), later) else {
+        panic!("the flow is not searched for");
+    };
+    behind.routes_confirmed = Some(later);
+    assert_eq!(chain.decide(&established(3), &behind, later), refused);
+}
--- a/crates/core/tests/relay/support.rs
+++ b/crates/core/tests/relay/support.rs
@@ -7,7 +7,7 @@
 use quetzalhill_core::relay::routes::{RouteSet, RouteTarget, TargetList};
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView, ServiceView, ViewEndpoint};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub(crate) const FEED: &str = "feed";
 pub(crate) const BATCH: &str = "batch";
@@ -107,6 +107,8 @@
         .into(),
         attributed: true,
         synced: true,
+        routes_confirmed: Some(Instant::now() + Duration::from_secs(60)),
+        confirmed: Some(Instant::now() + Duration::from_secs(60)),
         loaded: true,
         ..RelayView::default()
     }
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -12,7 +12,7 @@
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::relay::follow::{follow, FollowEvent, FollowPlan};
+use quetzalhill_node::relay::follow::{confirm, follow, FollowEvent, FollowPlan};
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
 use quetzalhill_platform::manifest::{self, MANIFEST_KEY};
 use quetzalhill_platform::server::{self, ServerCall};
@@ -135,31 +135,34 @@
         let handler = Rc::new(move |call| answer(&core, &registry, &call));
         ntex::rt::spawn(calls::serve(listener, handler)).detach();
     }
-    let follower = core.clone();
-    let hurry = core.borrow().hurry.clone();
+    let (routes_doubts, list_doubts) = {
+        let core = core.borrow();
+        (core.routes_doubts.clone(), core.list_doubts.clone())
+    };
     let plan = FollowPlan {
         name: "routes",
         range: KeyRange::Key(MANIFEST_KEY.into()),
         pause: ROUTES_PAUSE,
-        hurry: Rc::default(),
     };
-    let routes = follow(store.clone(), plan, move |event| {
-        follower.borrow_mut().follow_routes(event);
-    });
-    ntex::rt::spawn(routes).detach();
-    let follower = core.clone();
+    follow_range(
+        &core,
+        &store,
+        plan,
+        routes_doubts,
+        RelayControl::follow_routes,
+    );
     let plan = FollowPlan {
         name: "endpoints",
         range: KeyRange::Prefix(ENDPOINT_PREFIX.into()),
         pause: ENDPOINTS_PAUSE,
-        hurry,
     };
-    let endpoints = follow(store, plan, move |event| {
-        follower
-            .borrow_mut()
-            .follow_endpoints(event, Instant::now());
-    });
-    ntex::rt::spawn(endpoints).detach();
+    follow_range(
+        &core,
+        &store,
+        plan,
+        list_doubts,
+        RelayControl::follow_endpoints,
+    );
     let mut events = setup.events;
     loop {
         let tick = core.borrow().ticks;
@@ -175,7 +178,8 @@
                 Ok(Some(TrafficEvent::Report(report))) => {
                     core.borrow_mut().take_report(report, Instant::now());
                 }
-                Ok(Some(TrafficEvent::Doubt)) => core.borrow().hurry.notify_waiters(),
+                Ok(Some(TrafficEvent::ListDoubt)) => core.borrow().list_doubts.notify_one(),
+                Ok(Some(TrafficEvent::RoutesDoubt)) => core.borrow().routes_doubts.notify_one(),
                 Ok(None) => return Ok(()),
                 Err(_) => core.borrow_mut().tick(Instant::now()),
             },
@@ -183,6 +187,27 @@
     }
 }
 
+/// Follows a range of the store, and reads it once more whenever `doubts` is notified.
+fn follow_range(
+    core: &Rc<RefCell<RelayControl>>,
+    store: &PolledStore<PlatformCodec>,
+    plan: FollowPlan,
+    doubts: Rc<Notify>,
+    sink: fn(&mut RelayControl, FollowEvent, Instant),
+) {
+    let range = plan.range.clone();
+    let follower = core.clone();
+    let follows = follow(store.clone(), plan, move |event| {
+        sink(&mut follower.borrow_mut(), event, Instant::now());
+    });
+    ntex::rt::spawn(follows).detach();
+    let confirmer = core.clone();
+    let confirms = confirm(store.clone(), range, doubts, move |event| {
+        sink(&mut confirmer.borrow_mut(), event, Instant::now());
+    });
+    ntex::rt::spawn(confirms).detach();
+}
+
 /// Answers a probe of the fabric or a request for the metrics.
 fn answer(core: &RefCell<RelayControl>, registry: &Registry, call: &ArrivedCall) -> CallReply {
     if let Some(reply) = calls::answer_metrics(registry, call) {
@@ -202,6 +227,19 @@
 struct RangeState {
     loaded: bool,
     current: bool,
+    /// When the last read of the whole range began.
+    confirmed: Option<Instant>,
+}
+
+impl RangeState {
+    /// Returns the state after a read of the whole range that began at `read`.
+    fn loaded(read: Instant) -> Self {
+        Self {
+            loaded: true,
+            current: true,
+            confirmed: Some(read),
+        }
+    }
 }
 
 /// State of the control thread.
@@ -217,8 +255,10 @@
     listed: HashMap<String, EndpointId>,
     hellos: HashMap<EndpointId, Instant>,
     settles: Option<Instant>,
-    /// Makes the follower of the endpoints poll at once.
-    hurry: Rc<Notify>,
+    /// Asks for another read of the list of endpoints.
+    list_doubts: Rc<Notify>,
+    /// Asks for another read of the routes.
+    routes_doubts: Rc<Notify>,
     ticks: Instant,
     published: Instant,
     stopping: bool,
@@ -239,7 +279,8 @@
             listed: HashMap::new(),
             hellos: HashMap::new(),
             settles: None,
-            hurry: Rc::default(),
+            list_doubts: Rc::default(),
+            routes_doubts: Rc::default(),
             ticks: now + TICK_INTERVAL,
             published: now,
             stopping: false,
@@ -248,14 +289,11 @@
         }
     }
 
-    fn follow_routes(&mut self, event: FollowEvent) {
+    fn follow_routes(&mut self, event: FollowEvent, now: Instant) {
         let before = self.routes_range;
         match event {
-            FollowEvent::Loaded(entries) => {
-                self.routes_range = RangeState {
-                    loaded: true,
-                    current: true,
-                };
+            FollowEvent::Loaded { entries, read } => {
+                self.routes_range = RangeState::loaded(read);
                 for entry in entries {
                     self.take_routes(&entry);
                 }
@@ -270,11 +308,10 @@
                 }
             }
             FollowEvent::Failed => self.routes_range.current = false,
-            // The routes may be late by the pause; a flow is not ended for that.
-            FollowEvent::Pausing | FollowEvent::Polling => {}
+            FollowEvent::Unconfirmed => {}
         }
         if before != self.routes_range {
-            self.publish(Instant::now());
+            self.publish(now);
         }
     }
 
@@ -307,25 +344,22 @@
 
     fn follow_endpoints(&mut self, event: FollowEvent, now: Instant) {
         match event {
-            FollowEvent::Loaded(entries) => self.load_endpoints(entries, now),
+            FollowEvent::Loaded { entries, read } => self.load_endpoints(entries, read, now),
             FollowEvent::Changed(events) => {
                 self.endpoints_range.current = true;
                 for event in events {
                     self.change_endpoint(event, now);
                 }
             }
-            FollowEvent::Failed | FollowEvent::Pausing => self.endpoints_range.current = false,
-            FollowEvent::Polling => self.endpoints_range.current = true,
+            FollowEvent::Failed => self.endpoints_range.current = false,
+            FollowEvent::Unconfirmed => return,
         }
         self.greet(now);
         self.publish(now);
     }
 
-    fn load_endpoints(&mut self, entries: Vec<KeyValue>, now: Instant) {
-        self.endpoints_range = RangeState {
-            loaded: true,
-            current: true,
-        };
+    fn load_endpoints(&mut self, entries: Vec<KeyValue>, read: Instant, now: Instant) {
+        self.endpoints_range = RangeState::loaded(read);
         self.settles = self.settles.or(Some(now + SETTLE_TIME));
         self.listed.clear();
         let mut endpoints = Vec::new();
@@ -433,6 +467,8 @@
             attributed: self.fleet.is_attributed(),
             services: self.fleet.services(now),
             synced: self.routes_range.current && self.endpoints_range.current,
+            routes_confirmed: self.routes_range.confirmed,
+            confirmed: self.endpoints_range.confirmed,
             loaded: self.is_loaded(now),
         };
         self.state.view.store(Arc::new(view));
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -2,6 +2,7 @@
 
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, Result};
 use quetzalhill_core::relay::chain::{DeliverReason, RelayDrop, RelayVerdict, ResetReason};
+use quetzalhill_core::relay::hold::HoldReason;
 
 /// Upper bounds of the histogram of decisions, in seconds.
 const DECISION_BUCKETS: [f64; 8] = [
@@ -111,7 +112,9 @@
             ResetReason::Refused => "reset-refused",
             ResetReason::Ended => "reset-ended",
         },
-        RelayVerdict::Hold => "hold",
+        RelayVerdict::Hold(HoldReason::Load) => "hold-load",
+        RelayVerdict::Hold(HoldReason::Confirmation(_)) => "hold-confirmation",
+        RelayVerdict::Hold(HoldReason::Routes(_)) => "hold-routes",
         RelayVerdict::Drop(reason) => match reason {
             RelayDrop::Unexpected => "drop-unexpected",
             RelayDrop::NoRoute => "drop-no-route",
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -9,6 +9,7 @@
 use anyhow::Result;
 use quetzalhill_core::ids::{address_of, id_of};
 use quetzalhill_core::relay::chain::{DeliverReason, DeliverTarget, RelayDrop, RelayVerdict};
+use quetzalhill_core::relay::hold::HoldReason;
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_core::relay::place::EndpointLife;
@@ -39,8 +40,10 @@
 pub(super) enum TrafficEvent {
     /// An agent reports.
     Report(ArrivedReport),
-    /// A flow could not be found, and the list of endpoints may be out of date.
-    Doubt,
+    /// No known endpoint holds a flow, and the list of endpoints may be out of date.
+    ListDoubt,
+    /// No known route leads to the address of an open flow, and the routes may be out of date.
+    RoutesDoubt,
 }
 
 /// The sockets of an entry.
@@ -173,10 +176,11 @@
 
     /// Decides again on the packets that waited for the view.
     fn release_held(&self, buffer: &mut [u8]) {
-        if self.state.hold().is_empty() || !self.state.view.load().loaded {
+        if self.state.hold().is_empty() {
             return;
         }
-        let packets = self.state.hold().take(Instant::now());
+        let view = self.state.view.load();
+        let packets = self.state.hold().take(&view, Instant::now());
         for packet in packets {
             let end = RELAY_HEADER_MAX + packet.len();
             buffer[RELAY_HEADER_MAX..end].copy_from_slice(&packet);
@@ -254,13 +258,17 @@
                 // The caller repeats its packet if the reset is lost.
                 let _ = self.sockets.callers.send_to(&reset, caller);
             }
-            RelayVerdict::Hold => {
+            RelayVerdict::Hold(reason) => {
                 let packet = &buffer[RELAY_HEADER_MAX..];
-                if !self.state.hold().push(packet, Instant::now()) {
+                if !self.state.hold().push(packet, *reason, Instant::now()) {
                     self.count_malformed("hold-full");
                 }
+                match reason {
+                    HoldReason::Load => {}
+                    HoldReason::Confirmation(_) => self.tell(TrafficEvent::ListDoubt),
+                    HoldReason::Routes(_) => self.tell(TrafficEvent::RoutesDoubt),
+                }
             }
-            RelayVerdict::Drop(RelayDrop::NoHolder) => self.tell(TrafficEvent::Doubt),
             RelayVerdict::Drop(_) => {}
         }
     }
@@ -313,7 +321,7 @@
                     ("revision", &revision),
                 ],
             ),
-            RelayVerdict::Hold | RelayVerdict::Drop(RelayDrop::Copied) => {}
+            RelayVerdict::Hold(_) | RelayVerdict::Drop(RelayDrop::Copied) => {}
             RelayVerdict::Drop(_) => emit(
                 EventCode::FlowDropped,
                 &[
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -10,23 +10,25 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 /// What a follower learns.
 #[derive(Debug)]
 pub enum FollowEvent {
     /// All keys of the range, in place of what was known.
-    Loaded(Vec<KeyValue>),
+    Loaded {
+        /// The keys.
+        entries: Vec<KeyValue>,
+        /// When the read began; later changes may be missing.
+        read: Instant,
+    },
     /// Changes since then; empty if a poll found none.
     Changed(Vec<WatchEvent>),
-    /// Changes from now on are noticed late, because the follower pauses between two polls.
-    Pausing,
-    /// The follower polls again.
-    Polling,
     /// The store does not answer; what was known stays.
     Failed,
+    /// A confirmation was not answered; the next doubt asks again.
+    Unconfirmed,
 }
 
 /// What a follower follows, and how.
@@ -38,8 +40,6 @@
     pub range: KeyRange,
     /// Pause after a poll that found changes, which gathers several changes in one call.
     pub pause: Duration,
-    /// Ends a pause early.
-    pub hurry: Rc<Notify>,
 }
 
 /// Follows a range of keys until the future is dropped.
@@ -54,10 +54,12 @@
         rng: SmallRng::from_os_rng(),
     };
     loop {
+        let read = Instant::now();
         match store.range(&plan.range).await {
             Ok(result) => {
                 failures.ended();
-                sink(FollowEvent::Loaded(result.entries));
+                let entries = result.entries;
+                sink(FollowEvent::Loaded { entries, read });
                 let from = result.revision.saturating_add(1);
                 watch(&store, &plan, from, &mut failures, &mut sink).await;
             }
@@ -69,6 +71,31 @@
     }
 }
 
+/// Reads the whole range once more each time that `asked` is notified, until the future is dropped.
+///
+/// A long poll says nothing about what it does not answer yet: the store may be slow, or the connection silent. Only
+/// a read shows that the range has not changed until the read began.
+pub async fn confirm<S: CatalogueStore>(
+    store: S,
+    range: KeyRange,
+    asked: Rc<Notify>,
+    mut sink: impl FnMut(FollowEvent),
+) {
+    loop {
+        asked.notified().await;
+        let read = Instant::now();
+        match store.range(&range).await {
+            Ok(result) => sink(FollowEvent::Loaded {
+                entries: result.entries,
+                read,
+            }),
+            // The follower of the range notices and logs that the store is away; the doubt stays.
+            Err(_) => sink(FollowEvent::Unconfirmed),
+        }
+        tokio::time::sleep(CONFIRM_PAUSE).await;
+    }
+}
+
 /// Watches until the store has lost the history that the watch needs, or does not answer. A read shows sooner than
 /// a long poll that the store is back.
 async fn watch<S: CatalogueStore>(
@@ -92,10 +119,7 @@
                 let changed = !events.is_empty();
                 sink(FollowEvent::Changed(events));
                 if changed {
-                    sink(FollowEvent::Pausing);
-                    // The end of the pause and a call to hurry have the same effect.
-                    let _ = timeout(plan.pause, plan.hurry.notified()).await;
-                    sink(FollowEvent::Polling);
+                    tokio::time::sleep(plan.pause).await;
                 }
             }
             Ok(WatchBatch::Compacted { .. }) => return,
@@ -138,5 +162,9 @@
     }
 }
 
+/// Pause between two confirmations. All flows that come up in between share one call; a caller repeats a packet
+/// after 200 ms.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
+
 /// Shortest pause between two calls to a store that does not answer, each of which it counts.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
