Let agents of young upstreams say which flows they hold

Cause: after a loss of power every caller comes back with a flow that nobody holds, and an entry asked all fifty endpoints for each of its packets.

Change: for twelve seconds after the start of an upstream the reports of its agent carry two bytes for each flow that it may hold. An entry asks only the candidates and the endpoints whose digest names the flow, and ends a flow once every digest is later than the doubt, which greetings with a clock and their echo show. The meter of an agent forgets the flows of a former life; lost requests counted as in progress for half a minute before.

Tests: core/tests/relay/digest.rs (200 lost flows, 50 endpoints), load.rs.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -38,6 +38,10 @@
 /// Entries that get reports; more than any site of today has.
 const CONTACTS_MAX: usize = 256;
 
+/// Announcement intervals before the first announcement of a life in which it may have taken flows already; two
+/// announcements may be lost before an upstream counts as lost.
+const BORN_INTERVALS: u32 = 3;
+
 /// Health probes while announcements are missing; each takes a slot of the upstream for a moment.
 const PROBES: u32 = 2;
 
@@ -213,6 +217,15 @@
     }
 }
 
+/// An entry that gets reports.
+#[derive(Clone, Copy, Debug)]
+struct EntryContact {
+    /// Clock of its last greeting.
+    greeted_ms: u32,
+    /// Until when it gets reports.
+    expires: Instant,
+}
+
 /// State of the control thread.
 struct AgentControl {
     settings: RelaySettings,
@@ -222,8 +235,7 @@
     wanted: watch::Sender<Option<ListedEndpoint>>,
     /// Counts the times that the upstream fell silent, each of which is followed by probes.
     doubts: watch::Sender<u64>,
-    /// Entries that get reports, and until when.
-    contacts: HashMap<SocketAddrV4, Instant>,
+    contacts: HashMap<SocketAddrV4, EntryContact>,
     started: u64,
     reports: u64,
     ticks: Instant,
@@ -257,7 +269,11 @@
     fn announce(&mut self, announcement: UpstreamAnnouncement, now: Instant) -> CallReply {
         let (name, sequence) = (announcement.name.clone(), announcement.sequence);
         let incarnation = announcement.incarnation;
+        let former = self.incarnation();
         let outcome = self.presence.announce(announcement, now);
+        if self.incarnation() != former {
+            self.state.meter().restarted(self.born(now));
+        }
         match outcome {
             PresenceOutcome::Confirmed => {}
             PresenceOutcome::Changed => self.changed("announcement", now),
@@ -304,14 +320,18 @@
 
     fn take_event(&mut self, event: TrafficEvent, now: Instant) {
         match event {
-            TrafficEvent::Hello(entry) => {
+            TrafficEvent::Hello(entry, hello) => {
                 let known = self.contacts.contains_key(&entry);
                 if !known && self.contacts.len() >= CONTACTS_MAX {
                     return;
                 }
-                self.contacts.insert(entry, now + CONTACT_TIME);
-                if !known {
-                    self.report_to(&[entry], now);
+                let contact = EntryContact {
+                    greeted_ms: hello.clock_ms,
+                    expires: now + CONTACT_TIME,
+                };
+                self.contacts.insert(entry, contact);
+                if !known || hello.urgent {
+                    self.report_to(&[(entry, contact)], now);
                 }
             }
             TrafficEvent::Refused => {
@@ -372,6 +392,14 @@
         upstream.map_or(0, |known| known.announcement.incarnation)
     }
 
+    /// Returns a moment before which the present life of the upstream held no flows. Announcements may have been lost
+    /// and clocks may have been set, so that the moment is not later than some announcements ago.
+    fn born(&self, now: Instant) -> Instant {
+        let age = Duration::from_millis(wall_millis().saturating_sub(self.incarnation()));
+        let margin = Duration::from_millis(self.settings.relay.announce_ms) * BORN_INTERVALS;
+        now.checked_sub(age.max(margin)).unwrap_or(now)
+    }
+
     fn endpoint(&self) -> ListedEndpoint {
         let relay = &self.settings.relay;
         let upstream = self.presence.upstream();
@@ -385,15 +413,20 @@
     }
 
     fn report(&mut self, now: Instant) {
-        self.contacts.retain(|_, until| now < *until);
-        let entries: Vec<SocketAddrV4> = self.contacts.keys().copied().collect();
+        self.contacts.retain(|_, contact| now < contact.expires);
+        let contacts = self.contacts.iter();
+        let entries: Vec<_> = contacts
+            .map(|(entry, contact)| (*entry, *contact))
+            .collect();
         self.report_to(&entries, now);
     }
 
-    fn report_to(&mut self, entries: &[SocketAddrV4], now: Instant) {
-        let (load, addresses) = {
+    fn report_to(&mut self, entries: &[(SocketAddrV4, EntryContact)], now: Instant) {
+        let (load, addresses, digest) = {
             let mut meter = self.state.meter();
-            (meter.counts(now), meter.addresses())
+            let tells = self.presence.tells_flows(now);
+            let digest = tells.then(|| meter.digest()).flatten();
+            (meter.counts(now), meter.addresses(), digest)
         };
         let counters = &self.state.counters;
         counters.flows.set(load.flows.into());
@@ -409,10 +442,12 @@
             addresses,
             covers: self.presence.covers(now),
             cold_until: upstream.and_then(|known| known.announcement.cold_until),
+            digest: digest.map(Arc::new),
+            heard: None,
         };
-        let notice = RelayNotice::Report(ReportNotice::of(&report, now));
-        for entry in entries {
-            self.sockets.notify(&notice, *entry);
+        for (entry, contact) in entries {
+            let notice = ReportNotice::of(&report, contact.greeted_ms, now);
+            self.sockets.notify(&RelayNotice::Report(notice), *entry);
         }
     }
 
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -12,7 +12,9 @@
 use quetzalhill_node::relay::threads::TrafficThreads;
 use quetzalhill_platform::packet::{self, PacketSender, UpstreamPacket};
 use quetzalhill_wire::packet::DATAGRAM_MAX;
-use quetzalhill_wire::relay::{open, RelayDatagram, RelayHeader, RelayNotice, RELAY_HEADER_MAX};
+use quetzalhill_wire::relay::{
+    open, HelloNotice, RelayDatagram, RelayHeader, RelayNotice, RELAY_HEADER_MAX,
+};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
 use std::sync::atomic::Ordering;
@@ -34,7 +36,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum TrafficEvent {
     /// An entry asks for reports.
-    Hello(SocketAddrV4),
+    Hello(SocketAddrV4, HelloNotice),
     /// No process takes packets at the address of the upstream.
     Refused,
 }
@@ -189,8 +191,8 @@
                 let buffer = &mut buffer[..RELAY_HEADER_MAX + length];
                 self.take_packet(buffer, entry, own, forced);
             }
-            Ok(RelayDatagram::Notice(RelayNotice::Hello)) => {
-                self.tell(TrafficEvent::Hello(entry));
+            Ok(RelayDatagram::Notice(RelayNotice::Hello(hello))) => {
+                self.tell(TrafficEvent::Hello(entry, hello));
             }
             Ok(RelayDatagram::Flow(RelayHeader::Return { .. }, _))
             | Ok(RelayDatagram::Notice(RelayNotice::Report(_))) => {
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -6,6 +6,7 @@
 //! candidates in the same order. See docs/relay.md.
 
 pub mod chain;
+pub mod digest;
 pub mod fleet;
 pub mod flows;
 pub mod hold;
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -4,6 +4,7 @@
 //! executes. See docs/relay.md.
 
 use crate::ids::{EndpointId, ServiceDigest, ServiceName};
+use crate::relay::digest::print_of;
 use crate::relay::flows::{FlowRecord, FlowTable};
 use crate::relay::hold::HoldReason;
 use crate::relay::intake::ReturnReason;
@@ -332,9 +333,13 @@
     /// Chooses the next endpoints to ask for a flow that the entry does not know.
     fn find(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> Option<RelayVerdict> {
         let record = self.flows.record(head.flow);
+        // The flow was open before this moment, so that what is learned later tells whether it still is.
+        let doubted = *record.doubted.get_or_insert(now);
+        let print = print_of(head.flow);
         let mut targets = DeliverList::new();
         let mut silent = DeliverList::new();
         let mut complete = view.synced && view.attributed;
+        let mut waits = view.confirmed < Some(doubted);
         // The candidates of new flows are asked first, then many at once.
         let round = match record.tried.len() {
             0..place::CHOICES => place::CHOICES,
@@ -346,11 +351,22 @@
                 continue;
             };
             complete &= service.complete;
-            for index in place::rank(service, head.flow) {
+            for (position, index) in place::rank(service, head.flow).into_iter().enumerate() {
                 let endpoint = &service.endpoints[index];
                 if record.tried.contains(&endpoint.life()) {
                     continue;
                 }
+                let digest = endpoint.digest.as_ref();
+                if digest.is_some_and(|digest| !digest.contains(print)) {
+                    if endpoint.heard >= Some(doubted) {
+                        continue;
+                    }
+                    // A flow that was opened since the last report is at one of the candidates.
+                    if position >= place::CHOICES {
+                        waits = true;
+                        continue;
+                    }
+                }
                 let (list, limit) = match endpoint.status {
                     EndpointStatus::Silent => (&mut silent, SILENT_MAX),
                     _ => (&mut targets, round),
@@ -378,9 +394,8 @@
         if !complete {
             return None;
         }
-        // Its endpoint was listed before it took the flow, so that a list read after this moment names it.
-        let doubted = *record.doubted.get_or_insert(now);
-        if view.confirmed < Some(doubted) {
+        // Its endpoint was listed before it took the flow, so that a list read after the doubt names it.
+        if waits {
             return Some(RelayVerdict::Hold(HoldReason::Confirmation(doubted)));
         }
         record.ended = true;
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -5,11 +5,13 @@
 //! answers. A flow may be declared dead only if no endpoint is missing from both.
 
 use crate::ids::{service_digest, EndpointId, IncarnationNumber, ServiceName, ZoneName};
+use crate::relay::digest::FlowDigest;
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
 use crate::relay::routes::FormerServices;
 use crate::relay::view::{EndpointStatus, ServiceView, ViewEndpoint};
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time between two reports of an agent to each entry.
@@ -56,6 +58,10 @@
     pub covers: bool,
     /// Until when the upstream is slow after its start.
     pub cold_until: Option<Instant>,
+    /// All flows that the upstream may hold; missing if the agent does not know them or they are too many.
+    pub digest: Option<Arc<FlowDigest>>,
+    /// When the entry sent the greeting that was the last to arrive before the report left.
+    pub heard: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -190,6 +196,31 @@
             .map(move |(id, known)| (*id, known.is_fresh(now)))
     }
 
+    /// Returns the endpoints whose agents say which flows they hold.
+    pub fn tellers(&self, now: Instant) -> impl Iterator<Item = EndpointId> + '_ {
+        let tells = move |known: &KnownEndpoint| {
+            let last = known.last.as_ref().filter(|last| now < last.expires);
+            last.is_some_and(|last| last.report.digest.is_some())
+        };
+        let known = self.known.iter().filter(move |(_, known)| tells(known));
+        known.map(|(id, _)| *id)
+    }
+
+    /// Returns when the oldest greeting was sent that the last report of an endpoint with a digest answers.
+    pub fn heard(&self, now: Instant) -> Option<Instant> {
+        let mut oldest: Option<Instant> = None;
+        for known in self.known.values() {
+            let Some(last) = known.last.as_ref().filter(|last| now < last.expires) else {
+                continue;
+            };
+            let (Some(_), Some(heard)) = (&last.report.digest, last.report.heard) else {
+                continue;
+            };
+            oldest = Some(oldest.map_or(heard, |oldest| oldest.min(heard)));
+        }
+        oldest
+    }
+
     /// Returns whether all listed endpoints report.
     pub fn is_settled(&self, now: Instant) -> bool {
         !self.known.is_empty() && self.known.values().all(|known| known.is_fresh(now))
@@ -280,6 +311,7 @@
 
     fn view(&self, status: EndpointStatus, zone: &ZoneName) -> ViewEndpoint {
         let report = self.last.as_ref().map(|last| &last.report);
+        let told = report.filter(|_| status != EndpointStatus::Silent);
         let load = report.map(|report| report.load).unwrap_or_default();
         ViewEndpoint {
             id: self.endpoint.id,
@@ -291,6 +323,8 @@
             busy: load.busy,
             reports: self.reports,
             cold_until: report.and_then(|report| report.cold_until),
+            digest: told.and_then(|report| report.digest.clone()),
+            heard: told.and_then(|report| report.heard),
         }
     }
 }
--- a/crates/core/src/relay/hold.rs
+++ b/crates/core/src/relay/hold.rs
@@ -18,7 +18,8 @@
 pub enum HoldReason {
     /// The entry has just started.
     Load,
-    /// No known endpoint holds the flow of the packet, and the list has to be read once more from this moment on.
+    /// No known endpoint holds the flow of the packet; the list has to be read once more, and endpoints with a digest
+    /// have to report once more, from this moment on.
     Confirmation(Instant),
     /// No route leads to the address of an open flow, and the routes have to be read once more from this moment on.
     Routes(Instant),
@@ -28,7 +29,9 @@
     fn is_over(self, view: &RelayView) -> bool {
         match self {
             HoldReason::Load => view.loaded,
-            HoldReason::Confirmation(doubted) => view.confirmed >= Some(doubted),
+            HoldReason::Confirmation(doubted) => {
+                view.confirmed >= Some(doubted) && view.heard.is_none_or(|heard| heard >= doubted)
+            }
             HoldReason::Routes(doubted) => view.routes_confirmed >= Some(doubted),
         }
     }
--- a/crates/core/src/relay/load.rs
+++ b/crates/core/src/relay/load.rs
@@ -3,6 +3,7 @@
 //! The bytes of a flow are opaque, but requests and answers alternate: data from the caller makes a flow busy, data
 //! from the upstream ends that.
 
+use crate::relay::digest::{print_of, FlowDigest, DIGEST_MAX};
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use smallvec::SmallVec;
 use std::collections::HashMap;
@@ -12,6 +13,10 @@
 /// Idle time after which a flow does not count any more; twice the usual idle timeout of the catalogue.
 pub const IDLE_MAX: Duration = Duration::from_secs(30);
 
+/// Time for which a flow that its upstream has ended is still in the digest: the upstream repeats its last data up to
+/// eight times, with pauses that double from 200 ms to 1.6 s.
+const LINGER_TIME: Duration = Duration::from_secs(11);
+
 /// Time after its opening for which a flow counts as busy; a caller sends its request with the end of the handshake.
 const AWAIT_TIME: Duration = Duration::from_millis(50);
 
@@ -30,6 +35,9 @@
     busy: Option<Instant>,
     /// Until when the first request of a new flow counts although it has not arrived.
     awaited_until: Option<Instant>,
+    opened: Instant,
+    /// Whether the upstream has sent its last data, which the caller may not have received.
+    ended: bool,
     expires: Instant,
 }
 
@@ -58,6 +66,9 @@
         let Some(activity) = self.flows.get_mut(&head.flow) else {
             return;
         };
+        if activity.ended {
+            return;
+        }
         if head.data_len > 0 {
             activity.busy = activity.busy.or(Some(now));
             activity.awaited_until = None;
@@ -68,11 +79,20 @@
     /// Notes a packet that the upstream sent, and returns how long a request waited if its answer begins.
     pub fn answered(&mut self, head: &PacketHead, now: Instant) -> Option<Duration> {
         match head.kind {
-            PacketKind::Ending | PacketKind::Reset => {
-                let activity = self.flows.remove(&head.flow)?;
-                let busy = activity.busy.filter(|_| head.data_len > 0)?;
+            PacketKind::Ending => {
+                let activity = self.flows.get_mut(&head.flow)?;
+                if !activity.ended {
+                    activity.ended = true;
+                    activity.expires = now + LINGER_TIME;
+                }
+                activity.awaited_until = None;
+                let busy = activity.busy.take().filter(|_| head.data_len > 0)?;
                 return Some(now.saturating_duration_since(busy));
             }
+            PacketKind::Reset => {
+                self.flows.remove(&head.flow);
+                return None;
+            }
             PacketKind::Opening { .. } | PacketKind::Accepting | PacketKind::Established => {}
         }
         if self.flows.len() >= FLOWS_MAX && !self.flows.contains_key(&head.flow) {
@@ -81,9 +101,13 @@
         let activity = self.flows.entry(head.flow).or_insert(FlowActivity {
             busy: None,
             awaited_until: Some(now + AWAIT_TIME),
+            opened: now,
+            ended: false,
             expires: now,
         });
-        activity.expires = now + IDLE_MAX;
+        if !activity.ended {
+            activity.expires = now + IDLE_MAX;
+        }
         if head.data_len == 0 {
             return None;
         }
@@ -91,6 +115,11 @@
         Some(now.saturating_duration_since(busy))
     }
 
+    /// Forgets the flows from before `born`, when the upstream started anew and lost them.
+    pub fn restarted(&mut self, born: Instant) {
+        self.flows.retain(|_, activity| activity.opened >= born);
+    }
+
     /// Returns the requests in progress or about to arrive.
     pub fn pressure(&self, now: Instant) -> u32 {
         let active = self.flows.values().filter(|activity| {
@@ -107,11 +136,22 @@
             .values()
             .filter(|activity| activity.busy.is_some())
             .count();
+        let open = self.flows.values().filter(|activity| !activity.ended);
         LoadCounts {
-            flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
+            flows: u32::try_from(open.count()).unwrap_or(u32::MAX),
             busy: u32::try_from(busy).unwrap_or(u32::MAX),
         }
     }
+
+    /// Returns the digest of all flows that the upstream may hold, or nothing if there are too many for one.
+    pub fn digest(&self) -> Option<FlowDigest> {
+        if self.flows.len() > DIGEST_MAX {
+            return None;
+        }
+        let flows = self.flows.keys().copied();
+        Some(FlowDigest::new(flows.map(print_of).collect()))
+    }
+
     /// Returns the addresses that the open flows were opened to.
     ///
     /// A route may have turned to another service since, so that the routes alone do not say where its flows are.
--- a/crates/core/src/relay/presence.rs
+++ b/crates/core/src/relay/presence.rs
@@ -19,6 +19,10 @@
 /// before the agent cannot have taken flows through an earlier agent.
 const RESTART_MS: u64 = 200;
 
+/// Time after the start of a life during which callers come back with lost flows; twelve seconds is the longest idle
+/// time of a flow at an upstream.
+const DIGEST_TIME: Duration = Duration::from_secs(12);
+
 /// Longest time between two ticks during which silence counts; an agent that was paused has heard nothing itself.
 const TICK_MAX: Duration = Duration::from_millis(1_000);
 
@@ -115,6 +119,12 @@
         self.covers_from <= now
     }
 
+    /// Returns whether entries are told which flows the upstream holds: while callers may come back with flows that its
+    /// former life lost.
+    pub fn tells_flows(&self, now: Instant) -> bool {
+        self.covers(now) && now < self.covers_from + DIGEST_TIME
+    }
+
     /// Takes an announcement.
     pub fn announce(
         &mut self,
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -1,8 +1,10 @@
 //! What a traffic thread of an entry knows of routes and endpoints; published whole and never changed.
 
 use crate::ids::{EndpointId, IncarnationNumber, ServiceDigest, ServiceName};
+use crate::relay::digest::FlowDigest;
 use crate::relay::routes::{FormerServices, RouteSet};
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Instant;
 
 /// What an entry believes of an endpoint.
@@ -39,6 +41,10 @@
     pub reports: u64,
     /// Until when it is slow after its start.
     pub cold_until: Option<Instant>,
+    /// Flows that it held when its agent last reported, if the agent says so.
+    pub digest: Option<Arc<FlowDigest>>,
+    /// When the entry sent the greeting that the last report answers; the report is later.
+    pub heard: Option<Instant>,
 }
 
 /// The endpoints of one service.
@@ -70,6 +76,9 @@
     /// When the read of the list began that the endpoints come from. The list may have changed since, so that only a
     /// flow which was missing before is known to be missing.
     pub confirmed: Option<Instant>,
+    /// When the entry sent the oldest greeting that the last report of an endpoint with a digest answers; nothing if
+    /// there is no such endpoint.
+    pub heard: Option<Instant>,
     /// Whether the entry has loaded its routes and heard of its endpoints.
     pub loaded: bool,
 }
--- /dev/null
+++ b/crates/core/tests/relay/digest.rs
@@ -0,0 +1,122 @@
+//! Searches that digests shorten.
+
+use crate::support::*;
+use quetzalhill_core::relay::chain::{RelayChain, RelayVerdict, ResetReason};
+use quetzalhill_core::relay::digest::{print_of, FlowDigest};
+use quetzalhill_core::relay::hold::{HoldQueue, HoldReason};
+use quetzalhill_core::relay::intake::ReturnReason;
+use quetzalhill_core::relay::packet::PacketHead;
+use quetzalhill_core::relay::view::RelayView;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Endpoints of the service; the largest site has 50 for one.
+const ENDPOINTS: u8 = 50;
+
+/// A view whose endpoints all say that they hold the flows `held`, as of a greeting at `heard`.
+fn young_view(held: &[(u8, u16)], heard: Instant) -> RelayView {
+    let mut view = view();
+    let mut service = service(1..=ENDPOINTS);
+    for (number, endpoint) in (1..).zip(&mut service.endpoints) {
+        let mut prints = Vec::new();
+        for (holder, port) in held {
+            if *holder == number {
+                prints.push(print_of(flow(*port)));
+            }
+        }
+        endpoint.digest = Some(Arc::new(FlowDigest::new(prints)));
+        endpoint.heard = Some(heard);
+    }
+    view.services.insert(FEED.into(), service);
+    view.heard = Some(heard);
+    view.confirmed = Some(heard);
+    view
+}
+
+/// Lets every endpoint but `holder` return `head` and returns the last verdict with the number of questions.
+fn search(
+    chain: &mut RelayChain,
+    head: &PacketHead,
+    holder: u8,
+    view: &RelayView,
+    now: Instant,
+) -> (RelayVerdict, usize) {
+    let mut asked = 0;
+    let mut verdict = chain.decide(head, view, now);
+    while let RelayVerdict::Deliver { targets, .. } = verdict.clone() {
+        asked += targets.len();
+        if targets.iter().any(|target| target.endpoint == life(holder)) {
+            break;
+        }
+        for target in targets {
+            let reason = ReturnReason::NotHeld;
+            verdict = chain.decide_returned(head, target.endpoint, reason, view, now);
+        }
+    }
+    (verdict, asked)
+}
+
+/// Load: all callers come back after a loss of power, each with a flow that nobody holds. Guards against fifty questions
+/// for each of their packets, which kept entries of a twenty-fifth of a core busy for six seconds (trouble-1 of the
+/// grown Directorate), and against a reset before the digests are later than the packet.
+#[test]
+fn lost_flows_end_after_a_few_questions() {
+    let now = Instant::now();
+    let mut chain = RelayChain::new(now);
+    let before = young_view(&[], now - Duration::from_millis(100));
+    let later = now + Duration::from_millis(20);
+    let after = young_view(&[], now);
+    for port in 0..200 {
+        let (verdict, asked) = search(&mut chain, &established(port), 0, &before, now);
+        let held = RelayVerdict::Hold(HoldReason::Confirmation(now));
+        assert_eq!(verdict, held);
+        assert!(asked <= 5, "{asked} questions");
+        let (verdict, asked) = search(&mut chain, &established(port), 0, &after, later);
+        assert_eq!(verdict, RelayVerdict::Reset(ResetReason::Ended));
+        assert_eq!(asked, 0);
+    }
+}
+
+/// Guards against an open flow that is not found although a digest names its holder, or that is reset because the last
+/// digest is older than the flow.
+#[test]
+fn open_flow_is_found_by_its_print() {
+    let now = Instant::now();
+    let heard = now - Duration::from_millis(100);
+    for holder in 1..=ENDPOINTS {
+        let head = established(1_000 + u16::from(holder));
+        let port = head.flow.caller.port();
+        let known = young_view(&[(holder, port)], heard);
+        let (verdict, asked) = search(&mut RelayChain::new(now), &head, holder, &known, now);
+        assert!(
+            matches!(verdict, RelayVerdict::Deliver { .. }),
+            "{verdict:?}"
+        );
+        assert!(asked <= 6, "{asked} questions");
+        // The flow was opened after the last report.
+        let mut chain = RelayChain::new(now);
+        let unknown = young_view(&[], heard);
+        let (verdict, _) = search(&mut chain, &head, holder, &unknown, now);
+        if matches!(verdict, RelayVerdict::Deliver { .. }) {
+            continue;
+        }
+        assert_eq!(verdict, RelayVerdict::Hold(HoldReason::Confirmation(now)));
+        let later = now + Duration::from_millis(20);
+        let told = young_view(&[(holder, port)], now);
+        let verdict = chain.decide(&head, &told, later);
+        assert_eq!(delivered(&verdict), life(holder));
+    }
+}
+
+/// Guards against a packet that is released before the last endpoint has said what it holds.
+#[test]
+fn packet_waits_for_the_digests_of_all_endpoints() {
+    let now = Instant::now();
+    let mut view = young_view(&[], now);
+    view.heard = Some(now - Duration::from_millis(1));
+    let mut queue = HoldQueue::default();
+    assert!(queue.push(b"doubted", HoldReason::Confirmation(now), now));
+    assert!(queue.take(&view, now).is_empty());
+    view.heard = Some(now);
+    assert_eq!(queue.take(&view, now), [b"doubted"]);
+}
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -30,6 +30,8 @@
         addresses: [service_address()].into_iter().collect(),
         covers: true,
         cold_until: None,
+        digest: None,
+        heard: None,
     }
 }
 
--- a/crates/core/tests/relay/load.rs
+++ b/crates/core/tests/relay/load.rs
@@ -1,6 +1,7 @@
 //! Load of an upstream from the packets of its flows.
 
 use crate::support::*;
+use quetzalhill_core::relay::digest::{print_of, DIGEST_MAX};
 use quetzalhill_core::relay::load::{LoadMeter, IDLE_MAX};
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use std::time::{Duration, Instant};
@@ -48,3 +49,50 @@
     assert_eq!(meter.counts(now).flows, 1);
     assert_eq!(meter.counts(now + IDLE_MAX).flows, 0);
 }
+
+/// Guards against a digest that misses a flow whose last data the upstream still repeats: an entry would end it.
+#[test]
+fn digest_names_open_flows_and_those_that_are_ending() {
+    let now = Instant::now();
+    let mut meter = LoadMeter::default();
+    for number in 1..=3 {
+        meter.answered(&packet(number, PacketKind::Accepting), now);
+    }
+    meter.answered(&packet(1, PacketKind::Ending), now);
+    meter.answered(&packet(2, PacketKind::Reset), now);
+    let digest = meter.digest().expect("a few flows");
+    assert!(digest.contains(print_of(flow(1))));
+    assert!(!digest.contains(print_of(flow(2))));
+    assert!(digest.contains(print_of(flow(3))));
+    assert_eq!(meter.counts(now).flows, 1);
+    let later = now + Duration::from_secs(11);
+    meter.counts(later);
+    let digest = meter.digest().expect("a few flows");
+    assert!(!digest.contains(print_of(flow(1))));
+}
+
+/// Guards against a digest that is cut short and then taken for complete.
+#[test]
+fn too_many_flows_have_no_digest() {
+    let now = Instant::now();
+    let mut meter = LoadMeter::default();
+    let most = u16::try_from(DIGEST_MAX).expect("fits");
+    for number in 0..=most {
+        assert!(meter.digest().is_some());
+        meter.answered(&packet(number, PacketKind::Accepting), now);
+    }
+    assert!(meter.digest().is_none());
+}
+
+/// Guards against an upstream that seems busy for half a minute after a crash, with the requests that it lost.
+#[test]
+fn flows_of_a_former_life_do_not_count() {
+    let now = Instant::now();
+    let mut meter = LoadMeter::default();
+    meter.answered(&packet(1, PacketKind::Accepting), now);
+    meter.delivered(&data(1), now);
+    let born = now + Duration::from_secs(5);
+    meter.answered(&packet(2, PacketKind::Accepting), born);
+    meter.restarted(born);
+    assert_eq!((meter.counts(born).flows, meter.counts(born).busy), (1, 0));
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! The relay: decisions on opaque flows.
 
 mod chain;
+mod digest;
 mod fleet;
 mod hold;
 mod load;
--- a/crates/core/tests/relay/support.rs
+++ b/crates/core/tests/relay/support.rs
@@ -69,6 +69,8 @@
         busy: 0,
         reports: 1,
         cold_until: None,
+        digest: None,
+        heard: None,
     }
 }
 
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -19,7 +19,7 @@
 use quetzalhill_platform::store::PlatformCodec;
 use quetzalhill_store::api::{KeyRange, KeyValue, WatchEvent};
 use quetzalhill_store::polled::PolledStore;
-use quetzalhill_wire::relay::{decode_entry, RelayNotice};
+use quetzalhill_wire::relay::{decode_entry, HelloNotice, RelayNotice};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -222,6 +222,15 @@
     }
 }
 
+/// Returns the greeting of an entry whose clock started at `epoch`.
+fn hello(epoch: Instant, now: Instant, urgent: bool) -> RelayNotice {
+    let clock = now.saturating_duration_since(epoch).as_millis();
+    RelayNotice::Hello(HelloNotice {
+        clock_ms: u32::try_from(clock).unwrap_or(u32::MAX),
+        urgent,
+    })
+}
+
 /// Whether a range of the store is known and up to date.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct RangeState {
@@ -259,6 +268,8 @@
     list_doubts: Rc<Notify>,
     /// Asks for another read of the routes.
     routes_doubts: Rc<Notify>,
+    /// Start of the clock in greetings.
+    epoch: Instant,
     ticks: Instant,
     published: Instant,
     stopping: bool,
@@ -281,6 +292,7 @@
             settles: None,
             list_doubts: Rc::default(),
             routes_doubts: Rc::default(),
+            epoch: now,
             ticks: now + TICK_INTERVAL,
             published: now,
             stopping: false,
@@ -308,7 +320,7 @@
                 }
             }
             FollowEvent::Failed => self.routes_range.current = false,
-            FollowEvent::Unconfirmed => {}
+            FollowEvent::Confirming | FollowEvent::Unconfirmed => {}
         }
         if before != self.routes_range {
             self.publish(now);
@@ -352,6 +364,7 @@
                 }
             }
             FollowEvent::Failed => self.endpoints_range.current = false,
+            FollowEvent::Confirming => return self.ask_holders(now),
             FollowEvent::Unconfirmed => return,
         }
         self.greet(now);
@@ -412,7 +425,7 @@
 
     fn take_report(&mut self, arrived: ArrivedReport, now: Instant) {
         let id = id_of(arrived.agent);
-        let report = arrived.notice.report(id, now);
+        let report = arrived.notice.report(id, self.epoch, now);
         let (state, incarnation) = (report.state, report.endpoint.incarnation);
         let (order, stopping) = (report.order, report.stopping);
         match self.fleet.report(report, now) {
@@ -453,7 +466,16 @@
                 continue;
             }
             hellos.insert(id, now + HELLO_INTERVAL);
-            self.sockets.notify(&RelayNotice::Hello, address_of(id));
+            self.sockets
+                .notify(&hello(self.epoch, now, false), address_of(id));
+        }
+    }
+
+    /// Asks the agents that say which flows their endpoints hold to say so once more.
+    fn ask_holders(&self, now: Instant) {
+        let hello = hello(self.epoch, now, true);
+        for id in self.fleet.tellers(now) {
+            self.sockets.notify(&hello, address_of(id));
         }
     }
 
@@ -469,6 +491,7 @@
             synced: self.routes_range.current && self.endpoints_range.current,
             routes_confirmed: self.routes_range.confirmed,
             confirmed: self.endpoints_range.confirmed,
+            heard: self.fleet.heard(now),
             loaded: self.is_loaded(now),
         };
         self.state.view.store(Arc::new(view));
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -211,7 +211,9 @@
                 self.tell(TrafficEvent::Report(ArrivedReport { agent, notice }));
             }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
-            | Ok(RelayDatagram::Notice(RelayNotice::Hello)) => self.count_malformed("unexpected"),
+            | Ok(RelayDatagram::Notice(RelayNotice::Hello(_))) => {
+                self.count_malformed("unexpected")
+            }
             Err(error) => self.count_malformed(&format!("{error:?}")),
         }
     }
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -27,6 +27,8 @@
     Changed(Vec<WatchEvent>),
     /// The store does not answer; what was known stays.
     Failed,
+    /// The range is about to be read once more because of a doubt.
+    Confirming,
     /// A confirmation was not answered; the next doubt asks again.
     Unconfirmed,
 }
@@ -83,6 +85,7 @@
 ) {
     loop {
         asked.notified().await;
+        sink(FollowEvent::Confirming);
         let read = Instant::now();
         match store.range(&range).await {
             Ok(result) => sink(FollowEvent::Loaded {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -8,6 +8,7 @@
 use quetzalhill_core::ids::{
     address_of, id_of, EndpointId, IncarnationNumber, ServiceDigest, ServiceName, ZoneName,
 };
+use quetzalhill_core::relay::digest::FlowDigest;
 use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint};
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
 use quetzalhill_core::relay::load::LoadCounts;
@@ -15,6 +16,7 @@
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Kind byte of a datagram that carries a packet of a flow.
@@ -137,11 +139,20 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RelayNotice {
     /// From an entry: the agent is asked to report to the sender from now on.
-    Hello,
+    Hello(HelloNotice),
     /// From an agent: how its endpoint is.
     Report(ReportNotice),
 }
 
+/// A greeting of an entry.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HelloNotice {
+    /// Clock of the entry in milliseconds; reports return it, so that the entry knows that they are later.
+    pub clock_ms: u32,
+    /// Whether the agent is asked to report at once.
+    pub urgent: bool,
+}
+
 /// State of an upstream in a report.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StateNotice {
@@ -186,6 +197,10 @@
     pub addresses: Vec<u64>,
     /// Whether `addresses` is complete.
     pub covers: bool,
+    /// Prints of all flows that the upstream may hold, two bytes each in network byte order.
+    pub prints: Option<Vec<u8>>,
+    /// Clock of the last greeting of the entry.
+    pub greeted_ms: u32,
 }
 
 /// A datagram that has been decoded.
@@ -326,8 +341,8 @@
 }
 
 impl ReportNotice {
-    /// Makes the notice of `report`, which is sent at `now`.
-    pub fn of(report: &EndpointReport, now: Instant) -> Self {
+    /// Makes the notice of `report`, which is sent at `now` to an entry whose last greeting had the clock `greeted_ms`.
+    pub fn of(report: &EndpointReport, greeted_ms: u32, now: Instant) -> Self {
         let cold = report
             .cold_until
             .map(|until| until.saturating_duration_since(now));
@@ -346,11 +361,13 @@
             cold_left_ms: u32::try_from(cold_left_ms).unwrap_or(u32::MAX),
             addresses: report.addresses.iter().copied().map(id_of).collect(),
             covers: report.covers,
+            prints: report.digest.as_deref().map(encode_digest),
+            greeted_ms,
         }
     }
 
-    /// Returns the report of the endpoint `id`, which arrived at `now`.
-    pub fn report(self, id: EndpointId, now: Instant) -> EndpointReport {
+    /// Returns the report of the endpoint `id`, which arrived at `now` at the entry whose clock started at `epoch`.
+    pub fn report(self, id: EndpointId, epoch: Instant, now: Instant) -> EndpointReport {
         let cold = Duration::from_millis(self.cold_left_ms.into());
         EndpointReport {
             endpoint: ListedEndpoint {
@@ -370,6 +387,21 @@
             cold_until: (!cold.is_zero()).then_some(now + cold),
             addresses: self.addresses.into_iter().map(address_of).collect(),
             covers: self.covers,
+            digest: self.prints.as_deref().map(decode_digest).map(Arc::new),
+            heard: epoch.checked_add(Duration::from_millis(self.greeted_ms.into())),
         }
     }
 }
+
+fn encode_digest(digest: &FlowDigest) -> Vec<u8> {
+    let prints = digest.prints().iter();
+    prints.flat_map(|print| print.to_be_bytes()).collect()
+}
+
+fn decode_digest(bytes: &[u8]) -> FlowDigest {
+    let mut prints = Vec::with_capacity(bytes.len() / 2);
+    for pair in bytes.chunks_exact(2) {
+        prints.push(u16::from_be_bytes([pair[0], pair[1]]));
+    }
+    FlowDigest::new(prints)
+}
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 use quetzalhill_core::ids::{id_of, service_digest};
+use quetzalhill_core::relay::digest::FlowDigest;
 use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint};
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
 use quetzalhill_core::relay::load::LoadCounts;
@@ -9,6 +10,7 @@
     decode_entry, encode_entry, open, RelayDatagram, RelayError, RelayHeader, RelayNotice,
     ReportNotice, RELAY_HEADER_MAX,
 };
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 fn endpoint() -> ListedEndpoint {
@@ -77,13 +79,15 @@
             .collect(),
         covers: true,
         cold_until: Some(now + Duration::from_millis(500)),
+        digest: Some(Arc::new(FlowDigest::new(vec![9, 65_535, 256]))),
+        heard: Some(now + Duration::from_millis(70_000)),
     };
-    let notice = RelayNotice::Report(ReportNotice::of(&report, now));
+    let notice = RelayNotice::Report(ReportNotice::of(&report, 70_000, now));
     let mut datagram = notice.encode().expect("encodes");
     let Ok(RelayDatagram::Notice(RelayNotice::Report(seen))) = open(&mut datagram) else {
         panic!("not a report");
     };
-    assert_eq!(seen.report(report.endpoint.id, now), report);
+    assert_eq!(seen.report(report.endpoint.id, now, now), report);
 }
 
 /// Guards against a record of another version or writer that names an endpoint.
