Check settings files by a command, and follow their changes

Cause: a settings file could only be checked by starting the program, and one that the platform changes without a signal never came into force.

Change: quetzalhill check-settings FILE and quetzalhill-agent check-settings FILE name file, key, value and what is allowed, and exit with 1. The processes of the relay look at their file every two seconds and reload it as on SIGHUP; invalid values leave the old ones in force.

--- a/crates/agent/src/cmd.rs
+++ b/crates/agent/src/cmd.rs
@@ -1,6 +1,7 @@
 //! `quetzalhill-agent SETTINGS.toml`: runs an agent beside its upstream; `quetzalhill-agent relay SETTINGS.toml` runs
-//! one for opaque flows.
+//! one for opaque flows; `quetzalhill-agent check-settings SETTINGS.toml` checks a file.
 
+mod check_settings;
 mod relay;
 
 use crate::run;
@@ -28,10 +29,14 @@
 /// Name of the command that runs an agent for opaque flows.
 const RELAY_COMMAND: &str = "relay";
 
+/// Name of the command that checks a settings file.
+const CHECK_COMMAND: &str = "check-settings";
+
 /// Runs the command line `argv` and returns the exit code of the process.
 pub fn main(argv: &[&str]) -> ExitCode {
     match argv.get(1) {
         Some(&RELAY_COMMAND) => run_with(argv, 2, relay::run),
+        Some(&CHECK_COMMAND) => run_with(argv, 2, check_settings::run),
         _ => run_with(argv, 1, run_agent),
     }
 }
--- a/crates/agent/src/cmd/relay.rs
+++ b/crates/agent/src/cmd/relay.rs
@@ -23,9 +23,9 @@
 ///
 /// Says which setting or address is wrong, or that a thread failed.
 pub(super) fn run(args: &RelayArgs) -> Result<()> {
+    let signals = StopSignals::new(&args.settings)?;
     let settings: RelaySettings = read(&args.settings, check)?;
     log::init(&settings.log)?;
-    let signals = StopSignals::new()?;
     let agent = run::start(settings)?;
     signals.wait(|| {
         let settings: RelaySettings = read(&args.settings, check)?;
--- a/crates/entry/src/cmd.rs
+++ b/crates/entry/src/cmd.rs
@@ -1,6 +1,7 @@
 //! The commands of the binary `quetzalhill`, one file each.
 
 pub mod catalogue;
+pub mod check_settings;
 pub mod operator;
 pub mod relay;
 pub mod run;
@@ -18,10 +19,11 @@
     quetzalhill <command> --help
 
 Commands:
-    run        Run an entry instance.
-    relay      Run an entry instance for opaque flows.
-    catalogue  Read and change the catalogue of services.
-    status     Show the status of the nodes.
+    run             Run an entry instance.
+    relay           Run an entry instance for opaque flows.
+    catalogue       Read and change the catalogue of services.
+    status          Show the status of the nodes.
+    check-settings  Check a settings file and start nothing.
 ";
 
 /// Exit code of a command line that names no command, as most programs use it.
@@ -34,6 +36,7 @@
     Relay,
     Catalogue,
     Status,
+    CheckSettings,
 }
 
 impl CommandName {
@@ -43,6 +46,7 @@
             "relay" => Some(CommandName::Relay),
             "catalogue" => Some(CommandName::Catalogue),
             "status" => Some(CommandName::Status),
+            "check-settings" => Some(CommandName::CheckSettings),
             _ => None,
         }
     }
@@ -73,6 +77,7 @@
         CommandName::Relay => relay::run(argv),
         CommandName::Catalogue => catalogue::run(argv),
         CommandName::Status => status::run(argv),
+        CommandName::CheckSettings => check_settings::run(argv),
     }
 }
 
--- a/crates/entry/src/cmd/relay.rs
+++ b/crates/entry/src/cmd/relay.rs
@@ -29,9 +29,9 @@
         Ok(args) => args,
         Err(code) => return Ok(code),
     };
+    let signals = StopSignals::new(&args.settings)?;
     let settings: RelaySettings = read(&args.settings, check)?;
     log::init(&settings.log)?;
-    let signals = StopSignals::new()?;
     let entry = run::start(settings)?;
     signals.wait(|| {
         let settings: RelaySettings = read(&args.settings, check)?;
--- /dev/null
+++ b/crates/entry/tests/cmd_check_settings.rs
@@ -0,0 +1,41 @@
+//! The command `quetzalhill check-settings`.
+
+use quetzalhill::cmd::check_settings::check_file;
+use quetzalhill_standins::workdir::Workdir;
+use yare::parameterized;
+
+const RELAY: &str = r#"
+[node]
+name = "edge-1"
+zone = "a"
+metrics = "127.0.0.1:9000"
+[store]
+address = "127.0.0.1:9001"
+[relay]
+packets = "127.0.0.1:9002"
+agents = "127.0.0.1:9003"
+ready = "127.0.0.1:9004"
+"#;
+
+/// Guards against a valid file that is refused, and against a mistake that is not named with file, key and limit.
+#[parameterized(
+    valid = { "", None },
+    linger = { "linger_ms = 90000", Some("relay.linger_ms is 90000; allowed: 0 to 60000 milliseconds") },
+    unknown = { "speed = 1", Some("unknown field `speed`") },
+)]
+fn file_is_checked(line: &str, mistake: Option<&str>) {
+    let name = format!("check-settings-{}", line.len());
+    let workdir = Workdir::new(env!("CARGO_TARGET_TMPDIR"), &name).expect("folder");
+    let path = workdir
+        .write("edge.toml", &format!("{RELAY}{line}\n"))
+        .expect("file");
+    let outcome = check_file(&path);
+    match mistake {
+        None => outcome.expect("a valid file"),
+        Some(mistake) => {
+            let error = format!("{:#}", outcome.expect_err("a mistake"));
+            assert!(error.contains(mistake), "{error}");
+            assert!(error.contains("edge.toml"), "{error}");
+        }
+    }
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -78,6 +78,18 @@
     }
 }
 
+/// Returns whether a settings file has a section, so that a command knows which kind of file it is.
+///
+/// # Errors
+///
+/// Names the file and what is wrong with its syntax.
+pub fn has_section(path: &str, section: &str) -> Result<bool> {
+    let text = fs::read_to_string(path).with_context(|| format!("settings file {path}"))?;
+    let table: toml::Table =
+        toml::from_str(&text).with_context(|| format!("settings file {path}"))?;
+    Ok(table.contains_key(section))
+}
+
 /// Reads a settings file and checks its values.
 ///
 /// # Errors
