Log packets that are held, and the age of the list behind a reset

Cause: a packet that waited for the view was not in the log, nor that it was forgotten after its wait, so that a request lost that way had no line.

Change: QH1015 flow-held; QH1014 with the reason hold-expired; resets, drops and holds name the age of the list of endpoints.

Tests: queue_is_bounded_in_time_and_length asks for the expired packets too.

--- a/crates/core/src/relay/hold.rs
+++ b/crates/core/src/relay/hold.rs
@@ -44,6 +44,15 @@
     expires: Instant,
 }
 
+/// Packets that leave the queue.
+#[derive(Debug, Default)]
+pub struct ReleasedPackets {
+    /// Their wait is over; a decision on them is due.
+    pub ready: Vec<Vec<u8>>,
+    /// They have waited for too long; their callers repeat them.
+    pub expired: Vec<Vec<u8>>,
+}
+
 /// Packets in the order of their arrival.
 #[derive(Debug, Default)]
 pub struct HoldQueue {
@@ -69,18 +78,19 @@
         self.packets.is_empty()
     }
 
-    /// Removes and returns the packets whose wait `view` ends, and forgets those that have waited for too long.
-    pub fn take(&mut self, view: &RelayView, now: Instant) -> Vec<Vec<u8>> {
-        let mut ready = Vec::new();
+    /// Removes and returns the packets whose wait `view` ends, and those that have waited for too long.
+    pub fn take(&mut self, view: &RelayView, now: Instant) -> ReleasedPackets {
+        let mut released = ReleasedPackets::default();
         for packet in std::mem::take(&mut self.packets) {
             if now >= packet.expires {
+                released.expired.push(packet.bytes);
                 continue;
             }
             match packet.reason.is_over(view) {
-                true => ready.push(packet.bytes),
+                true => released.ready.push(packet.bytes),
                 false => self.packets.push(packet),
             }
         }
-        ready
+        released
     }
 }
--- a/crates/core/tests/relay/digest.rs
+++ b/crates/core/tests/relay/digest.rs
@@ -116,7 +116,7 @@
     view.heard = Some(now - Duration::from_millis(1));
     let mut queue = HoldQueue::default();
     assert!(queue.push(b"doubted", HoldReason::Confirmation(now), now));
-    assert!(queue.take(&view, now).is_empty());
+    assert!(queue.take(&view, now).ready.is_empty());
     view.heard = Some(now);
-    assert_eq!(queue.take(&view, now), [b"doubted"]);
+    assert_eq!(queue.take(&view, now).ready, [b"doubted"]);
 }
--- a/crates/core/tests/relay/hold.rs
+++ b/crates/core/tests/relay/hold.rs
@@ -34,7 +34,8 @@
     let later = now + Duration::from_millis(300);
     assert!(queue.push(b"fresh", HoldReason::Load, later));
     let taken = queue.take(&view, now + Duration::from_millis(400));
-    assert_eq!(taken, [b"fresh"]);
+    assert_eq!(taken.ready, [b"fresh"]);
+    assert_eq!(taken.expired, [b"late"]);
     assert!(queue.is_empty());
     let kept = (0..10_000).filter(|_| queue.push(b"many", HoldReason::Load, now));
     let kept = kept.count();
@@ -49,10 +50,10 @@
     view.confirmed = Some(now - Duration::from_millis(1));
     let mut queue = HoldQueue::default();
     assert!(queue.push(b"doubted", HoldReason::Confirmation(now), now));
-    assert!(queue.take(&view, now).is_empty());
+    assert!(queue.take(&view, now).ready.is_empty());
     assert!(!queue.is_empty());
     view.confirmed = Some(now);
-    assert_eq!(queue.take(&view, now), [b"doubted"]);
+    assert_eq!(queue.take(&view, now).ready, [b"doubted"]);
 }
 
 /// Lets every endpoint of `view` return `head` and returns the last verdict.
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -13,6 +13,7 @@
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_core::relay::place::EndpointLife;
+use quetzalhill_core::relay::view::RelayView;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::threads::TrafficThreads;
 use quetzalhill_platform::packet::{self, PacketSender};
@@ -180,14 +181,27 @@
             return;
         }
         let view = self.state.view.load();
-        let packets = self.state.hold().take(&view, Instant::now());
-        for packet in packets {
+        let released = self.state.hold().take(&view, Instant::now());
+        for packet in &released.expired {
+            self.log_expired(packet, &view);
+        }
+        for packet in released.ready {
             let end = RELAY_HEADER_MAX + packet.len();
             buffer[RELAY_HEADER_MAX..end].copy_from_slice(&packet);
             self.take_packet(&mut buffer[..end]);
         }
     }
 
+    fn log_expired(&self, packet: &[u8], view: &RelayView) {
+        let reason = "hold-expired";
+        let packets = &self.state.counters.packets;
+        packets.with_label_values(&[reason]).inc();
+        let Ok(head) = packet::decode(packet, PacketSender::Caller) else {
+            return;
+        };
+        self.log_undelivered(EventCode::FlowDropped, &head, reason, view);
+    }
+
     fn take_datagram(&self, buffer: &mut [u8], agent: SocketAddrV4) {
         match open(&mut buffer[RELAY_HEADER_MAX..]) {
             Ok(RelayDatagram::Flow(
@@ -315,27 +329,34 @@
                     ],
                 );
             }
-            RelayVerdict::Reset(_) => emit(
-                EventCode::FlowReset,
-                &[
-                    ("flow", &head.flow),
-                    ("reason", &name),
-                    ("revision", &revision),
-                ],
-            ),
-            RelayVerdict::Hold(_) | RelayVerdict::Drop(RelayDrop::Copied) => {}
-            RelayVerdict::Drop(_) => emit(
-                EventCode::FlowDropped,
-                &[
-                    ("flow", &head.flow),
-                    ("reason", &name),
-                    ("revision", &revision),
-                    ("synced", &view.synced),
-                ],
-            ),
+            RelayVerdict::Reset(_) => {
+                self.log_undelivered(EventCode::FlowReset, head, name, &view);
+            }
+            RelayVerdict::Hold(_) => self.log_undelivered(EventCode::FlowHeld, head, name, &view),
+            RelayVerdict::Drop(RelayDrop::Copied) => {}
+            RelayVerdict::Drop(_) => {
+                self.log_undelivered(EventCode::FlowDropped, head, name, &view);
+            }
         }
     }
 
+    /// Logs a decision that delivers nothing, with the age of what it rests on.
+    fn log_undelivered(&self, code: EventCode, head: &PacketHead, reason: &str, view: &RelayView) {
+        let age = view
+            .confirmed
+            .map(|confirmed| confirmed.elapsed().as_millis());
+        emit(
+            code,
+            &[
+                ("flow", &head.flow),
+                ("reason", &reason),
+                ("revision", &view.routes.revision),
+                ("synced", &view.synced),
+                ("list_age_ms", &age.unwrap_or_default()),
+            ],
+        );
+    }
+
     fn count_malformed(&self, reason: &str) {
         self.state
             .counters
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -52,6 +52,8 @@
     FlowReset = 1013, Info, "flow-reset";
     /// An entry dropped a packet of a flow.
     FlowDropped = 1014, Info, "flow-dropped";
+    /// An entry keeps a packet of a flow until it knows more.
+    FlowHeld = 1015, Info, "flow-held";
     /// An agent takes flows.
     AgentStarted = 2001, Info, "agent-started";
     /// An agent began to drain.
@@ -126,6 +128,7 @@
                 | EventCode::FlowReturned
                 | EventCode::FlowReset
                 | EventCode::FlowDropped
+                | EventCode::FlowHeld
                 | EventCode::PacketReturned
                 | EventCode::RequestSeen
         )
