Place no new flows on an upstream that resets its requests

Cause: an upstream that claims health and resets every request is never busy, so that placement by load sends it more and more flows.

Change: the agent counts the outcomes of requests, answers and resets, in the ejection controller that the other front end has. While its upstream is ejected it returns new flows; an entry places them elsewhere and comes back to a failing upstream only if all that it asked fail.

Tests: core/tests/relay/health.rs.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -273,6 +273,7 @@
         let outcome = self.presence.announce(announcement, now);
         if self.incarnation() != former {
             self.state.meter().restarted(self.born(now));
+            self.state.health().restarted();
         }
         match outcome {
             PresenceOutcome::Confirmed => {}
--- a/crates/agent/src/relay/shared.rs
+++ b/crates/agent/src/relay/shared.rs
@@ -3,8 +3,11 @@
 use super::counters::AgentCounters;
 use arc_swap::ArcSwap;
 use quetzalhill_core::ids::IncarnationNumber;
+use quetzalhill_core::relay::health::AnswerHealth;
 use quetzalhill_core::relay::intake::UpstreamState;
 use quetzalhill_core::relay::load::LoadMeter;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -25,6 +28,7 @@
     /// What the control thread believes of the upstream.
     pub(super) belief: ArcSwap<UpstreamBelief>,
     meter: Mutex<LoadMeter>,
+    health: Mutex<AnswerHealth>,
     /// What the traffic threads count.
     pub(super) counters: AgentCounters,
     /// Set when the traffic threads have to end.
@@ -41,6 +45,7 @@
                 slots: 0,
             }),
             meter: Mutex::default(),
+            health: Mutex::new(AnswerHealth::new(SmallRng::from_os_rng())),
             counters,
             stop: Arc::default(),
         })
@@ -51,4 +56,10 @@
         // A meter that a panic left behind is at most a few flows off.
         self.meter.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns what the outcomes of requests say of the upstream.
+    pub(super) fn health(&self) -> MutexGuard<'_, AnswerHealth> {
+        // Outcomes that a panic left uncounted are made up by later ones.
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -7,6 +7,7 @@
 use anyhow::{Context, Result};
 use quetzalhill_core::ids::{service_digest, ServiceDigest};
 use quetzalhill_core::relay::intake::{decide, IntakeFacts, IntakeVerdict, ReturnReason};
+use quetzalhill_core::relay::load::RequestOutcome;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::threads::TrafficThreads;
@@ -209,14 +210,19 @@
             Err(error) => return self.count_malformed(&format!("{error:?}")),
         };
         let belief = **self.state.belief.load();
-        let busy = match head.kind {
-            PacketKind::Opening { .. } => self.state.meter().pressure(Instant::now()),
-            _ => 0,
+        let now = Instant::now();
+        let (busy, failing) = match head.kind {
+            PacketKind::Opening { .. } => (
+                self.state.meter().pressure(now),
+                !self.state.health().takes_flows(now),
+            ),
+            _ => (0, false),
         };
         let facts = IntakeFacts {
             kind: head.kind,
             state: belief.state,
             own_service,
+            failing,
             forced,
             busy,
             slots: belief.slots,
@@ -270,9 +276,10 @@
         match packet::decode_upstream(bytes) {
             Ok(UpstreamPacket::Answer(head)) => {
                 self.count("answered");
-                let waited = self.state.meter().answered(&head, Instant::now());
-                if let Some(waited) = waited {
-                    self.state.counters.answers.observe(waited.as_secs_f64());
+                let now = Instant::now();
+                let outcome = self.state.meter().answered(&head, now);
+                if let Some(outcome) = outcome {
+                    self.note_outcome(outcome, now);
                 }
                 let caller = SocketAddrV4::new(*head.flow.caller.ip(), self.sockets.reply_port);
                 // A packet that cannot be sent counts as lost; the upstream repeats it.
@@ -287,6 +294,26 @@
         }
     }
 
+    fn note_outcome(&self, outcome: RequestOutcome, now: Instant) {
+        match outcome {
+            RequestOutcome::Answered(waited) => {
+                self.state.counters.answers.observe(waited.as_secs_f64());
+            }
+            RequestOutcome::Reset => self.count("reset-by-upstream"),
+        }
+        if !self.state.health().note(outcome, now) {
+            return;
+        }
+        let belief = **self.state.belief.load();
+        emit(
+            EventCode::UpstreamEjected,
+            &[
+                ("state", &belief.state.name()),
+                ("incarnation", &belief.incarnation),
+            ],
+        );
+    }
+
     /// Returns a packet to the entry that sent it.
     fn give_back(
         &self,
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -9,6 +9,7 @@
 pub mod digest;
 pub mod fleet;
 pub mod flows;
+pub mod health;
 pub mod hold;
 pub mod intake;
 pub mod load;
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -193,7 +193,13 @@
         let opening = matches!(head.kind, PacketKind::Opening { .. });
         let record = self.flows.record(head.flow);
         let known = view_life(view, head.flow, life.id).unwrap_or(life);
-        if let ReturnReason::Busy { requests } = reason {
+        // A failing upstream is the last to wait at.
+        let requests = match reason {
+            ReturnReason::Busy { requests } => Some(requests),
+            ReturnReason::Failing => Some(u32::MAX),
+            ReturnReason::NotHeld | ReturnReason::NotReady | ReturnReason::WrongService => None,
+        };
+        if let Some(requests) = requests {
             if record.busy.iter().all(|(life, _)| *life != known) {
                 record.busy.push((known, requests));
             }
--- a/crates/core/src/relay/intake.rs
+++ b/crates/core/src/relay/intake.rs
@@ -51,6 +51,8 @@
         /// Requests in progress or about to arrive.
         requests: u32,
     },
+    /// The upstream resets its requests.
+    Failing,
     /// The endpoint belongs to another service.
     WrongService,
 }
@@ -62,6 +64,7 @@
             ReturnReason::NotHeld => "not-held",
             ReturnReason::NotReady => "not-ready",
             ReturnReason::Busy { .. } => "busy",
+            ReturnReason::Failing => "failing",
             ReturnReason::WrongService => "wrong-service",
         }
     }
@@ -80,6 +83,8 @@
     pub state: UpstreamState,
     /// Whether the entry meant the service of this agent.
     pub own_service: bool,
+    /// Whether the upstream resets its requests.
+    pub failing: bool,
     /// Whether the entry found the other candidates busy too.
     pub forced: bool,
     /// Requests in progress or about to arrive at the upstream.
@@ -102,6 +107,9 @@
     }
     match (facts.state, facts.kind) {
         (UpstreamState::Gone, _) => IntakeVerdict::Return(ReturnReason::NotHeld),
+        (UpstreamState::Ready, PacketKind::Opening { .. }) if facts.failing && !facts.forced => {
+            IntakeVerdict::Return(ReturnReason::Failing)
+        }
         (UpstreamState::Ready, PacketKind::Opening { .. }) if is_busy(facts) => {
             IntakeVerdict::Return(ReturnReason::Busy {
                 requests: facts.busy,
--- a/crates/core/src/relay/load.rs
+++ b/crates/core/src/relay/load.rs
@@ -41,6 +41,15 @@
     expires: Instant,
 }
 
+/// How a request ended, as far as its packets show.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestOutcome {
+    /// Its answer began after this time.
+    Answered(Duration),
+    /// The upstream reset its flow.
+    Reset,
+}
+
 /// What an agent reports of its upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LoadCounts {
@@ -76,8 +85,8 @@
         activity.expires = now + IDLE_MAX;
     }
 
-    /// Notes a packet that the upstream sent, and returns how long a request waited if its answer begins.
-    pub fn answered(&mut self, head: &PacketHead, now: Instant) -> Option<Duration> {
+    /// Notes a packet that the upstream sent, and returns the outcome of a request if there is one.
+    pub fn answered(&mut self, head: &PacketHead, now: Instant) -> Option<RequestOutcome> {
         match head.kind {
             PacketKind::Ending => {
                 let activity = self.flows.get_mut(&head.flow)?;
@@ -87,11 +96,12 @@
                 }
                 activity.awaited_until = None;
                 let busy = activity.busy.take().filter(|_| head.data_len > 0)?;
-                return Some(now.saturating_duration_since(busy));
+                let waited = now.saturating_duration_since(busy);
+                return Some(RequestOutcome::Answered(waited));
             }
             PacketKind::Reset => {
-                self.flows.remove(&head.flow);
-                return None;
+                let activity = self.flows.remove(&head.flow)?;
+                return activity.busy.map(|_| RequestOutcome::Reset);
             }
             PacketKind::Opening { .. } | PacketKind::Accepting | PacketKind::Established => {}
         }
@@ -112,7 +122,8 @@
             return None;
         }
         let busy = activity.busy.take()?;
-        Some(now.saturating_duration_since(busy))
+        let waited = now.saturating_duration_since(busy);
+        Some(RequestOutcome::Answered(waited))
     }
 
     /// Forgets the flows from before `born`, when the upstream started anew and lost them.
--- /dev/null
+++ b/crates/core/tests/relay/health.rs
@@ -0,0 +1,102 @@
+//! An upstream that claims health and resets its requests.
+
+use crate::support::*;
+use quetzalhill_core::relay::chain::{RelayChain, RelayVerdict};
+use quetzalhill_core::relay::health::AnswerHealth;
+use quetzalhill_core::relay::intake::ReturnReason;
+use quetzalhill_core::relay::load::{LoadMeter, RequestOutcome};
+use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::time::{Duration, Instant};
+
+fn health() -> AnswerHealth {
+    AnswerHealth::new(SmallRng::seed_from_u64(1))
+}
+
+fn answered() -> RequestOutcome {
+    RequestOutcome::Answered(Duration::from_millis(20))
+}
+
+/// Guards against an upstream that looks idle because it fails at once, and gets more and more flows (scale-1 of the grown
+/// Lucky Slip), and against one that is never tried again.
+#[test]
+fn upstream_that_resets_its_requests_gets_no_flows_for_a_while() {
+    let now = Instant::now();
+    let mut health = health();
+    for _ in 0..4 {
+        assert!(!health.note(RequestOutcome::Reset, now));
+    }
+    assert!(health.takes_flows(now));
+    assert!(health.note(RequestOutcome::Reset, now));
+    assert!(!health.takes_flows(now));
+    let later = now + Duration::from_secs(3);
+    assert!(health.takes_flows(later));
+    // One more failure of the trial ends it.
+    assert!(health.note(RequestOutcome::Reset, later));
+    assert!(!health.takes_flows(later));
+    health.restarted();
+    assert!(health.takes_flows(later));
+}
+
+/// Guards against an upstream that is taken out for a single reset among many answers.
+#[test]
+fn single_resets_eject_nothing() {
+    let now = Instant::now();
+    let mut health = health();
+    for round in 0..200 {
+        let outcome = match round % 4 {
+            0 => RequestOutcome::Reset,
+            _ => answered(),
+        };
+        assert!(!health.note(outcome, now));
+    }
+}
+
+/// Guards against a reset of an idle flow that counts as a failed request, and against one that does not.
+#[test]
+fn only_resets_of_requests_count() {
+    let now = Instant::now();
+    let mut meter = LoadMeter::default();
+    let reset = |number| packet(number, PacketKind::Reset);
+    meter.answered(&packet(1, PacketKind::Accepting), now);
+    assert_eq!(meter.answered(&reset(1), now), None);
+    meter.answered(&packet(2, PacketKind::Accepting), now);
+    let request = PacketHead {
+        data_len: 100,
+        ..established(2)
+    };
+    meter.delivered(&request, now);
+    assert_eq!(meter.answered(&reset(2), now), Some(RequestOutcome::Reset));
+}
+
+/// Guards against a service that is emptied because all its upstreams fail, and against a wait at one that fails while
+/// others are merely busy.
+#[test]
+fn failing_upstream_is_the_last_resort() {
+    let view = view();
+    let now = Instant::now();
+    let mut chain = RelayChain::new(now);
+    let mut verdict = chain.decide(&opening(61), &view, now);
+    let mut asked = Vec::new();
+    let reasons = [
+        ReturnReason::Failing,
+        ReturnReason::Busy { requests: 9 },
+        ReturnReason::Failing,
+    ];
+    for reason in reasons {
+        let life = delivered(&verdict);
+        asked.push(life);
+        verdict = chain.decide_returned(&opening(61), life, reason, &view, now);
+    }
+    assert_eq!(delivered(&verdict), asked[1]);
+    let mut verdict = chain.decide(&opening(62), &view, now);
+    for _ in 0..3 {
+        let life = delivered(&verdict);
+        verdict = chain.decide_returned(&opening(62), life, ReturnReason::Failing, &view, now);
+    }
+    let RelayVerdict::Deliver { targets, .. } = verdict else {
+        panic!("nobody takes the flow");
+    };
+    assert!(targets[0].forced);
+}
--- a/crates/core/tests/relay/herd.rs
+++ b/crates/core/tests/relay/herd.rs
@@ -240,6 +240,7 @@
             kind: PacketKind::Opening { copies: 0 },
             state: UpstreamState::Ready,
             own_service: true,
+            failing: false,
             forced,
             busy: self.meters[endpoint].pressure(now),
             slots: u32::try_from(SLOTS).expect("fits"),
--- a/crates/core/tests/relay/load.rs
+++ b/crates/core/tests/relay/load.rs
@@ -2,7 +2,7 @@
 
 use crate::support::*;
 use quetzalhill_core::relay::digest::{print_of, DIGEST_MAX};
-use quetzalhill_core::relay::load::{LoadMeter, IDLE_MAX};
+use quetzalhill_core::relay::load::{LoadMeter, RequestOutcome, IDLE_MAX};
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use std::time::{Duration, Instant};
 
@@ -30,7 +30,7 @@
     assert_eq!(meter.answered(&established(1), later), None);
     assert_eq!(
         meter.answered(&data(1), later),
-        Some(Duration::from_millis(30))
+        Some(RequestOutcome::Answered(Duration::from_millis(30)))
     );
     assert_eq!(meter.counts(later).busy, 0);
     assert_eq!(meter.addresses().as_slice(), [service_address()]);
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod chain;
 mod digest;
 mod fleet;
+mod health;
 mod herd;
 mod hold;
 mod load;
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -70,6 +70,8 @@
     PacketReturned = 2012, Info, "packet-returned";
     /// An agent passed a request of a flow to its upstream.
     RequestSeen = 2013, Info, "request-seen";
+    /// An upstream resets its requests and gets no new flows for a while.
+    UpstreamEjected = 2014, Warn, "upstream-ejected";
     /// An endpoint became known or changed its state.
     EndpointChanged = 3001, Info, "endpoint-changed";
     /// A catalogue revision came into force.
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -67,6 +67,7 @@
 const TAG_NOT_READY: u8 = 2;
 const TAG_WRONG_SERVICE: u8 = 3;
 const TAG_BUSY: u8 = 4;
+const TAG_FAILING: u8 = 5;
 
 // The visitor is written by hand, because every packet has this header and derived code would nest two enums.
 impl Serialize for RelayHeader {
@@ -92,13 +93,17 @@
         ReturnReason::NotReady => TAG_NOT_READY,
         ReturnReason::WrongService => TAG_WRONG_SERVICE,
         ReturnReason::Busy { .. } => TAG_BUSY,
+        ReturnReason::Failing => TAG_FAILING,
     }
 }
 
 fn reason_detail(reason: ReturnReason) -> u32 {
     match reason {
         ReturnReason::Busy { requests } => requests,
-        ReturnReason::NotHeld | ReturnReason::NotReady | ReturnReason::WrongService => 0,
+        ReturnReason::NotHeld
+        | ReturnReason::NotReady
+        | ReturnReason::Failing
+        | ReturnReason::WrongService => 0,
     }
 }
 
@@ -127,6 +132,7 @@
             TAG_NOT_READY => ReturnReason::NotReady,
             TAG_WRONG_SERVICE => ReturnReason::WrongService,
             TAG_BUSY => ReturnReason::Busy { requests: detail },
+            TAG_FAILING => ReturnReason::Failing,
             _ => return Err(A::Error::custom("an unknown kind of relay header")),
         };
         Ok(RelayHeader::Return {
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -28,6 +28,7 @@
         Just(ReturnReason::NotHeld),
         Just(ReturnReason::NotReady),
         Just(ReturnReason::WrongService),
+        Just(ReturnReason::Failing),
         any::<u32>().prop_map(|requests| ReturnReason::Busy { requests }),
     ];
     prop_oneof![
