Split the chain and the control thread of the relay's entry

Change: moves only. What a view tells of a flow is in view.rs, what the control thread takes from the list and from reports in control/endpoints.rs, and both forms of the store's stand-in admit calls in one place.

Tests: as before.

--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -3,12 +3,12 @@
 //! The chain sees decoded heads, so that it serves every encoding, and returns verdicts that the traffic thread
 //! executes. See docs/relay.md.
 
-use crate::ids::{EndpointId, ServiceDigest, ServiceName};
+use crate::ids::{EndpointId, ServiceDigest};
 use crate::relay::digest::print_of;
 use crate::relay::flows::{FlowRecord, FlowTable};
 use crate::relay::hold::HoldReason;
 use crate::relay::intake::ReturnReason;
-use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
+use crate::relay::packet::{PacketHead, PacketKind};
 use crate::relay::place::{self, EndpointLife};
 use crate::relay::routes::choose_target;
 use crate::relay::view::{EndpointStatus, RelayView, ServiceView, ViewEndpoint};
@@ -192,7 +192,7 @@
         }
         let opening = matches!(head.kind, PacketKind::Opening { .. });
         let record = self.flows.record(head.flow);
-        let known = view_life(view, head.flow, life.id).unwrap_or(life);
+        let known = view.life_of(head.flow, life.id).unwrap_or(life);
         // A failing upstream is the last to wait at.
         let requests = match reason {
             ReturnReason::Busy { requests } => Some(requests),
@@ -275,9 +275,13 @@
         let mut targets = DeliverList::new();
         let asked = std::mem::take(&mut record.asked);
         for life in asked {
-            match find_life(view, head.flow, life) {
-                Some(target) => {
-                    targets.push(target);
+            match view.service_of(head.flow, life) {
+                Some(service) => {
+                    targets.push(DeliverTarget {
+                        endpoint: life,
+                        service: service.digest,
+                        forced: false,
+                    });
                     record.asked.push(life);
                 }
                 // The endpoint has gone or lives again without its flows.
@@ -354,7 +358,7 @@
             0..place::CHOICES => place::CHOICES,
             _ => ROUND_MAX,
         };
-        for name in holder_services(view, head.flow) {
+        for name in view.holder_services(head.flow) {
             let Some(service) = view.services.get(name) else {
                 complete = false;
                 continue;
@@ -468,54 +472,3 @@
         _ => 0,
     }
 }
-
-/// Returns the services whose endpoints may hold the flow, the most probable first.
-fn holder_services(view: &RelayView, flow: FlowAddresses) -> SmallVec<[&ServiceName; 4]> {
-    let mut names: SmallVec<[&ServiceName; 4]> = SmallVec::new();
-    let targets = view.routes.targets(flow.service);
-    if let Some(target) = targets.and_then(|targets| choose_target(targets, flow)) {
-        names.push(&target.service);
-    }
-    let former = view.former.get(&flow.service);
-    let others = targets.into_iter().flatten().map(|target| &target.service);
-    for name in others.chain(former.into_iter().flatten()) {
-        if !names.contains(&name) {
-            names.push(name);
-        }
-    }
-    names
-}
-
-/// Returns the life of the endpoint `id` that the view knows.
-fn view_life(view: &RelayView, flow: FlowAddresses, id: EndpointId) -> Option<EndpointLife> {
-    for name in holder_services(view, flow) {
-        let endpoints = view.services.get(name).into_iter();
-        for endpoint in endpoints.flat_map(|service| &service.endpoints) {
-            if endpoint.id == id {
-                return Some(endpoint.life());
-            }
-        }
-    }
-    None
-}
-
-/// Returns the endpoint of `life`, if it still lives and may hold the flow.
-fn find_life(view: &RelayView, flow: FlowAddresses, life: EndpointLife) -> Option<DeliverTarget> {
-    for name in holder_services(view, flow) {
-        let Some(service) = view.services.get(name) else {
-            continue;
-        };
-        if service
-            .endpoints
-            .iter()
-            .any(|endpoint| endpoint.life() == life)
-        {
-            return Some(DeliverTarget {
-                endpoint: life,
-                service: service.digest,
-                forced: false,
-            });
-        }
-    }
-    None
-}
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -2,7 +2,10 @@
 
 use crate::ids::{EndpointId, IncarnationNumber, ServiceDigest, ServiceName};
 use crate::relay::digest::FlowDigest;
-use crate::relay::routes::{FormerServices, RouteSet};
+use crate::relay::packet::FlowAddresses;
+use crate::relay::place::EndpointLife;
+use crate::relay::routes::{choose_target, FormerServices, RouteSet};
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -82,3 +85,44 @@
     /// Whether the entry has loaded its routes and heard of its endpoints.
     pub loaded: bool,
 }
+
+/// Services by name; a route leads to a few.
+pub type ServiceNames<'a> = SmallVec<[&'a ServiceName; 4]>;
+
+impl RelayView {
+    /// Returns the services whose endpoints may hold the flow, the most probable first.
+    pub fn holder_services(&self, flow: FlowAddresses) -> ServiceNames<'_> {
+        let mut names = ServiceNames::new();
+        let targets = self.routes.targets(flow.service);
+        if let Some(target) = targets.and_then(|targets| choose_target(targets, flow)) {
+            names.push(&target.service);
+        }
+        let former = self.former.get(&flow.service);
+        let others = targets.into_iter().flatten().map(|target| &target.service);
+        for name in others.chain(former.into_iter().flatten()) {
+            if !names.contains(&name) {
+                names.push(name);
+            }
+        }
+        names
+    }
+
+    /// Returns the known life of the endpoint `id`, if it may hold the flow.
+    pub fn life_of(&self, flow: FlowAddresses, id: EndpointId) -> Option<EndpointLife> {
+        let endpoints = self.holders(flow).flat_map(|service| &service.endpoints);
+        let mut lives = endpoints.map(ViewEndpoint::life);
+        lives.find(|life| life.id == id)
+    }
+
+    /// Returns the service of the endpoint of `life`, if it still lives and may hold the flow.
+    pub fn service_of(&self, flow: FlowAddresses, life: EndpointLife) -> Option<&ServiceView> {
+        let lives_in =
+            |service: &&ServiceView| service.endpoints.iter().any(|known| known.life() == life);
+        self.holders(flow).find(lives_in)
+    }
+
+    fn holders(&self, flow: FlowAddresses) -> impl Iterator<Item = &ServiceView> {
+        let names = self.holder_services(flow).into_iter();
+        names.filter_map(|name| self.services.get(name))
+    }
+}
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -1,13 +1,15 @@
 //! The control thread of an entry of the relay: routes, endpoints, readiness.
 
+mod endpoints;
+
 use super::counters::set;
 use super::settings::RelaySettings;
 use super::shared::RelayState;
-use super::traffic::{ArrivedReport, RelaySockets, TrafficEvent};
+use super::traffic::{RelaySockets, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
 use prometheus::Registry;
-use quetzalhill_core::ids::{address_of, id_of, EndpointId};
-use quetzalhill_core::relay::fleet::{FleetController, ListedEndpoint, ReportOutcome};
+use quetzalhill_core::ids::{address_of, EndpointId};
+use quetzalhill_core::relay::fleet::FleetController;
 use quetzalhill_core::relay::routes::{RouteController, RouteOutcome};
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
@@ -19,7 +21,7 @@
 use quetzalhill_platform::store::PlatformCodec;
 use quetzalhill_store::api::{KeyRange, KeyValue, WatchEvent};
 use quetzalhill_store::polled::PolledStore;
-use quetzalhill_wire::relay::{decode_entry, HelloNotice, RelayNotice};
+use quetzalhill_wire::relay::{HelloNotice, RelayNotice};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -354,99 +356,6 @@
         self.publish(Instant::now());
     }
 
-    fn follow_endpoints(&mut self, event: FollowEvent, now: Instant) {
-        match event {
-            FollowEvent::Loaded { entries, read } => self.load_endpoints(entries, read, now),
-            FollowEvent::Changed(events) => {
-                self.endpoints_range.current = true;
-                for event in events {
-                    self.change_endpoint(event, now);
-                }
-            }
-            FollowEvent::Failed => self.endpoints_range.current = false,
-            FollowEvent::Confirming => return self.ask_holders(now),
-            FollowEvent::Unconfirmed => return,
-        }
-        self.greet(now);
-        self.publish(now);
-    }
-
-    fn load_endpoints(&mut self, entries: Vec<KeyValue>, read: Instant, now: Instant) {
-        self.endpoints_range = RangeState::loaded(read);
-        self.settles = self.settles.or(Some(now + SETTLE_TIME));
-        self.listed.clear();
-        let mut endpoints = Vec::new();
-        for entry in &entries {
-            endpoints.extend(self.read_record(entry));
-        }
-        emit(
-            EventCode::ListLoaded,
-            &[("records", &entries.len()), ("endpoints", &endpoints.len())],
-        );
-        self.fleet.list_all(endpoints, now);
-    }
-
-    fn change_endpoint(&mut self, event: WatchEvent, now: Instant) {
-        match event {
-            WatchEvent::Put(entry) => {
-                let Some(endpoint) = self.read_record(&entry) else {
-                    return;
-                };
-                self.fleet.list(endpoint, now);
-            }
-            WatchEvent::Delete { key, .. } => {
-                if let Some(id) = self.listed.remove(&key) {
-                    emit(
-                        EventCode::EndpointChanged,
-                        &[("endpoint", &address_of(id)), ("state", &"unlisted")],
-                    );
-                    self.fleet.unlist(id, now);
-                }
-            }
-        }
-    }
-
-    /// Reads a record of the list; one that cannot be read names no endpoint.
-    fn read_record(&mut self, entry: &KeyValue) -> Option<ListedEndpoint> {
-        match decode_entry(&entry.value) {
-            Ok(endpoint) => {
-                self.listed.insert(entry.key.clone(), endpoint.id);
-                Some(endpoint)
-            }
-            Err(error) => {
-                emit(
-                    EventCode::RecordInvalid,
-                    &[("key", &entry.key), ("error", &format!("{error:?}"))],
-                );
-                None
-            }
-        }
-    }
-
-    fn take_report(&mut self, arrived: ArrivedReport, now: Instant) {
-        let id = id_of(arrived.agent);
-        let report = arrived.notice.report(id, self.epoch, now);
-        let (state, incarnation) = (report.state, report.endpoint.incarnation);
-        let (order, stopping) = (report.order, report.stopping);
-        match self.fleet.report(report, now) {
-            ReportOutcome::Belief => {
-                emit(
-                    EventCode::EndpointChanged,
-                    &[
-                        ("endpoint", &arrived.agent),
-                        ("state", &state.name()),
-                        ("stopping", &stopping),
-                        ("incarnation", &incarnation),
-                        ("report", &order.1),
-                    ],
-                );
-                self.publish(now);
-            }
-            ReportOutcome::Load if now >= self.published + LOAD_AGE => self.publish(now),
-            ReportOutcome::Load | ReportOutcome::Late => {}
-        }
-    }
-
     fn tick(&mut self, now: Instant) {
         self.ticks = now + TICK_INTERVAL;
         self.fleet.tick(now);
--- /dev/null
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -0,0 +1,108 @@
+//! The list of endpoints and the reports of their agents, as the control thread takes them.
+
+use super::{RangeState, RelayControl, LOAD_AGE, SETTLE_TIME};
+use crate::relay::traffic::ArrivedReport;
+use quetzalhill_core::ids::{address_of, id_of};
+use quetzalhill_core::relay::fleet::{ListedEndpoint, ReportOutcome};
+use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::relay::follow::FollowEvent;
+use quetzalhill_store::api::{KeyValue, WatchEvent};
+use quetzalhill_wire::relay::decode_entry;
+use std::time::Instant;
+
+impl RelayControl {
+    /// Takes what the follower of the list learned.
+    pub(super) fn follow_endpoints(&mut self, event: FollowEvent, now: Instant) {
+        match event {
+            FollowEvent::Loaded { entries, read } => self.load_endpoints(entries, read, now),
+            FollowEvent::Changed(events) => {
+                self.endpoints_range.current = true;
+                for event in events {
+                    self.change_endpoint(event, now);
+                }
+            }
+            FollowEvent::Failed => self.endpoints_range.current = false,
+            FollowEvent::Confirming => return self.ask_holders(now),
+            FollowEvent::Unconfirmed => return,
+        }
+        self.greet(now);
+        self.publish(now);
+    }
+
+    fn load_endpoints(&mut self, entries: Vec<KeyValue>, read: Instant, now: Instant) {
+        self.endpoints_range = RangeState::loaded(read);
+        self.settles = self.settles.or(Some(now + SETTLE_TIME));
+        self.listed.clear();
+        let mut endpoints = Vec::new();
+        for entry in &entries {
+            endpoints.extend(self.read_record(entry));
+        }
+        emit(
+            EventCode::ListLoaded,
+            &[("records", &entries.len()), ("endpoints", &endpoints.len())],
+        );
+        self.fleet.list_all(endpoints, now);
+    }
+
+    fn change_endpoint(&mut self, event: WatchEvent, now: Instant) {
+        match event {
+            WatchEvent::Put(entry) => {
+                let Some(endpoint) = self.read_record(&entry) else {
+                    return;
+                };
+                self.fleet.list(endpoint, now);
+            }
+            WatchEvent::Delete { key, .. } => {
+                if let Some(id) = self.listed.remove(&key) {
+                    emit(
+                        EventCode::EndpointChanged,
+                        &[("endpoint", &address_of(id)), ("state", &"unlisted")],
+                    );
+                    self.fleet.unlist(id, now);
+                }
+            }
+        }
+    }
+
+    /// Reads a record of the list; one that cannot be read names no endpoint.
+    fn read_record(&mut self, entry: &KeyValue) -> Option<ListedEndpoint> {
+        match decode_entry(&entry.value) {
+            Ok(endpoint) => {
+                self.listed.insert(entry.key.clone(), endpoint.id);
+                Some(endpoint)
+            }
+            Err(error) => {
+                emit(
+                    EventCode::RecordInvalid,
+                    &[("key", &entry.key), ("error", &format!("{error:?}"))],
+                );
+                None
+            }
+        }
+    }
+
+    /// Takes the report of an agent.
+    pub(super) fn take_report(&mut self, arrived: ArrivedReport, now: Instant) {
+        let id = id_of(arrived.agent);
+        let report = arrived.notice.report(id, self.epoch, now);
+        let (state, incarnation) = (report.state, report.endpoint.incarnation);
+        let (order, stopping) = (report.order, report.stopping);
+        match self.fleet.report(report, now) {
+            ReportOutcome::Belief => {
+                emit(
+                    EventCode::EndpointChanged,
+                    &[
+                        ("endpoint", &arrived.agent),
+                        ("state", &state.name()),
+                        ("stopping", &stopping),
+                        ("incarnation", &incarnation),
+                        ("report", &order.1),
+                    ],
+                );
+                self.publish(now);
+            }
+            ReportOutcome::Load if now >= self.published + LOAD_AGE => self.publish(now),
+            ReportOutcome::Load | ReportOutcome::Late => {}
+        }
+    }
+}
--- a/crates/platform/src/standin/call.rs
+++ b/crates/platform/src/standin/call.rs
@@ -1,9 +1,10 @@
 //! Calls that upstreams and the fabric make, and the operators' catalogue as the platform writes it.
 
 use crate::server::{ANNOUNCE_PREFIX, GOODBYE_PREFIX, READY_PATH};
+use crate::store::{get, post};
 use quetzalhill_core::ids::{IncarnationNumber, ServiceName, UpstreamName, ZoneName};
 use quetzalhill_core::relay::routes::RouteSet;
-use quetzalhill_store::codec::{CallMethod, HttpCall};
+use quetzalhill_store::codec::HttpCall;
 use serde_json::json;
 use std::net::SocketAddrV4;
 
@@ -58,19 +59,7 @@
 
 /// Encodes the question of the fabric whether an entry takes packets.
 pub fn ready() -> HttpCall {
-    HttpCall {
-        method: CallMethod::Get,
-        path: READY_PATH.into(),
-        body: None,
-    }
-}
-
-fn post(path: String, body: Option<Vec<u8>>) -> HttpCall {
-    HttpCall {
-        method: CallMethod::Post,
-        path,
-        body,
-    }
+    get(READY_PATH.into())
 }
 
 /// Encodes the operators' catalogue.
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -331,7 +331,7 @@
     serde_json::to_vec(call).ok()
 }
 
-fn get(path: String) -> HttpCall {
+pub(crate) fn get(path: String) -> HttpCall {
     HttpCall {
         method: CallMethod::Get,
         path,
@@ -339,7 +339,7 @@
     }
 }
 
-fn post(path: String, body: Option<Vec<u8>>) -> HttpCall {
+pub(crate) fn post(path: String, body: Option<Vec<u8>>) -> HttpCall {
     HttpCall {
         method: CallMethod::Post,
         path,
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -8,6 +8,7 @@
 mod state;
 
 use ntex::rt::{DefaultRuntime, System};
+use ntex::time::{sleep, Millis};
 use ntex::web::types::JsonConfig;
 use ntex::web::{App, HttpServer};
 use state::StoreState;
@@ -45,6 +46,27 @@
     Polled,
 }
 
+/// How often a silent store looks whether it may answer again.
+const SILENT_POLL: Millis = Millis(20);
+
+/// Waits as the mode says, and returns whether the store is available.
+async fn is_admitted(state: &SharedStore) -> bool {
+    loop {
+        let mode = lock(state).mode;
+        match mode {
+            StandinMode::Normal => break,
+            StandinMode::Slow(pause) => {
+                sleep(pause).await;
+                break;
+            }
+            StandinMode::Silent => sleep(SILENT_POLL).await,
+            StandinMode::Unavailable => return false,
+        }
+    }
+    lock(state).expire();
+    true
+}
+
 /// The thread of a running web server.
 #[derive(Debug)]
 struct RunningServer {
--- a/crates/standins/src/store/http.rs
+++ b/crates/standins/src/store/http.rs
@@ -1,13 +1,12 @@
 //! The HTTP/JSON form of the API.
 
-use super::state::{ByteRange, StandinMode, StoreEvent, StoreState, StoredValue, WireWrite};
+use super::state::{ByteRange, StoreEvent, StoreState, StoredValue, WireWrite};
 use super::{lock, SharedStore};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use futures_util::stream;
 use futures_util::StreamExt;
 use ntex::http::StatusCode;
-use ntex::time::{sleep, Millis};
 use ntex::util::Bytes;
 use ntex::web::types::{Json, State};
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
@@ -16,9 +15,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// How often a silent store looks whether it may answer again.
-const SILENT_POLL: Millis = Millis(20);
-
 /// gRPC status of a refused call with an unusable argument.
 const INVALID_ARGUMENT: u32 = 3;
 
@@ -41,23 +37,11 @@
 
 /// Waits as the mode says; the error is the answer of an unavailable store.
 async fn admit(state: &SharedStore) -> Result<(), HttpResponse> {
-    loop {
-        let mode = lock(state).mode;
-        match mode {
-            StandinMode::Normal => break,
-            StandinMode::Slow(pause) => {
-                sleep(pause).await;
-                break;
-            }
-            StandinMode::Silent => sleep(SILENT_POLL).await,
-            StandinMode::Unavailable => {
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                return Err(refuse(status, UNAVAILABLE, "etcdserver: no leader"));
-            }
-        }
+    if super::is_admitted(state).await {
+        return Ok(());
     }
-    lock(state).expire();
-    Ok(())
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Err(refuse(status, UNAVAILABLE, "etcdserver: no leader"))
 }
 
 fn refuse(status: StatusCode, code: u32, message: &str) -> HttpResponse {
--- a/crates/standins/src/store/polled.rs
+++ b/crates/standins/src/store/polled.rs
@@ -1,9 +1,8 @@
 //! The form of the API that the first users' platform has: long polls in place of watches.
 
-use super::state::{ByteRange, StandinMode, StoreEvent, StoreState, StoredValue, WireWrite};
-use super::{lock, SharedStore};
+use super::state::{ByteRange, StoreEvent, StoreState, StoredValue, WireWrite};
+use super::{is_admitted, lock, SharedStore};
 use ntex::http::StatusCode;
-use ntex::time::{sleep, Millis};
 use ntex::util::Bytes;
 use ntex::web::types::State;
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
@@ -13,9 +12,6 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-/// How often a silent store looks whether it may answer again.
-const SILENT_POLL: Millis = Millis(20);
-
 /// Registers the calls.
 pub(super) fn configure(config: &mut ServiceConfig) {
     config.service(web::resource("/{path}*").to(answer));
@@ -42,19 +38,9 @@
 
 /// Waits as the mode says and executes the call; returns nothing if its answer is to be lost.
 async fn admit(state: &SharedStore, call: StoreCall) -> Option<StoreAnswer> {
-    loop {
-        let mode = lock(state).mode;
-        match mode {
-            StandinMode::Normal => break,
-            StandinMode::Slow(pause) => {
-                sleep(pause).await;
-                break;
-            }
-            StandinMode::Silent => sleep(SILENT_POLL).await,
-            StandinMode::Unavailable => return Some(codec::unavailable()),
-        }
+    if !is_admitted(state).await {
+        return Some(codec::unavailable());
     }
-    lock(state).expire();
     let StoreCall::Watch {
         prefix,
         after,
