Do not refuse a first packet while endpoints are silent

An entry was paused, read the copies of a first packet more than a second late, and refused one, because its endpoints could not report to it while it was paused and looked silent.

Change: without an endpoint that takes the flow, a first packet is refused only if none is silent or unknown; otherwise it is dropped and the caller repeats it.

Test: first_packet_is_not_refused_while_endpoints_are_silent, which ended in a reset before.

--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -44,6 +44,8 @@
     NoRoute,
     /// No endpoint is known to hold the flow, and some could not be asked.
     NoHolder,
+    /// No endpoint is known to take the new flow, and some do not answer; the caller repeats its packet.
+    NoReady,
     /// Another endpoint has the same packet.
     Copied,
 }
@@ -326,6 +328,11 @@
             record.forced = true;
         }
         let Some(index) = index else {
+            // After a pause of this process all endpoints look silent for a moment, and a late copy of a first packet may
+            // belong to a flow that is open by now.
+            if service.may_become_ready() {
+                return Some(RelayVerdict::Drop(RelayDrop::NoReady));
+            }
             return refused;
         };
         let endpoint = &service.endpoints[index];
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -61,6 +61,16 @@
     pub complete: bool,
 }
 
+impl ServiceView {
+    /// Returns whether an endpoint of which nothing is known at the moment may take new flows.
+    pub fn may_become_ready(&self) -> bool {
+        self.endpoints.iter().any(|endpoint| match endpoint.status {
+            EndpointStatus::Silent | EndpointStatus::Pending => true,
+            EndpointStatus::Ready | EndpointStatus::Draining => false,
+        })
+    }
+}
+
 /// All that a traffic thread needs to route a packet.
 #[derive(Clone, Debug, Default)]
 pub struct RelayView {
--- a/crates/core/tests/relay/chain.rs
+++ b/crates/core/tests/relay/chain.rs
@@ -212,6 +212,28 @@
     assert_eq!(asked.len(), 7);
 }
 
+/// Guards against the reset of a flow that is open elsewhere: an entry that was paused reads an old copy of its first
+/// packet, while all endpoints look silent because nobody could report to it (seed 5045 of the soak).
+#[test]
+fn first_packet_is_not_refused_while_endpoints_are_silent() {
+    let mut view = view();
+    let service = view.services.get_mut(FEED).expect("feed");
+    for endpoint in &mut service.endpoints[1..] {
+        endpoint.status = EndpointStatus::Silent;
+    }
+    let now = Instant::now();
+    let mut chain = RelayChain::new(now);
+    let only = delivered(&chain.decide(&opening(49), &view, now));
+    let verdict = chain.decide_returned(&opening(49), only, ReturnReason::NotReady, &view, now);
+    assert_eq!(verdict, RelayVerdict::Drop(RelayDrop::NoReady));
+    let service = view.services.get_mut(FEED).expect("feed");
+    for endpoint in &mut service.endpoints[1..] {
+        endpoint.status = EndpointStatus::Draining;
+    }
+    let verdict = chain.decide_returned(&opening(49), only, ReturnReason::NotReady, &view, now);
+    assert_eq!(verdict, RelayVerdict::Reset(ResetReason::Refused));
+}
+
 /// Guards against copies of a first packet that all go to an endpoint which does not answer.
 #[test]
 fn copy_of_a_first_packet_goes_to_another_endpoint() {
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -119,6 +119,7 @@
             RelayDrop::Unexpected => "drop-unexpected",
             RelayDrop::NoRoute => "drop-no-route",
             RelayDrop::NoHolder => "drop-no-holder",
+            RelayDrop::NoReady => "drop-no-ready",
             RelayDrop::Copied => "drop-copied",
         },
     }
