Wait until a reader has read in a test of the store's readers

The test took an open watch for a sign that the catalogue had been read; a reader opens its watch first and reads then.

Change: the test waits, with the limit that its other steps have, until one reader has the revision, and then asks for the same as before.

--- a/crates/entry/tests/reader.rs
+++ b/crates/entry/tests/reader.rs
@@ -204,10 +204,10 @@
     apply(&standin, 1).await;
     assert!(until(|| standin.keys(READER_PREFIX).len() == 2).await);
     assert!(until(|| standin.counts().open_watches == 2).await);
-    let holder = readers
-        .iter()
-        .position(|reader| reader.revision() == 1)
-        .expect("a reader has read");
+    // A watch is open before the catalogue has been read.
+    let read = |reader: &TestReader| reader.revision() == 1;
+    assert!(until(|| readers.iter().any(read)).await);
+    let holder = readers.iter().position(read).expect("a reader has read");
     let left = readers.remove(holder);
     left.stop.send_replace(true);
     assert!(until(|| standin.keys(READER_PREFIX).len() == 2).await);
