--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -11,19 +11,20 @@
 use ntex::time::{sleep, timeout, Millis};
 use ntex::SharedCfg;
 use prometheus::Registry;
-use quetzalhill_core::ids::{id_of, IncarnationNumber};
+use quetzalhill_core::ids::{address_of, id_of, IncarnationNumber};
 use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint, REPORT_INTERVAL};
 use quetzalhill_core::relay::intake::UpstreamState;
 use quetzalhill_core::relay::presence::{
     PresenceController, PresenceOutcome, UpstreamAnnouncement,
 };
+use quetzalhill_core::relay::subscribe::{DueReport, ReportRate, SubscriberController};
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_platform::announcement;
 use quetzalhill_platform::server::{self, ServerCall};
 use quetzalhill_wire::relay::{RelayNotice, ReportNotice};
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::{SocketAddrV4, TcpListener};
 use std::rc::Rc;
@@ -33,12 +34,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout_at;
 
-/// How long an entry gets reports after its last keepalive; entries send a keepalive once a second.
-const SUBSCRIPTION_TIME: Duration = Duration::from_secs(3);
-
-/// Maximum number of entries that get reports; larger than any deployment to date.
-const SUBSCRIBERS_MAX: usize = 256;
-
 /// Margin in announcement intervals: an incarnation may have accepted flows for this long before its first announcement
 /// arrives, because two announcements may get lost before an upstream counts as lost.
 const START_MARGIN_INTERVALS: u32 = 3;
@@ -223,15 +218,6 @@
     }
 }
 
-/// An entry that gets reports because it has sent a keepalive.
-#[derive(Clone, Copy, Debug)]
-struct ReportSubscriber {
-    /// Clock value of the entry's last keepalive, in milliseconds; reports echo it.
-    keepalive_ms: u32,
-    /// Point in time until which the entry gets reports.
-    expires: Instant,
-}
-
 /// State of the control thread.
 struct AgentControl {
     settings: RelaySettings,
@@ -241,7 +227,7 @@
     registration: watch::Sender<Option<ListedEndpoint>>,
     /// Counts how often the upstream's announcements stopped; each change starts a round of probes.
     losses: watch::Sender<u64>,
-    subscribers: HashMap<SocketAddrV4, ReportSubscriber>,
+    subscribers: SubscriberController,
     started: u64,
     report_count: u64,
     next_tick: Instant,
@@ -264,7 +250,7 @@
             presence: PresenceController::new(relay.service.clone(), interval, started, now),
             registration,
             losses: watch::Sender::new(0),
-            subscribers: HashMap::new(),
+            subscribers: SubscriberController::default(),
             started,
             report_count: 0,
             next_tick: now + REPORT_INTERVAL,
@@ -329,19 +315,10 @@
 
     fn handle_event(&mut self, event: TrafficEvent, now: Instant) {
         match event {
-            TrafficEvent::Keepalive(entry, keepalive) => {
-                let known = self.subscribers.contains_key(&entry);
-                if !known && self.subscribers.len() >= SUBSCRIBERS_MAX {
-                    return;
-                }
-                let subscriber = ReportSubscriber {
-                    keepalive_ms: keepalive.clock_ms,
-                    expires: now + SUBSCRIPTION_TIME,
-                };
-                self.subscribers.insert(entry, subscriber);
-                if !known || keepalive.urgent {
-                    self.send_reports(&[(entry, subscriber)], now);
-                }
+            TrafficEvent::Keepalive(entry, notice) => {
+                let keepalive = notice.to_keepalive(now);
+                let due = self.subscribers.subscribe(id_of(entry), keepalive, now);
+                self.send_reports(due.as_slice(), now);
             }
             TrafficEvent::UpstreamRefused => {
                 if self.presence.mark_refused() == PresenceOutcome::Changed {
@@ -384,7 +361,7 @@
                 ("covers", &self.presence.covers_all_flows(now)),
             ],
         );
-        self.report(now);
+        self.report_change(now);
         let listed = match state {
             UpstreamState::Gone => None,
             UpstreamState::Unknown => return,
@@ -423,17 +400,19 @@
         }
     }
 
+    /// Reports a change of the upstream's state to all entries.
+    fn report_change(&mut self, now: Instant) {
+        self.subscribers.record_change(now);
+        self.report(now);
+    }
+
+    /// Sends the reports that are due.
     fn report(&mut self, now: Instant) {
-        self.subscribers
-            .retain(|_, subscriber| now < subscriber.expires);
-        let subscribers = self.subscribers.iter();
-        let entries: Vec<_> = subscribers
-            .map(|(entry, subscriber)| (*entry, *subscriber))
-            .collect();
-        self.send_reports(&entries, now);
+        let due = self.subscribers.take_due(now);
+        self.send_reports(&due, now);
     }
 
-    fn send_reports(&mut self, entries: &[(SocketAddrV4, ReportSubscriber)], now: Instant) {
+    fn send_reports(&mut self, reports: &[DueReport], now: Instant) {
         let (load, addresses, digest) = {
             let mut meter = self.state.meter();
             let reports_digest = self.presence.reports_digest(now);
@@ -456,16 +435,23 @@
             cold_until: upstream.and_then(|record| record.announcement.cold_until),
             digest: digest.map(Arc::new),
             keepalive_sent: None,
+            expires: now,
         };
-        for (entry, subscriber) in entries {
-            let notice = ReportNotice::new(&report, subscriber.keepalive_ms, now);
-            self.sockets.notify(&RelayNotice::Report(notice), *entry);
+        let peers = self.subscribers.next_peers();
+        for due in reports {
+            let mut notice = ReportNotice::new(&report, due, now);
+            if due.rate == ReportRate::Frequent {
+                notice.peers = peers.to_vec();
+            }
+            let notice = RelayNotice::Report(notice);
+            let size = self.sockets.notify(&notice, address_of(due.entry));
+            counters.notices.count(NoticeKind::Report(due.rate), size);
         }
     }
 
     fn stop(&mut self, now: Instant) {
         self.stopping = true;
-        self.report(now);
+        self.report_change(now);
     }
 }
 
--- a/crates/agent/src/relay/counters.rs
+++ b/crates/agent/src/relay/counters.rs
@@ -1,6 +1,7 @@
 //! Metrics of the agent for opaque flows.
 
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, Result};
+use quetzalhill_node::relay::notices::NoticeCounters;
 
 /// Upper bounds of the buckets of the answer time histogram, in seconds.
 const ANSWER_BUCKETS: [f64; 11] = [
@@ -16,6 +17,8 @@
     pub(super) malformed: IntCounterVec,
     /// Time from the first packet of a request to the first packet of its answer, in seconds.
     pub(super) answers: Histogram,
+    /// Reports to entries.
+    pub(super) notices: NoticeCounters,
     /// Open flows of the upstream.
     pub(super) flows: IntGauge,
     /// Requests in progress at the upstream.
@@ -57,6 +60,7 @@
                 "reason",
             )?,
             answers,
+            notices: NoticeCounters::new(registry)?,
             flows: gauge("quetzalhill_relay_flows", "Open flows of the upstream.")?,
             busy: gauge(
                 "quetzalhill_relay_requests",
--- a/crates/agent/src/relay/registration.rs
+++ b/crates/agent/src/relay/registration.rs
@@ -8,7 +8,7 @@
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
 use quetzalhill_store::api::{CatalogueStore, PutOp, StoreError, Transaction};
-use quetzalhill_wire::relay::encode_endpoint;
+use quetzalhill_wire::relay::{encode_endpoint, record_key};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::fmt::Display;
@@ -75,7 +75,7 @@
                 cause: format!("{error:?}"),
             })?;
             let put = PutOp {
-                key: format!("{ENDPOINT_PREFIX}{}", address_of(endpoint.id)),
+                key: record_key(ENDPOINT_PREFIX, endpoint.id),
                 value,
                 lease: Some(*lease),
             };
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -94,13 +94,15 @@
         }))
     }
 
-    /// Sends a notice to an entry, without a delivery guarantee: the next report replaces a lost one.
-    pub(super) fn notify(&self, notice: &RelayNotice, entry: SocketAddrV4) {
+    /// Sends a notice to an entry, without a delivery guarantee: the next report replaces a lost one. Returns the size
+    /// of the datagram in bytes.
+    pub(super) fn notify(&self, notice: &RelayNotice, entry: SocketAddrV4) -> usize {
         let Ok(datagram) = notice.encode() else {
-            return;
+            return 0;
         };
         // A failed send is treated as a lost datagram.
         let _ = self.packets.send_to(&datagram, entry);
+        datagram.len()
     }
 }
 
@@ -201,7 +203,7 @@
                 self.send_event(TrafficEvent::Keepalive(entry, keepalive));
             }
             Ok(RelayDatagram::Flow(RelayHeader::Return { .. }, _))
-            | Ok(RelayDatagram::Notice(RelayNotice::Report(_))) => {
+            | Ok(RelayDatagram::Notice(RelayNotice::Report(_) | RelayNotice::ListChange(_))) => {
                 self.count_malformed("unexpected");
             }
             Err(error) => self.count_malformed(&format!("{error:?}")),
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -48,6 +48,9 @@
 /// Identity of a lease in the platform's store.
 pub type LeaseId = i64;
 
+/// Revision of the store, which rises with each write to any key. The catalogue counts its own revisions.
+pub type StoreRevision = i64;
+
 /// Identity of one request, unique across all agents and kept when the request is handed over to another agent.
 pub type RequestId = u128;
 
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -5,11 +5,11 @@
 
 use crate::ids::{EndpointId, ServiceDigest};
 use crate::relay::digest::fingerprint_of;
-use crate::relay::flows::{FlowRecord, FlowTable};
+use crate::relay::flows::{FlowRecord, FlowTable, RoundRecord};
 use crate::relay::hold::HoldReason;
 use crate::relay::intake::ReturnReason;
 use crate::relay::packet::{PacketHead, PacketKind};
-use crate::relay::place::{self, EndpointKey};
+use crate::relay::place::{self, EndpointKey, SearchOrder};
 use crate::relay::routes::choose_target;
 use crate::relay::view::{EndpointStatus, RelayView, ServiceView, ViewEndpoint};
 use smallvec::{smallvec, SmallVec};
@@ -23,10 +23,16 @@
 /// Idle time after which a flow is dropped from the flow table while no routes are in force.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
-/// Endpoints queried at the same time once the candidates of new flows have been queried; a service of the largest
-/// site has 50 endpoints.
+/// Endpoints queried at the same time once the candidates of new flows have been queried.
 const QUERY_MAX: usize = 16;
 
+/// Candidates in the entry's zone below which those of other zones are queried with them.
+const NEAR_MIN: usize = 2;
+
+/// Time after which the search for a flow goes on without the endpoints that have not answered, with the caller's next
+/// packet. It is many round trips, and shorter than the caller's first retransmission after 200 ms.
+const ROUND_TIME: Duration = Duration::from_millis(150);
+
 /// Number of endpoints that may return a new flow as busy before it is placed on the least busy of them; each attempt
 /// takes a round trip.
 const BUSY_MAX: usize = 3;
@@ -128,6 +134,25 @@
     RelayFilter::Search,
 ];
 
+/// Round of a search in which an endpoint is queried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SearchTier {
+    Near,
+    Far,
+    Rest,
+}
+
+/// Next round of a search.
+#[derive(Debug)]
+struct SearchRound {
+    /// Endpoints to query; empty if all have been queried.
+    targets: DeliverList,
+    /// Whether every endpoint that may hold the flow is known and can be queried.
+    complete: bool,
+    /// Whether the list of endpoints or a digest is older than the search.
+    needs_confirmation: bool,
+}
+
 /// Flows placed on an endpoint that its last report does not count yet.
 #[derive(Clone, Copy, Debug, Default)]
 struct PendingFlows {
@@ -141,8 +166,13 @@
     flows: FlowTable,
     pending: HashMap<EndpointId, PendingFlows>,
     suspects: HashMap<EndpointId, Instant>,
+    /// Endpoints that became suspect since they were taken last.
+    unanswered: UnansweredList,
 }
 
+/// Endpoints that left a first packet unanswered; a flow is placed on one.
+pub type UnansweredList = SmallVec<[EndpointId; 2]>;
+
 impl RelayChain {
     /// Makes a chain with an empty flow table.
     pub fn new(now: Instant) -> Self {
@@ -150,6 +180,7 @@
             flows: FlowTable::new(now),
             pending: HashMap::new(),
             suspects: HashMap::new(),
+            unanswered: UnansweredList::new(),
         }
     }
 
@@ -158,6 +189,11 @@
         self.flows.len()
     }
 
+    /// Removes and returns the endpoints that left a first packet unanswered, as the last decision has shown.
+    pub fn take_unanswered(&mut self) -> UnansweredList {
+        std::mem::take(&mut self.unanswered)
+    }
+
     /// Decides what to do with a packet that a caller sent.
     pub fn decide(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> RelayVerdict {
         let idle = match view.routes.idle_timeout {
@@ -275,7 +311,12 @@
     ) -> Option<RelayVerdict> {
         let record = self.flows.record(head.flow);
         if let PacketKind::Opening { copies } = head.kind {
-            record_opening(record, copies, &mut self.suspects, now);
+            let unanswered = record_opening(record, copies);
+            self.suspects.retain(|_, until| now < *until);
+            for id in unanswered {
+                self.suspects.insert(id, now + SUSPECT_TIME);
+                self.unanswered.push(id);
+            }
             return None;
         }
         if std::mem::take(&mut record.opening) {
@@ -305,12 +346,44 @@
         if targets.is_empty() {
             return None;
         }
+        if record
+            .round
+            .is_some_and(|round| is_overdue(&round, head, now))
+        {
+            let overdue = record.queried.iter().map(|key| key.id);
+            self.unanswered.extend(overdue);
+            record.round = None;
+            return self.widen(head, targets, view, now);
+        }
         Some(RelayVerdict::Deliver {
             targets,
             reason: DeliverReason::TableHit,
         })
     }
 
+    /// Queries the next endpoints as well as those that have not answered, which may be lost or only slow.
+    fn widen(
+        &mut self,
+        head: &PacketHead,
+        mut targets: DeliverList,
+        view: &RelayView,
+        now: Instant,
+    ) -> Option<RelayVerdict> {
+        let next = self.next_round(head, view, now);
+        let record = self.flows.record(head.flow);
+        record
+            .queried
+            .extend(next.targets.iter().map(|target| target.endpoint));
+        if !next.targets.is_empty() {
+            record.round = Some(round_record(head, now));
+        }
+        targets.extend(next.targets);
+        Some(RelayVerdict::Deliver {
+            targets,
+            reason: DeliverReason::Queried,
+        })
+    }
+
     /// Chooses the endpoint of a new flow.
     fn place(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> Option<RelayVerdict> {
         let PacketKind::Opening { .. } = head.kind else {
@@ -363,35 +436,71 @@
         })
     }
 
-    /// Chooses the next endpoints to query for a flow whose holder is unknown.
+    /// Chooses the next endpoints to query for a flow whose holder is unknown, or ends the flow if none is left.
     fn search(
         &mut self,
         head: &PacketHead,
         view: &RelayView,
         now: Instant,
     ) -> Option<RelayVerdict> {
+        let round = self.next_round(head, view, now);
+        let record = self.flows.record(head.flow);
+        if !round.targets.is_empty() {
+            record.queried = round.targets.iter().map(|target| target.endpoint).collect();
+            record.round = Some(round_record(head, now));
+            return Some(RelayVerdict::Deliver {
+                targets: round.targets,
+                reason: DeliverReason::Queried,
+            });
+        }
+        if !round.complete {
+            return None;
+        }
+        // The endpoint of an open flow is listed before it accepts the flow, so a list read after the search began
+        // contains it.
+        if round.needs_confirmation {
+            let unresolved_since = *record.unresolved_since.get_or_insert(now);
+            return Some(RelayVerdict::Hold(HoldReason::Confirmation(
+                unresolved_since,
+            )));
+        }
+        record.ended = true;
+        Some(RelayVerdict::Reset(ResetReason::Ended))
+    }
+
+    /// Returns the endpoints of the next round of a search: candidates of the entry's zone, then those of other zones,
+    /// then the others. Most flows are found in the first round, without a copy of the packet in another zone.
+    fn next_round(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> SearchRound {
         let record = self.flows.record(head.flow);
         // The flow was open before this time, so reports and lists read after it show whether the flow still exists.
         let unresolved_since = *record.unresolved_since.get_or_insert(now);
         let fingerprint = fingerprint_of(head.flow);
-        let mut targets = DeliverList::new();
-        let mut silent = DeliverList::new();
-        let mut complete = view.synced && view.holders_known;
-        let mut needs_confirmation = view.endpoints_read < Some(unresolved_since);
-        // The first round queries the candidates of new flows, later rounds many endpoints at once.
-        let query_limit = match record.tried.len() {
-            0..place::CANDIDATES => place::CANDIDATES,
-            _ => QUERY_MAX,
+        let mut round = SearchRound {
+            targets: DeliverList::new(),
+            complete: view.synced && view.holders_known,
+            needs_confirmation: view.endpoints_read < Some(unresolved_since),
         };
+        let (mut near, mut far) = (DeliverList::new(), DeliverList::new());
+        let (mut rest, mut silent) = (DeliverList::new(), DeliverList::new());
         for name in view.holder_services(head.flow) {
             let Some(service) = view.services.get(name) else {
-                complete = false;
+                round.complete = false;
                 continue;
             };
-            complete &= service.complete;
-            for (position, index) in place::rank(service, head.flow).into_iter().enumerate() {
+            round.complete &= service.complete;
+            let order = SearchOrder::new(service, head.flow);
+            let tiers = [
+                (SearchTier::Near, order.near),
+                (SearchTier::Far, order.far),
+                (SearchTier::Rest, order.rest),
+            ];
+            for (tier, index) in tiers
+                .into_iter()
+                .flat_map(|(tier, list)| list.into_iter().map(move |index| (tier, index)))
+            {
                 let endpoint = &service.endpoints[index];
-                if record.tried.contains(&endpoint.key()) {
+                let key = endpoint.key();
+                if record.tried.contains(&key) || record.queried.contains(&key) {
                     continue;
                 }
                 let digest = endpoint.digest.as_ref();
@@ -399,49 +508,36 @@
                     if endpoint.keepalive_sent >= Some(unresolved_since) {
                         continue;
                     }
-                    // The digest is older than the search. A flow opened since the last report can only be at one of
-                    // the candidates, so these are queried anyway.
-                    if position >= place::CANDIDATES {
-                        needs_confirmation = true;
+                    // The digest is older than the search. A flow opened since the last report is probably at a
+                    // candidate of the own zone, so these are queried anyway; the others report once more.
+                    if tier != SearchTier::Near {
+                        round.needs_confirmation = true;
                         continue;
                     }
                 }
-                let (list, limit) = match endpoint.status {
-                    EndpointStatus::Silent => (&mut silent, SILENT_MAX),
-                    _ => (&mut targets, query_limit),
+                let (list, limit) = match (endpoint.status, tier) {
+                    (EndpointStatus::Silent, _) => (&mut silent, SILENT_MAX),
+                    (_, SearchTier::Near) => (&mut near, QUERY_MAX),
+                    (_, SearchTier::Far) => (&mut far, QUERY_MAX),
+                    (_, SearchTier::Rest) => (&mut rest, QUERY_MAX),
                 };
                 if list.len() < limit {
                     list.push(DeliverTarget {
-                        endpoint: endpoint.key(),
+                        endpoint: key,
                         service: service.digest,
                         forced: false,
                     });
                 }
             }
         }
-        // Silent endpoints are queried last, since the packet is probably lost there.
-        if targets.is_empty() {
-            targets = silent;
-        }
-        if !targets.is_empty() {
-            record.queried = targets.iter().map(|target| target.endpoint).collect();
-            return Some(RelayVerdict::Deliver {
-                targets,
-                reason: DeliverReason::Queried,
-            });
-        }
-        if !complete {
-            return None;
-        }
-        // The endpoint of an open flow is listed before it accepts the flow, so a list read after the search began
-        // contains it.
-        if needs_confirmation {
-            return Some(RelayVerdict::Hold(HoldReason::Confirmation(
-                unresolved_since,
-            )));
+        if near.len() < NEAR_MIN {
+            near.extend(far.drain(..));
         }
-        record.ended = true;
-        Some(RelayVerdict::Reset(ResetReason::Ended))
+        // Silent endpoints are queried last, since the packet is probably lost there.
+        let rounds = [near, far, rest, silent];
+        let next = rounds.into_iter().find(|targets| !targets.is_empty());
+        round.targets = next.unwrap_or_default();
+        round
     }
 
     fn count_pending(&mut self, endpoint: &ViewEndpoint) {
@@ -470,24 +566,28 @@
     }
 }
 
-/// Resets the record for the original first packet of a flow. For a retransmission, marks the endpoints that did not
-/// answer the earlier copy as suspect.
-fn record_opening(
-    record: &mut FlowRecord,
-    copies: u32,
-    suspects: &mut HashMap<EndpointId, Instant>,
-    now: Instant,
-) {
+/// Resets the record for the original first packet of a flow. For a retransmission, returns the endpoints that did not
+/// answer the earlier copy.
+fn record_opening(record: &mut FlowRecord, copies: u32) -> UnansweredList {
     if copies == 0 {
         *record = FlowRecord::default();
-        return;
+        return UnansweredList::new();
     }
-    suspects.retain(|_, until| now < *until);
-    for holder in record.queried.drain(..) {
-        suspects.insert(holder.id, now + SUSPECT_TIME);
+    record.queried.drain(..).map(|key| key.id).collect()
+}
+
+fn round_record(head: &PacketHead, now: Instant) -> RoundRecord {
+    RoundRecord {
+        ends: now + ROUND_TIME,
+        acknowledged: head.acknowledged,
     }
 }
 
+/// Returns whether the endpoints of a round should have answered, and the caller still waits for its upstream.
+fn is_overdue(round: &RoundRecord, head: &PacketHead, now: Instant) -> bool {
+    round.ends <= now && round.acknowledged == head.acknowledged
+}
+
 fn pending_of(
     service: &ServiceView,
     pending: &HashMap<EndpointId, PendingFlows>,
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -4,22 +4,46 @@
 //! come from its agent directly, so neither an outage of the store nor an expired lease hides an endpoint that still
 //! reports. A flow may be declared ended only if no endpoint is missing from both sources.
 
-use crate::ids::{service_digest, EndpointId, IncarnationNumber, ServiceName, ZoneName};
+use crate::ids::{
+    service_digest, EndpointId, IncarnationNumber, ServiceName, StoreRevision, ZoneName,
+};
 use crate::relay::digest::FlowDigest;
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
 use crate::relay::routes::FormerServices;
+use crate::relay::subscribe::{sparse_interval, ReportRate};
 use crate::relay::view::{EndpointStatus, ServiceView, ViewEndpoint};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Interval between two reports of an agent to each entry.
+/// Interval between two reports of an agent to each entry of its availability zone.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Time without a report after which an endpoint counts as silent; two reports in a row may be lost.
+/// Time without a report after which an endpoint of the own zone counts as silent; two reports in a row may be lost.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Longest time for which a report counts, whatever its agent says.
+const REPORT_LIFETIME_MAX: Duration = Duration::from_secs(60);
+
+/// Interval between two keepalives to an agent of the own zone that reports.
+const NEAR_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which a keepalive subscribes the entry to the reports of an agent of its own zone.
+const NEAR_SUBSCRIPTION: Duration = Duration::from_secs(3);
+
+/// Keepalives of an entry to all reporting agents of other zones together, per second.
+const FAR_KEEPALIVES_PER_S: f64 = 16.0;
+
+/// Shortest interval between two keepalives to an agent of another zone that reports.
+const FAR_KEEPALIVE_INTERVAL_MIN: Duration = Duration::from_secs(4);
+
+/// Keepalive intervals for which a keepalive subscribes the entry to an agent of another zone; two may be lost.
+const FAR_SUBSCRIPTION_INTERVALS: u32 = 3;
+
+/// Time within which an endpoint in doubt has to report, before it counts as silent; several times the round trip.
+const DOUBT_TIME: Duration = Duration::from_millis(400);
+
 /// Time for which an endpoint that is neither listed nor reports is kept, since it may return with its flows.
 /// Endpoints whose lease expired during an outage of the store are listed again within two seconds of its return.
 const LAPSED_TIME: Duration = Duration::from_millis(2_500);
@@ -39,6 +63,24 @@
     pub slots: u32,
 }
 
+/// A change of the store's list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListChange {
+    /// Store revision of the change; changes of one endpoint count in the order of their revisions.
+    pub revision: StoreRevision,
+    /// What the change did.
+    pub effect: ListEffect,
+}
+
+/// Effect of a change of the store's list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ListEffect {
+    /// A record was written.
+    Written(ListedEndpoint),
+    /// The record of this endpoint was removed.
+    Removed(EndpointId),
+}
+
 /// State and load of an endpoint as its agent reports them.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EndpointReport {
@@ -63,6 +105,21 @@
     pub digest: Option<Arc<FlowDigest>>,
     /// When the entry sent the last keepalive that the agent received before it sent the report.
     pub keepalive_sent: Option<Instant>,
+    /// Point in time at which the endpoint counts as silent unless it reports again.
+    pub expires: Instant,
+}
+
+/// A keepalive that has to be sent now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DueKeepalive {
+    /// Endpoint whose agent gets the keepalive.
+    pub id: EndpointId,
+    /// How often the agent should report.
+    pub rate: ReportRate,
+    /// End of the subscription to its reports.
+    pub expires: Instant,
+    /// Whether the agent has to report at once.
+    pub urgent: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -75,10 +132,16 @@
 struct KnownEndpoint {
     endpoint: ListedEndpoint,
     listed: bool,
+    /// Store revision of the last change of the record that was applied.
+    list_revision: StoreRevision,
     /// Point in time until which an unlisted endpoint without reports is kept.
     retained_until: Instant,
     last: Option<LastReport>,
     reports: u64,
+    /// When the next keepalive is due while the endpoint reports; others get one at each tick.
+    next_keepalive: Instant,
+    /// Whether the next keepalive asks for a report at once.
+    doubted: bool,
 }
 
 /// How a report changed what the entry knows of an endpoint.
@@ -126,6 +189,26 @@
         known.endpoint = endpoint;
     }
 
+    /// Applies a change of the store's list, unless a later one of the same endpoint was applied: several entries pass
+    /// on the same changes.
+    pub fn apply_change(&mut self, change: ListChange, now: Instant) {
+        let id = match &change.effect {
+            ListEffect::Written(endpoint) => endpoint.id,
+            ListEffect::Removed(id) => *id,
+        };
+        let known = self.known.get(&id);
+        if known.is_some_and(|known| change.revision <= known.list_revision) {
+            return;
+        }
+        match change.effect {
+            ListEffect::Written(endpoint) => self.add_listed(endpoint, now),
+            ListEffect::Removed(id) => self.remove_listed(id, now),
+        }
+        if let Some(known) = self.known.get_mut(&id) {
+            known.list_revision = change.revision;
+        }
+    }
+
     /// Marks the endpoint as removed from the store's list.
     pub fn remove_listed(&mut self, id: EndpointId, now: Instant) {
         let Some(known) = self.known.get_mut(&id) else {
@@ -133,12 +216,32 @@
         };
         known.listed = false;
         known.retained_until = now + LAPSED_TIME;
+        self.doubt(id, now);
+    }
+
+    /// Makes an endpoint that does not report soon count as silent, after a sign that it may have ended. An endpoint
+    /// of another zone reports seldom, so its last report would count for a long time.
+    pub fn doubt(&mut self, id: EndpointId, now: Instant) {
+        let Some(known) = self.known.get_mut(&id) else {
+            return;
+        };
+        let limit = now + DOUBT_TIME;
+        if known.endpoint.zone == self.zone {
+            return;
+        }
+        let Some(last) = known.last.as_mut().filter(|last| last.expires > limit) else {
+            return;
+        };
+        last.expires = limit;
+        known.doubted = true;
+        known.next_keepalive = now;
     }
 
     /// Replaces the whole list, after the history of its changes was lost.
     pub fn replace_list(&mut self, endpoints: Vec<ListedEndpoint>, now: Instant) {
+        let listed: HashSet<EndpointId> = endpoints.iter().map(|endpoint| endpoint.id).collect();
         let mut removed: Vec<EndpointId> = self.known.keys().copied().collect();
-        removed.retain(|id| !endpoints.iter().any(|endpoint| endpoint.id == *id));
+        removed.retain(|id| !listed.contains(id));
         for id in removed {
             if self.known[&id].listed {
                 self.remove_listed(id, now);
@@ -175,9 +278,10 @@
         };
         known.reports += 1;
         known.retained_until = now + LAPSED_TIME;
+        known.doubted = false;
         known.last = Some(LastReport {
+            expires: report.expires.min(now + REPORT_LIFETIME_MAX),
             report,
-            expires: now + SILENT_AFTER,
         });
         match known.status(now) == before && incarnation == previous_incarnation {
             true => ReportOutcome::Load,
@@ -198,17 +302,48 @@
             .map(move |(id, known)| (*id, known.is_fresh(now)))
     }
 
-    /// Returns the endpoints whose last report has a digest of their flows.
-    pub fn digest_reporters(&self, now: Instant) -> impl Iterator<Item = EndpointId> + '_ {
-        let has_digest = move |known: &KnownEndpoint| {
+    /// Returns the keepalives that are due. An agent that reports gets one seldom; the others get one at each call,
+    /// so that they are found as soon as they are back.
+    pub fn take_keepalives(&mut self, now: Instant) -> Vec<DueKeepalive> {
+        let far_interval = self.far_interval();
+        let mut due = Vec::new();
+        for known in self.known.values_mut() {
+            if known.is_fresh(now) && now < known.next_keepalive {
+                continue;
+            }
+            let (keepalive, interval) = known.keepalive(&self.zone, far_interval, now);
+            known.next_keepalive = now + interval;
+            due.push(DueKeepalive {
+                urgent: known.doubted,
+                ..keepalive
+            });
+        }
+        due
+    }
+
+    /// Returns urgent keepalives to the endpoints whose last report has a digest of their flows.
+    pub fn digest_requests(&self, now: Instant) -> Vec<DueKeepalive> {
+        let far_interval = self.far_interval();
+        let mut requests = Vec::new();
+        for known in self.known.values() {
             let last = known.last.as_ref().filter(|last| now < last.expires);
-            last.is_some_and(|last| last.report.digest.is_some())
-        };
-        let known = self
-            .known
-            .iter()
-            .filter(move |(_, known)| has_digest(known));
-        known.map(|(id, _)| *id)
+            if last.is_none_or(|last| last.report.digest.is_none()) {
+                continue;
+            }
+            let (keepalive, _) = known.keepalive(&self.zone, far_interval, now);
+            requests.push(DueKeepalive {
+                urgent: true,
+                ..keepalive
+            });
+        }
+        requests
+    }
+
+    /// Returns the interval between two keepalives to an endpoint of another zone.
+    fn far_interval(&self) -> Duration {
+        let is_far = |known: &&KnownEndpoint| known.endpoint.zone != self.zone;
+        let count = self.known.values().filter(is_far).count();
+        sparse_interval(count, FAR_KEEPALIVES_PER_S).max(FAR_KEEPALIVE_INTERVAL_MIN)
     }
 
     /// Returns the earliest `keepalive_sent` of the endpoints that report a digest, or `None` if no endpoint does.
@@ -283,9 +418,12 @@
         Self {
             endpoint,
             listed: true,
+            list_revision: 0,
             retained_until: now + LAPSED_TIME,
             last: None,
             reports: 0,
+            next_keepalive: now,
+            doubted: false,
         }
     }
 
@@ -296,6 +434,33 @@
         }
     }
 
+    /// Returns a keepalive to the endpoint's agent and the interval until the next one.
+    fn keepalive(
+        &self,
+        zone: &ZoneName,
+        far_interval: Duration,
+        now: Instant,
+    ) -> (DueKeepalive, Duration) {
+        let (rate, interval, subscription) = match self.endpoint.zone == *zone {
+            true => (
+                ReportRate::Frequent,
+                NEAR_KEEPALIVE_INTERVAL,
+                NEAR_SUBSCRIPTION,
+            ),
+            false => {
+                let subscription = far_interval * FAR_SUBSCRIPTION_INTERVALS;
+                (ReportRate::Sparse, far_interval, subscription)
+            }
+        };
+        let keepalive = DueKeepalive {
+            id: self.endpoint.id,
+            rate,
+            expires: now + subscription,
+            urgent: false,
+        };
+        (keepalive, interval)
+    }
+
     fn is_fresh(&self, now: Instant) -> bool {
         self.last.as_ref().is_some_and(|last| now < last.expires)
     }
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -18,11 +18,22 @@
 /// Endpoints that returned a new flow as busy, with the number of their requests.
 pub type BusyList = SmallVec<[(EndpointKey, u32); 1]>;
 
+/// Start of a round of a search.
+#[derive(Clone, Copy, Debug)]
+pub struct RoundRecord {
+    /// Point in time from which the endpoints of the round should have answered.
+    pub ends: Instant,
+    /// What the caller had acknowledged; it acknowledges more once the holder has answered.
+    pub acknowledged: u32,
+}
+
 /// State of one flow in the table.
 #[derive(Clone, Debug, Default)]
 pub struct FlowRecord {
     /// Endpoints that receive the packets of the flow: its holder, or several during a search.
     pub queried: QueriedList,
+    /// Current round of a search; unset once the search has gone on without the endpoints that did not answer.
+    pub round: Option<RoundRecord>,
     /// Endpoint that was the last of its round to return a packet and so started the next round. Only further packets
     /// that this endpoint returns are sent on, since the other endpoints of the round return the same packets.
     pub last_in_round: Option<EndpointKey>,
--- a/crates/core/src/relay/intake.rs
+++ b/crates/core/src/relay/intake.rs
@@ -125,5 +125,7 @@
 }
 
 fn is_busy(context: &IntakeContext) -> bool {
-    !context.forced && context.slots > 0 && context.busy >= context.slots * BUSY_PER_SLOT
+    !context.forced
+        && context.slots > 0
+        && context.busy >= context.slots.saturating_mul(BUSY_PER_SLOT)
 }
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -27,9 +27,9 @@
 /// Requests added to the load of every endpoint, so that the first flows in an idle zone stay in it.
 const IDLE_REQUESTS: f64 = 1.0;
 
-/// Requests added to the load of an endpoint in another zone. Staying in the caller's zone saves traffic between
-/// zones as long as its endpoints are at most this much busier; at a load peak the difference hardly matters.
-const REMOTE_REQUESTS: f64 = 1.0;
+/// Load added to that of an endpoint in another zone, as a share of its slots. A caller is served no sooner in another
+/// zone while the own one has a free slot, and traffic between zones is dear; at a load peak the difference is gone.
+const REMOTE_LOAD: f64 = 0.75;
 
 /// Requests for which a flow counts from its placement until the next report, once placed flows exceed the free
 /// slots. Its caller sends a request at once, which has to wait, and other entries place flows in the same interval.
@@ -63,34 +63,61 @@
     }
 }
 
-/// Returns the endpoints of `service` in the order in which they are queried for `flow`.
-///
-/// The candidates of new flows come first, then the other endpoints by rank.
-pub fn rank(service: &ServiceView, flow: FlowAddresses) -> IndexList {
-    let bytes = flow.to_bytes();
-    let mut scored: SmallVec<[(u64, usize); 16]> = SmallVec::new();
-    for (index, endpoint) in service.endpoints.iter().enumerate() {
-        scored.push((xxh3_64_with_seed(&bytes, endpoint.id), index));
-    }
-    scored.sort_unstable_by(|one, other| other.cmp(one));
-    let mut order = IndexList::new();
-    let mut rest = IndexList::new();
-    let (mut local, mut remote) = (0, 0);
-    for (_, index) in scored {
-        let endpoint = &service.endpoints[index];
-        let (count, limit) = match endpoint.same_zone {
-            true => (&mut local, LOCAL_CANDIDATES),
-            false => (&mut remote, REMOTE_CANDIDATES),
-        };
-        if endpoint.status != EndpointStatus::Ready || *count >= limit {
-            rest.push(index);
-            continue;
+/// Endpoints of a service by the round in which a search for a flow queries them. Within a list they are in the order
+/// of their rank.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SearchOrder {
+    /// Candidates for new flows in the entry's own zone, which holds most flows of its callers.
+    pub near: IndexList,
+    /// Candidates for new flows in other zones.
+    pub far: IndexList,
+    /// All other endpoints.
+    pub rest: IndexList,
+}
+
+impl SearchOrder {
+    /// Returns the endpoints of `service` in the order in which they are queried for `flow`.
+    ///
+    /// An endpoint that drains stays where it was as a candidate, because it keeps the flows it got as one.
+    pub fn new(service: &ServiceView, flow: FlowAddresses) -> Self {
+        let bytes = flow.to_bytes();
+        let mut scored: SmallVec<[(u64, usize); 16]> = SmallVec::new();
+        for (index, endpoint) in service.endpoints.iter().enumerate() {
+            scored.push((xxh3_64_with_seed(&bytes, endpoint.id), index));
+        }
+        scored.sort_unstable_by(|one, other| other.cmp(one));
+        let mut order = Self::default();
+        let (mut near, mut far) = (0, 0);
+        for (_, index) in scored {
+            let endpoint = &service.endpoints[index];
+            let (list, count, limit) = match endpoint.same_zone {
+                true => (&mut order.near, &mut near, LOCAL_CANDIDATES),
+                false => (&mut order.far, &mut far, REMOTE_CANDIDATES),
+            };
+            match endpoint.status {
+                EndpointStatus::Ready if *count < limit => {
+                    *count += 1;
+                    list.push(index);
+                }
+                EndpointStatus::Draining if *count < limit => list.push(index),
+                _ => order.rest.push(index),
+            }
         }
-        *count += 1;
-        order.push(index);
+        order
+    }
+
+    /// Returns all endpoints in order.
+    fn into_list(self) -> IndexList {
+        let mut list = self.near;
+        list.extend(self.far);
+        list.extend(self.rest);
+        list
     }
-    order.extend(rest);
-    order
+}
+
+/// Returns the endpoints of `service` in the order in which they are candidates for `flow`.
+pub fn rank(service: &ServiceView, flow: FlowAddresses) -> IndexList {
+    SearchOrder::new(service, flow).into_list()
 }
 
 /// Returns the load of an endpoint relative to its slots, by which placement compares candidates.
@@ -99,14 +126,14 @@
     let mut requests = IDLE_REQUESTS + f64::from(endpoint.busy) + flows / FLOWS_PER_REQUEST;
     let free = endpoint.slots.saturating_sub(endpoint.busy);
     requests += f64::from(pending.saturating_sub(free)) * WAITING_REQUESTS;
-    if !endpoint.same_zone {
-        requests += REMOTE_REQUESTS;
-    }
     let mut load = requests / f64::from(endpoint.slots.max(1));
     if endpoint.cold_until.is_some_and(|until| now < until) {
         load *= COLD_FACTOR;
     }
-    load
+    match endpoint.same_zone {
+        true => load,
+        false => load + REMOTE_LOAD,
+    }
 }
 
 /// Returns the index of the endpoint that takes a new flow, or `None` if no ready endpoint is left to try.
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -2,7 +2,8 @@
 
 use crate::support::{agent, id, service_address, FEED};
 use quetzalhill_core::relay::fleet::{
-    EndpointReport, FleetController, ListedEndpoint, ReportOutcome, SILENT_AFTER,
+    EndpointReport, FleetController, ListChange, ListEffect, ListedEndpoint, ReportOutcome,
+    SILENT_AFTER,
 };
 use quetzalhill_core::relay::intake::UpstreamState;
 use quetzalhill_core::relay::load::LoadCounts;
@@ -20,7 +21,13 @@
     }
 }
 
-fn report(number: u8, incarnation: u64, order: u64, state: UpstreamState) -> EndpointReport {
+fn report(
+    number: u8,
+    incarnation: u64,
+    order: u64,
+    state: UpstreamState,
+    now: Instant,
+) -> EndpointReport {
     EndpointReport {
         endpoint: listed(number, incarnation),
         order: (1, order),
@@ -32,6 +39,7 @@
         cold_until: None,
         digest: None,
         keepalive_sent: None,
+        expires: now + SILENT_AFTER,
     }
 }
 
@@ -58,7 +66,7 @@
     fleet.remove_listed(id(1), now);
     for order in 1..20 {
         now += Duration::from_millis(400);
-        fleet.report(report(1, 5, order, UpstreamState::Ready), now);
+        fleet.report(report(1, 5, order, UpstreamState::Ready, now), now);
         fleet.tick(now);
     }
     assert_eq!(statuses(&fleet, now), [EndpointStatus::Ready]);
@@ -72,14 +80,14 @@
     let now = Instant::now();
     let mut fleet = FleetController::new("a".into());
     fleet.add_listed(listed(1, 5), now);
-    fleet.report(report(2, 5, 1, UpstreamState::Ready), now);
+    fleet.report(report(2, 5, 1, UpstreamState::Ready, now), now);
     fleet.remove_listed(id(1), now);
     let soon = now + Duration::from_secs(2);
-    fleet.report(report(2, 5, 2, UpstreamState::Ready), soon);
+    fleet.report(report(2, 5, 2, UpstreamState::Ready, soon), soon);
     fleet.tick(soon);
     assert!(!is_complete(&fleet, soon));
     let later = now + Duration::from_secs(3);
-    fleet.report(report(2, 5, 3, UpstreamState::Ready), later);
+    fleet.report(report(2, 5, 3, UpstreamState::Ready, later), later);
     fleet.tick(later);
     assert!(is_complete(&fleet, later));
 }
@@ -92,7 +100,7 @@
     let mut fleet = FleetController::new("a".into());
     fleet.add_listed(listed(1, 5), now);
     assert_eq!(statuses(&fleet, now), [EndpointStatus::Silent]);
-    fleet.report(report(1, 5, 1, UpstreamState::Ready), now);
+    fleet.report(report(1, 5, 1, UpstreamState::Ready, now), now);
     assert_eq!(statuses(&fleet, now), [EndpointStatus::Ready]);
     assert!(fleet.all_report(now));
     let later = now + SILENT_AFTER;
@@ -107,8 +115,8 @@
     let now = Instant::now();
     let mut fleet = FleetController::new("a".into());
     fleet.add_listed(listed(1, 5), now);
-    fleet.report(report(1, 5, 1, UpstreamState::Ready), now);
-    let mut stopping = report(1, 5, 2, UpstreamState::Ready);
+    fleet.report(report(1, 5, 1, UpstreamState::Ready, now), now);
+    let mut stopping = report(1, 5, 2, UpstreamState::Ready, now);
     stopping.stopping = true;
     assert_eq!(fleet.report(stopping, now), ReportOutcome::Status);
     assert_eq!(statuses(&fleet, now), [EndpointStatus::Silent]);
@@ -122,7 +130,7 @@
     let now = Instant::now();
     let mut fleet = FleetController::new("a".into());
     fleet.add_listed(listed(1, 5), now);
-    fleet.report(report(1, 0, 1, UpstreamState::Unknown), now);
+    fleet.report(report(1, 0, 1, UpstreamState::Unknown, now), now);
     let services = fleet.services(now);
     assert_eq!(services[FEED].endpoints[0].incarnation, 5);
     assert_eq!(statuses(&fleet, now), [EndpointStatus::Pending]);
@@ -133,8 +141,8 @@
 fn stale_reports_and_records_are_ignored() {
     let now = Instant::now();
     let mut fleet = FleetController::new("a".into());
-    fleet.report(report(1, 6, 9, UpstreamState::Draining), now);
-    let late = fleet.report(report(1, 5, 8, UpstreamState::Ready), now);
+    fleet.report(report(1, 6, 9, UpstreamState::Draining, now), now);
+    let late = fleet.report(report(1, 5, 8, UpstreamState::Ready, now), now);
     assert_eq!(late, ReportOutcome::Stale);
     fleet.add_listed(listed(1, 5), now);
     let services = fleet.services(now);
@@ -148,7 +156,7 @@
     let now = Instant::now();
     let mut fleet = FleetController::new("a".into());
     fleet.add_listed(listed(1, 5), now);
-    fleet.report(report(1, 5, 1, UpstreamState::Gone), now);
+    fleet.report(report(1, 5, 1, UpstreamState::Gone, now), now);
     assert!(statuses(&fleet, now).is_empty());
     assert!(is_complete(&fleet, now));
 }
@@ -161,11 +169,11 @@
     let mut fleet = FleetController::new("a".into());
     fleet.add_listed(listed(1, 5), now);
     assert!(!fleet.holders_known());
-    let mut partial = report(1, 5, 1, UpstreamState::Ready);
+    let mut partial = report(1, 5, 1, UpstreamState::Ready, now);
     partial.covers_all_flows = false;
     fleet.report(partial, now);
     assert!(!fleet.holders_known());
-    fleet.report(report(1, 5, 2, UpstreamState::Ready), now);
+    fleet.report(report(1, 5, 2, UpstreamState::Ready, now), now);
     assert!(fleet.holders_known());
     let mut former = FormerServices::default();
     fleet.add_holders(&mut former);
@@ -173,3 +181,108 @@
     assert_eq!(fleet.endpoints(now).next(), Some((id(1), true)));
     assert_eq!(agent(1).port(), 7_000);
 }
+
+fn far_listed(number: u8) -> ListedEndpoint {
+    ListedEndpoint {
+        zone: "b".into(),
+        ..listed(number, 5)
+    }
+}
+
+fn far_report(number: u8, order: u64, now: Instant) -> EndpointReport {
+    EndpointReport {
+        endpoint: far_listed(number),
+        expires: now + Duration::from_secs(15),
+        ..report(number, 5, order, UpstreamState::Ready, now)
+    }
+}
+
+/// Guards against new flows for a lost machine of another zone until its last report expires, which takes many
+/// seconds, and against a healthy endpoint that one lost packet makes silent.
+#[test]
+fn doubted_far_endpoint_has_to_report_soon() {
+    let now = Instant::now();
+    let mut fleet = FleetController::new("a".into());
+    for number in [1, 2] {
+        fleet.add_listed(far_listed(number), now);
+        fleet.report(far_report(number, 1, now), now);
+    }
+    fleet.take_keepalives(now);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(statuses(&fleet, later), [EndpointStatus::Ready; 2]);
+    fleet.doubt(id(1), later);
+    fleet.doubt(id(2), later);
+    let due = fleet.take_keepalives(later);
+    assert_eq!(due.len(), 2);
+    assert!(due.iter().all(|keepalive| keepalive.urgent));
+    let answered = later + Duration::from_millis(5);
+    fleet.report(far_report(2, 2, answered), answered);
+    let soon = later + Duration::from_millis(500);
+    let services = fleet.services(soon);
+    for endpoint in &services[FEED].endpoints {
+        let expected = match endpoint.id == id(2) {
+            true => EndpointStatus::Ready,
+            false => EndpointStatus::Silent,
+        };
+        assert_eq!(endpoint.status, expected);
+    }
+}
+
+/// Guards against keepalives to other zones that grow with the number of pairs of entries and agents.
+#[test]
+fn far_keepalives_of_an_entry_do_not_grow_with_the_fleet() {
+    for count in [100_u64, 1_000, 5_000] {
+        let start = Instant::now();
+        let mut fleet = FleetController::new("a".into());
+        for number in 0..count {
+            let endpoint = ListedEndpoint {
+                id: 1 << 20 | number,
+                ..far_listed(1)
+            };
+            fleet.add_listed(endpoint.clone(), start);
+            let report = EndpointReport {
+                endpoint,
+                expires: start + Duration::from_secs(1_000),
+                ..far_report(1, 1, start)
+            };
+            fleet.report(report, start);
+        }
+        fleet.take_keepalives(start);
+        let (mut sent, mut now) = (0, start);
+        let end = start + Duration::from_secs(55);
+        while now < end {
+            now += Duration::from_millis(200);
+            for keepalive in fleet.take_keepalives(now) {
+                assert!(keepalive.expires > now + Duration::from_secs(8));
+                sent += 1;
+            }
+        }
+        assert!(
+            sent <= 16 * 56,
+            "{sent} keepalives in 55 s to {count} agents"
+        );
+    }
+}
+
+/// Guards against an endpoint that is unlisted because the changes of two readers arrive in another order than the
+/// store made them.
+#[test]
+fn later_change_of_a_record_wins() {
+    let now = Instant::now();
+    let mut fleet = FleetController::new("a".into());
+    fleet.add_listed(listed(1, 5), now);
+    let written = ListChange {
+        revision: 12,
+        effect: ListEffect::Written(listed(1, 6)),
+    };
+    let removed = ListChange {
+        revision: 10,
+        effect: ListEffect::Removed(id(1)),
+    };
+    for change in [&removed, &written, &removed] {
+        fleet.apply_change(change.clone(), now);
+    }
+    fleet.tick(now + Duration::from_secs(10));
+    let services = fleet.services(now);
+    assert_eq!(services[FEED].endpoints[0].incarnation, 6);
+}
--- a/crates/core/tests/relay/herd.rs
+++ b/crates/core/tests/relay/herd.rs
@@ -13,6 +13,7 @@
 };
 use quetzalhill_core::relay::load::LoadMeter;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
+use quetzalhill_core::relay::subscribe::{EntryKeepalive, ReportRate, SubscriberController};
 use quetzalhill_core::relay::view::RelayView;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -80,6 +81,7 @@
     rng: SmallRng,
     chains: Vec<RelayChain>,
     fleets: Vec<FleetController>,
+    subscribers: Vec<SubscriberController>,
     views: Vec<RelayView>,
     meters: Vec<LoadMeter>,
     running: Vec<usize>,
@@ -109,6 +111,27 @@
     }
 }
 
+/// Returns the subscriptions of all entries to the reports of an endpoint, which are all due at `now`.
+fn subscribers(endpoint: usize, now: Instant) -> SubscriberController {
+    let mut subscribers = SubscriberController::default();
+    for entry in 0..ENTRIES {
+        let rate = match zone(entry) == zone(endpoint) {
+            true => ReportRate::Frequent,
+            false => ReportRate::Sparse,
+        };
+        let keepalive = EntryKeepalive {
+            clock_ms: 0,
+            urgent: false,
+            rate,
+            expires: now + Duration::from_secs(3_600),
+        };
+        let id = u64::try_from(entry).expect("fits");
+        subscribers.subscribe(id, keepalive, now);
+    }
+    subscribers.record_change(now);
+    subscribers
+}
+
 impl HerdSimulation {
     fn new(seed: u64) -> Self {
         let start = Instant::now();
@@ -119,6 +142,7 @@
             rng: SmallRng::seed_from_u64(seed),
             chains: Vec::new(),
             fleets: Vec::new(),
+            subscribers: Vec::new(),
             views: vec![view(); ENTRIES],
             meters: Vec::new(),
             running: vec![0; ENDPOINTS],
@@ -135,6 +159,7 @@
             simulation.fleets.push(FleetController::new(zone(entry)));
         }
         for endpoint in 0..ENDPOINTS {
+            simulation.subscribers.push(subscribers(endpoint, start));
             simulation.report(endpoint, start);
             let phase = REPORT_INTERVAL.mul_f64(simulation.rng.random_range(0.0..1.0));
             simulation.push(start + phase, EventKind::Report { endpoint }, 0);
@@ -306,10 +331,13 @@
         }
     }
 
+    /// Reports to the entries that the agent's subscriptions say: those of other zones get old counts.
     fn report(&mut self, endpoint: usize, now: Instant) {
         self.reports += 1;
         let load = self.meters[endpoint].counts(now);
-        for (fleet, view) in self.fleets.iter_mut().zip(&mut self.views) {
+        for due in self.subscribers[endpoint].take_due(now) {
+            let entry = usize::try_from(due.entry).expect("an index");
+            let (fleet, view) = (&mut self.fleets[entry], &mut self.views[entry]);
             let report = EndpointReport {
                 endpoint: listed(endpoint),
                 order: (1, self.reports),
@@ -321,6 +349,7 @@
                 cold_until: None,
                 digest: None,
                 keepalive_sent: None,
+                expires: due.expires,
             };
             fleet.report(report, now);
             view.services = fleet.services(now);
--- a/crates/core/tests/relay/place.rs
+++ b/crates/core/tests/relay/place.rs
@@ -5,6 +5,7 @@
 use quetzalhill_core::relay::place::{choose_endpoint, rank, TriedList};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
+use yare::parameterized;
 
 /// Places `count` flows through one entry and returns the number of flows of each endpoint.
 fn place_flows(view: &quetzalhill_core::relay::view::RelayView, count: u16) -> HashMap<u64, u32> {
@@ -46,6 +47,66 @@
     assert!(placed.keys().all(|key| ![id(1), id(2)].contains(key)));
 }
 
+/// Load: an ordinary day, on which each endpoint of the zone runs a request and has free slots. Guards against traffic
+/// between zones that no caller is served sooner for.
+#[parameterized(
+    two_slots = { 2, 1 },
+    four_slots = { 4, 2 },
+    seven_slots = { 7, 5 },
+)]
+fn own_zone_is_preferred_while_it_has_free_slots(slots: u32, busy: u32) {
+    let mut view = view();
+    let service = view.services.get_mut(FEED).expect("feed");
+    for (index, endpoint) in service.endpoints.iter_mut().enumerate() {
+        endpoint.slots = slots;
+        endpoint.same_zone = index < 2;
+        endpoint.busy = if index < 2 { busy } else { 0 };
+    }
+    let service = &view.services[FEED];
+    for number in 0..100 {
+        let tried = TriedList::new();
+        let index = choose_endpoint(
+            service,
+            flow(number),
+            &tried,
+            |_| 0,
+            |_| false,
+            Instant::now(),
+        );
+        assert!(
+            index.is_some_and(|index| index < 2),
+            "flow {number} left the zone"
+        );
+    }
+}
+
+/// Load: a peak at which the endpoints of the zone have no free slot while another zone is idle. Guards against callers
+/// that wait to save traffic between zones.
+#[parameterized(
+    two_slots = { 2 },
+    four_slots = { 4 },
+    seven_slots = { 7 },
+)]
+fn idle_zone_is_used_once_the_own_one_is_full(slots: u32) {
+    let mut view = view();
+    let service = view.services.get_mut(FEED).expect("feed");
+    for (index, endpoint) in service.endpoints.iter_mut().enumerate() {
+        endpoint.slots = slots;
+        endpoint.same_zone = index < 2;
+        endpoint.busy = if index < 2 { slots } else { 0 };
+    }
+    let service = &view.services[FEED];
+    for number in 0..100 {
+        let tried = TriedList::new();
+        let now = Instant::now();
+        let index = choose_endpoint(service, flow(number), &tried, |_| 0, |_| false, now);
+        assert!(
+            index.is_some_and(|index| index >= 2),
+            "flow {number} waits in its zone"
+        );
+    }
+}
+
 /// Load: an endpoint that is slow after its start. Guards against new flows that all go to it because it has none
 /// yet.
 #[test]
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -26,6 +26,7 @@
 use quetzalhill_core::replicate::CatalogueController;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::keys::KeyWatch;
+use quetzalhill_node::sockets::SocketPair;
 use quetzalhill_store::etcd::{EtcdSettings, EtcdStore};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -181,21 +182,18 @@
 impl ControlSockets {
     fn bind(settings: &EntrySettings) -> Result<Self> {
         let address = settings.node.control;
-        let control = std::net::UdpSocket::bind(address)
-            .with_context(|| format!("binding the control socket {address}"))?;
-        control.set_nonblocking(true)?;
-        let bound = local_v4(&control)?;
-        let fetches = std::net::TcpListener::bind(bound)
-            .with_context(|| format!("binding the control listener {bound}"))?;
-        fetches.set_nonblocking(true)?;
+        let pair = SocketPair::bind(address)
+            .with_context(|| format!("binding the control sockets {address}"))?;
+        pair.datagrams.set_nonblocking(true)?;
+        pair.connections.set_nonblocking(true)?;
         let address = settings.node.admin;
         let admin = std::net::TcpListener::bind(address)
             .with_context(|| format!("binding the admin listener {address}"))?;
         Ok(Self {
-            control,
-            fetches,
+            control: pair.datagrams,
+            fetches: pair.connections,
             admin,
-            bound,
+            bound: pair.address,
         })
     }
 }
@@ -305,13 +303,6 @@
     }
 }
 
-fn local_v4(socket: &std::net::UdpSocket) -> Result<SocketAddrV4> {
-    match socket.local_addr()? {
-        SocketAddr::V4(address) => Ok(address),
-        SocketAddr::V6(address) => Err(anyhow!("control socket {address} is not IPv4")),
-    }
-}
-
 /// Returns the wall-clock time in milliseconds. It is the initial incarnation number, so that a restarted entry
 /// starts with a higher one.
 fn wall_clock_ms() -> u64 {
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -8,22 +8,25 @@
 use super::traffic::{RelaySockets, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
 use prometheus::Registry;
-use quetzalhill_core::ids::{address_of, EndpointId};
-use quetzalhill_core::relay::fleet::FleetController;
+use quetzalhill_core::ids::{address_of, id_of};
+use quetzalhill_core::relay::fleet::{DueKeepalive, FleetController};
+use quetzalhill_core::relay::peers::{ListRole, PeerController, ROLE_TIME};
 use quetzalhill_core::relay::routes::{RouteController, RouteOutcome};
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::relay::follow::{confirm, follow, FollowEvent, FollowPlan};
+use quetzalhill_node::relay::follow::{
+    always_watch, confirm, follow, FollowEvent, FollowMode, FollowPlan,
+};
+use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
 use quetzalhill_platform::manifest::{self, MANIFEST_KEY};
 use quetzalhill_platform::server::{self, ServerCall};
 use quetzalhill_platform::store::PlatformCodec;
-use quetzalhill_store::api::{KeyRange, KeyValue, WatchEvent};
+use quetzalhill_store::api::{KeyRange, KeyValue, StoreRevision, WatchEvent};
 use quetzalhill_store::polled::PolledStore;
 use quetzalhill_wire::relay::{KeepaliveNotice, RelayNotice};
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,9 +38,6 @@
 /// Time between two checks for silent endpoints and due keepalives.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time between two keepalives to an agent that reports. An agent forgets an entry after three seconds without one.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Longest age of the load in a published view while reports arrive. A report that changes the state of an endpoint
 /// publishes the view at once; one that changes only the load does so when the published load is this old.
 const LOAD_AGE: Duration = Duration::from_millis(100);
@@ -46,12 +46,13 @@
 /// that it is ready.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
-/// Pause between two polls for routes. A change must reach all entries within three seconds.
-const ROUTES_PAUSE: Duration = Duration::from_millis(300);
+/// Parts of the time for a change of the routes that may pass between two polls for them. The rest is for a poll that
+/// fails, and for the time until the next one.
+const APPLY_PARTS: u64 = 6;
 
 /// Pause between two polls for endpoints. It may be longer than for routes: a new endpoint is cold for some seconds, so
 /// that it gets its first flows only a little later.
-const ENDPOINTS_PAUSE: Duration = Duration::from_millis(1_000);
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Stops and joins a running control thread.
 #[derive(Debug)]
@@ -139,17 +140,20 @@
         let handler = Rc::new(move |call| answer(&control, &registry, &call));
         ntex::rt::spawn(calls::serve(listener, handler)).detach();
     }
-    let (confirm_routes, confirm_endpoints) = {
+    let (confirm_routes, confirm_endpoints, list_mode) = {
         let control = control.borrow();
         (
             control.confirm_routes.clone(),
             control.confirm_endpoints.clone(),
+            control.list_mode.subscribe(),
         )
     };
     let plan = FollowPlan {
         name: "routes",
         range: KeyRange::Key(MANIFEST_KEY.into()),
-        pause: ROUTES_PAUSE,
+        pause: Duration::from_millis(setup.settings.relay.apply_ms / APPLY_PARTS),
+        settle: Duration::ZERO,
+        mode: always_watch(),
     };
     follow_range(
         &control,
@@ -162,6 +166,8 @@
         name: "endpoints",
         range: KeyRange::Prefix(ENDPOINT_PREFIX.into()),
         pause: ENDPOINTS_PAUSE,
+        settle: ROLE_TIME + TICK_INTERVAL,
+        mode: list_mode,
     };
     follow_range(
         &control,
@@ -185,6 +191,12 @@
                 Ok(Some(TrafficEvent::Report(report))) => {
                     control.borrow_mut().handle_report(report, Instant::now());
                 }
+                Ok(Some(TrafficEvent::ListChange(notice))) => {
+                    control.borrow_mut().handle_list_change(notice, Instant::now());
+                }
+                Ok(Some(TrafficEvent::Unanswered(id))) => {
+                    control.borrow_mut().doubt(id, Instant::now());
+                }
                 Ok(Some(TrafficEvent::ConfirmEndpoints)) => {
                     control.borrow().confirm_endpoints.notify_one();
                 }
@@ -233,15 +245,6 @@
     }
 }
 
-/// Returns a keepalive of an entry whose clock started at `epoch`.
-fn keepalive(epoch: Instant, now: Instant, urgent: bool) -> RelayNotice {
-    let clock = now.saturating_duration_since(epoch).as_millis();
-    RelayNotice::Keepalive(KeepaliveNotice {
-        clock_ms: u32::try_from(clock).unwrap_or(u32::MAX),
-        urgent,
-    })
-}
-
 /// How far a range of the store has been read, and whether it is up to date.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct RangeState {
@@ -252,13 +255,11 @@
 }
 
 impl RangeState {
-    /// Returns the state after a read of the whole range that began at `read`.
-    fn loaded(read: Instant) -> Self {
-        Self {
-            loaded: true,
-            current: true,
-            read: Some(read),
-        }
+    /// Records a read of the whole range, which began at `read` unless it may miss earlier changes.
+    fn record_loaded(&mut self, read: Option<Instant>) {
+        self.loaded = true;
+        self.current = true;
+        self.read = self.read.max(read);
     }
 }
 
@@ -271,10 +272,11 @@
     routes_range: RangeState,
     fleet: FleetController,
     endpoints_range: RangeState,
-    /// Endpoints by the key of their record, because a delete event carries only the key.
-    listed: HashMap<String, EndpointId>,
-    /// When the next keepalive to each endpoint that reports is due.
-    next_keepalives: HashMap<EndpointId, Instant>,
+    /// Highest store revision of the list that is known.
+    list_revision: StoreRevision,
+    peers: PeerController,
+    /// How the list is followed, by the role of this entry.
+    list_mode: watch::Sender<FollowMode>,
     /// End of the wait for first reports; unset before the first list of endpoints.
     settle_deadline: Option<Instant>,
     /// Requests another read of the list of endpoints.
@@ -300,8 +302,9 @@
             routes_range: RangeState::default(),
             fleet: FleetController::new(setup.settings.node.zone.clone()),
             endpoints_range: RangeState::default(),
-            listed: HashMap::new(),
-            next_keepalives: HashMap::new(),
+            list_revision: 0,
+            peers: PeerController::new(id_of(setup.settings.relay.agents), now),
+            list_mode: watch::Sender::new(FollowMode::Watch),
             settle_deadline: None,
             confirm_endpoints: Rc::default(),
             confirm_routes: Rc::default(),
@@ -317,8 +320,8 @@
     fn handle_routes_event(&mut self, event: FollowEvent, now: Instant) {
         let before = self.routes_range;
         match event {
-            FollowEvent::Loaded { entries, read } => {
-                self.routes_range = RangeState::loaded(read);
+            FollowEvent::Loaded { entries, read, .. } => {
+                self.routes_range.record_loaded(read);
                 for entry in entries {
                     self.apply_routes(&entry);
                 }
@@ -370,36 +373,52 @@
     fn tick(&mut self, now: Instant) {
         self.next_tick = now + TICK_INTERVAL;
         self.fleet.tick(now);
+        self.update_role(now);
         self.send_keepalives(now);
         self.publish(now);
         self.update_metrics();
     }
 
-    /// Sends keepalives, which agents answer with reports: one per [`KEEPALIVE_INTERVAL`] to an agent that reports, one per
-    /// tick to each other agent.
+    /// Follows the list in the way of this entry's role among the entries of its zone.
+    fn update_role(&mut self, now: Instant) {
+        self.peers.tick(now);
+        let role = self.peers.role(now);
+        let mode = match role {
+            ListRole::Reader => FollowMode::Watch,
+            ListRole::Follower => FollowMode::Poll,
+        };
+        if *self.list_mode.borrow() == mode {
+            return;
+        }
+        let peers = self.peers.peers().count();
+        emit(
+            EventCode::ListRole,
+            &[("role", &role.name()), ("peers", &peers)],
+        );
+        self.list_mode.send_replace(mode);
+    }
+
+    /// Sends the keepalives that are due. Agents answer them with reports.
     fn send_keepalives(&mut self, now: Instant) {
-        let endpoints: Vec<(EndpointId, bool)> = self.fleet.endpoints(now).collect();
-        let next_keepalives = &mut self.next_keepalives;
-        next_keepalives.retain(|id, _| endpoints.iter().any(|(endpoint, _)| endpoint == id));
-        for (id, reports) in endpoints {
-            let due = next_keepalives.get(&id).is_none_or(|next| *next <= now);
-            if reports && !due {
-                continue;
-            }
-            next_keepalives.insert(id, now + KEEPALIVE_INTERVAL);
-            self.sockets
-                .send_notice(&keepalive(self.epoch, now, false), address_of(id));
+        for keepalive in self.fleet.take_keepalives(now) {
+            self.send_keepalive(&keepalive, now);
         }
     }
 
-    /// Sends an urgent keepalive to each agent that reports a digest of its flows, so that it reports a fresh one at once.
+    /// Requests a fresh report from each agent that reports a digest of its flows.
     fn request_digests(&self, now: Instant) {
-        let keepalive = keepalive(self.epoch, now, true);
-        for id in self.fleet.digest_reporters(now) {
-            self.sockets.send_notice(&keepalive, address_of(id));
+        for keepalive in self.fleet.digest_requests(now) {
+            self.send_keepalive(&keepalive, now);
         }
     }
 
+    fn send_keepalive(&self, keepalive: &DueKeepalive, now: Instant) {
+        let notice = RelayNotice::Keepalive(KeepaliveNotice::new(keepalive, self.epoch, now));
+        let size = self.sockets.send_notice(&notice, address_of(keepalive.id));
+        let notices = &self.state.counters.notices;
+        notices.count(NoticeKind::Keepalive(keepalive.rate), size);
+    }
+
     fn publish(&mut self, now: Instant) {
         self.last_published = now;
         let mut former = self.routes.former().clone();
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -1,25 +1,39 @@
 //! How the control thread applies changes of the list of endpoints and reports of agents.
 
-use super::{RangeState, RelayControl, LOAD_AGE, SETTLE_TIME};
+use super::{RelayControl, LOAD_AGE, SETTLE_TIME};
 use crate::relay::traffic::ArrivedReport;
-use quetzalhill_core::ids::{address_of, id_of};
-use quetzalhill_core::relay::fleet::{ListedEndpoint, ReportOutcome};
+use quetzalhill_core::ids::{address_of, id_of, EndpointId};
+use quetzalhill_core::relay::fleet::{ListChange, ListEffect, ListedEndpoint, ReportOutcome};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::follow::FollowEvent;
+use quetzalhill_node::relay::notices::NoticeKind;
+use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
 use quetzalhill_store::api::{KeyValue, WatchEvent};
-use quetzalhill_wire::relay::decode_endpoint;
+use quetzalhill_wire::relay::{
+    decode_record, endpoint_of_key, ListNotice, RelayNotice, LIST_CHANGES_MAX,
+};
 use std::time::Instant;
 
 impl RelayControl {
     /// Applies an event of the list of endpoints.
     pub(super) fn handle_endpoints_event(&mut self, event: FollowEvent, now: Instant) {
         match event {
-            FollowEvent::Loaded { entries, read } => self.load_endpoints(entries, read, now),
+            FollowEvent::Loaded {
+                entries,
+                revision,
+                read,
+            } => {
+                // A replica may be older than the changes that other entries have passed on.
+                if read.is_none() && revision < self.list_revision {
+                    return;
+                }
+                self.list_revision = self.list_revision.max(revision);
+                self.endpoints_range.record_loaded(read);
+                self.load_endpoints(&entries, now);
+            }
             FollowEvent::Changed(events) => {
                 self.endpoints_range.current = true;
-                for event in events {
-                    self.change_endpoint(event, now);
-                }
+                self.change_endpoints(events, now);
             }
             FollowEvent::Failed => self.endpoints_range.current = false,
             FollowEvent::ConfirmStarted => return self.request_digests(now),
@@ -29,12 +43,10 @@
         self.publish(now);
     }
 
-    fn load_endpoints(&mut self, entries: Vec<KeyValue>, read: Instant, now: Instant) {
-        self.endpoints_range = RangeState::loaded(read);
+    fn load_endpoints(&mut self, entries: &[KeyValue], now: Instant) {
         self.settle_deadline = self.settle_deadline.or(Some(now + SETTLE_TIME));
-        self.listed.clear();
         let mut endpoints = Vec::new();
-        for entry in &entries {
+        for entry in entries {
             endpoints.extend(self.read_record(entry));
         }
         emit(
@@ -44,34 +56,71 @@
         self.fleet.replace_list(endpoints, now);
     }
 
-    fn change_endpoint(&mut self, event: WatchEvent, now: Instant) {
-        match event {
-            WatchEvent::Put(entry) => {
-                let Some(endpoint) = self.read_record(&entry) else {
-                    return;
-                };
-                self.fleet.add_listed(endpoint, now);
-            }
-            WatchEvent::Delete { key, .. } => {
-                if let Some(id) = self.listed.remove(&key) {
-                    emit(
-                        EventCode::EndpointChanged,
-                        &[("endpoint", &address_of(id)), ("state", &"unlisted")],
-                    );
-                    self.fleet.remove_listed(id, now);
+    /// Applies changes from the store, and passes them on to the other entries of the zone.
+    fn change_endpoints(&mut self, events: Vec<WatchEvent>, now: Instant) {
+        let mut changes = Vec::new();
+        for event in events {
+            changes.extend(match event {
+                WatchEvent::Put(entry) => self.read_record(&entry).map(|endpoint| ListChange {
+                    revision: entry.mod_revision,
+                    effect: ListEffect::Written(endpoint),
+                }),
+                WatchEvent::Delete { key, revision } => {
+                    endpoint_of_key(ENDPOINT_PREFIX, &key).map(|id| ListChange {
+                        revision,
+                        effect: ListEffect::Removed(id),
+                    })
                 }
+            });
+        }
+        for chunk in changes.chunks(LIST_CHANGES_MAX) {
+            self.pass_on(&RelayNotice::ListChange(ListNotice::new(chunk)));
+        }
+        self.apply_changes(changes, now);
+    }
+
+    /// Sends a notice to the other entries of the zone, which do not watch the list. Their next read of the list makes
+    /// up for a lost one.
+    fn pass_on(&self, notice: &RelayNotice) {
+        for peer in self.peers.peers() {
+            let size = self.sockets.send_notice(notice, address_of(peer));
+            let counters = &self.state.counters.notices;
+            counters.count(NoticeKind::ListChange, size);
+        }
+    }
+
+    /// Applies changes of the list that another entry passes on.
+    pub(super) fn handle_list_change(&mut self, notice: ListNotice, now: Instant) {
+        self.apply_changes(notice.into_changes(), now);
+        self.send_keepalives(now);
+        self.publish(now);
+    }
+
+    fn apply_changes(&mut self, changes: Vec<ListChange>, now: Instant) {
+        for change in changes {
+            if let ListEffect::Removed(id) = change.effect {
+                emit(
+                    EventCode::EndpointChanged,
+                    &[("endpoint", &address_of(id)), ("state", &"unlisted")],
+                );
             }
+            self.list_revision = self.list_revision.max(change.revision);
+            self.fleet.apply_change(change, now);
         }
     }
 
+    /// Checks an endpoint that left a first packet unanswered, before its last report expires.
+    pub(super) fn doubt(&mut self, id: EndpointId, now: Instant) {
+        self.fleet.doubt(id, now);
+        self.send_keepalives(now);
+    }
+
     /// Decodes a record of the list. An invalid record is logged and skipped.
-    fn read_record(&mut self, entry: &KeyValue) -> Option<ListedEndpoint> {
-        match decode_endpoint(&entry.value) {
-            Ok(endpoint) => {
-                self.listed.insert(entry.key.clone(), endpoint.id);
-                Some(endpoint)
-            }
+    fn read_record(&self, entry: &KeyValue) -> Option<ListedEndpoint> {
+        match decode_record(ENDPOINT_PREFIX, &entry.key, &entry.value) {
+            Ok(endpoint) => Some(endpoint),
             Err(error) => {
+                self.state.counters.invalid_records.inc();
                 emit(
                     EventCode::RecordInvalid,
                     &[("key", &entry.key), ("error", &format!("{error:?}"))],
@@ -85,6 +134,7 @@
     /// than [`LOAD_AGE`].
     pub(super) fn handle_report(&mut self, arrived: ArrivedReport, now: Instant) {
         let id = id_of(arrived.agent);
+        self.peers.record_named(&arrived.notice.peers, now);
         let report = arrived.notice.into_report(id, self.epoch, now);
         let (state, incarnation) = (report.state, report.endpoint.incarnation);
         let (order, stopping) = (report.order, report.stopping);
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -1,8 +1,11 @@
 //! Metrics of an entry of the relay.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, Result};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, Result,
+};
 use quetzalhill_core::relay::chain::{DeliverReason, RelayDrop, RelayVerdict, ResetReason};
 use quetzalhill_core::relay::hold::HoldReason;
+use quetzalhill_node::relay::notices::NoticeCounters;
 
 /// Upper bounds of the buckets of the decision histogram, in seconds.
 const DECISION_BUCKETS: [f64; 8] = [
@@ -16,6 +19,10 @@
     pub(super) packets: IntCounterVec,
     /// Datagrams that could not be decoded, by reason.
     pub(super) malformed: IntCounterVec,
+    /// Keepalives to agents and messages to other entries.
+    pub(super) notices: NoticeCounters,
+    /// Records of the list of endpoints that could not be decoded; counted again with each read.
+    pub(super) invalid_records: IntCounter,
     /// Packets that agents returned, by reason.
     pub(super) returned: IntCounterVec,
     /// Time from the arrival of a packet to the end of its handling, in seconds.
@@ -58,7 +65,14 @@
         );
         let decision = Histogram::with_opts(options.buckets(DECISION_BUCKETS.to_vec()))?;
         registry.register(Box::new(decision.clone()))?;
+        let invalid_records = IntCounter::new(
+            "quetzalhill_relay_invalid_records_total",
+            "Records of the list of endpoints that could not be decoded, counted with each read.",
+        )?;
+        registry.register(Box::new(invalid_records.clone()))?;
         Ok(Self {
+            invalid_records,
+            notices: NoticeCounters::new(registry)?,
             packets: counter(
                 "quetzalhill_relay_packets_total",
                 "Packets of callers by verdict.",
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -4,6 +4,7 @@
 use quetzalhill_node::settings::{LogSettings, SettingError};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
+use std::ops::RangeInclusive;
 
 /// Section `[relay]` of the settings of an entry.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -19,12 +20,22 @@
     /// instance is not ready after two probes, which are half a second apart.
     #[serde(default = "default_linger_ms")]
     pub linger_ms: u64,
+    /// Milliseconds within which a change of the routes has to be in force at every entry.
+    #[serde(default = "default_apply_ms")]
+    pub apply_ms: u64,
 }
 
 fn default_linger_ms() -> u64 {
     1_500
 }
 
+fn default_apply_ms() -> u64 {
+    3_000
+}
+
+/// Range of `apply_ms`, in milliseconds; a shorter time would need more calls to the store than an entry may make.
+const APPLY_RANGE_MS: RangeInclusive<u64> = 600..=60_000;
+
 /// Upper limit of `linger_ms`, in milliseconds.
 const LINGER_MAX_MS: u64 = 60_000;
 
@@ -66,5 +77,10 @@
         let allowed = "0 to 60000 milliseconds";
         return Err(SettingError::new("relay.linger_ms", linger_ms, allowed));
     }
+    let apply_ms = settings.relay.apply_ms;
+    if !APPLY_RANGE_MS.contains(&apply_ms) {
+        let allowed = "600 to 60000 milliseconds";
+        return Err(SettingError::new("relay.apply_ms", apply_ms, allowed));
+    }
     Ok(())
 }
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -7,7 +7,7 @@
 use super::shared::RelayState;
 use crate::traffic::{bind, expect_v4, is_idle, ERROR_PAUSE};
 use anyhow::Result;
-use quetzalhill_core::ids::{address_of, id_of};
+use quetzalhill_core::ids::{address_of, id_of, EndpointId};
 use quetzalhill_core::relay::chain::{DeliverReason, DeliverTarget, RelayDrop, RelayVerdict};
 use quetzalhill_core::relay::hold::HoldReason;
 use quetzalhill_core::relay::intake::ReturnReason;
@@ -19,7 +19,8 @@
 use quetzalhill_platform::packet::{self, PacketSender};
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use quetzalhill_wire::relay::{
-    decode_datagram, RelayDatagram, RelayHeader, RelayNotice, ReportNotice, RELAY_HEADER_MAX,
+    decode_datagram, ListNotice, RelayDatagram, RelayHeader, RelayNotice, ReportNotice,
+    RELAY_HEADER_MAX,
 };
 use std::fmt::{Display, Formatter, Result as FormatResult};
 use std::net::{SocketAddrV4, UdpSocket};
@@ -41,6 +42,10 @@
 pub(super) enum TrafficEvent {
     /// An agent sent a report.
     Report(ArrivedReport),
+    /// Another entry passes on changes of the list of endpoints.
+    ListChange(ListNotice),
+    /// An endpoint left the first packet of a flow unanswered.
+    Unanswered(EndpointId),
     /// No known endpoint holds a flow. The control thread reads the list of endpoints again, as it may be out of date.
     ConfirmEndpoints,
     /// No route covers the address of an open flow. The control thread reads the routes again, as they may be out of date.
@@ -70,13 +75,15 @@
         }))
     }
 
-    /// Sends a notice to an agent. Notices are sent periodically, so a lost one is replaced by the next.
-    pub(super) fn send_notice(&self, notice: &RelayNotice, agent: SocketAddrV4) {
+    /// Sends a notice to an agent or another entry, and returns the size of the datagram in bytes. Notices are sent
+    /// periodically, so a lost one is replaced by the next.
+    pub(super) fn send_notice(&self, notice: &RelayNotice, receiver: SocketAddrV4) -> usize {
         let Ok(datagram) = notice.encode() else {
-            return;
+            return 0;
         };
         // A send error is treated like a lost datagram.
-        let _ = self.agents.send_to(&datagram, agent);
+        let _ = self.agents.send_to(&datagram, receiver);
+        datagram.len()
     }
 }
 
@@ -170,8 +177,14 @@
             Err(error) => return self.count_malformed(&format!("{error:?}")),
         };
         let view = self.state.view.load();
-        let verdict = self.state.chain().decide(&head, &view, now);
+        let (verdict, unanswered) = {
+            let mut chain = self.state.chain();
+            (chain.decide(&head, &view, now), chain.take_unanswered())
+        };
         self.execute(&head, &verdict, buffer);
+        for id in unanswered {
+            self.send_event(TrafficEvent::Unanswered(id));
+        }
         let elapsed = now.elapsed().as_secs_f64();
         self.state.counters.decision.observe(elapsed);
     }
@@ -225,6 +238,9 @@
             Ok(RelayDatagram::Notice(RelayNotice::Report(notice))) => {
                 self.send_event(TrafficEvent::Report(ArrivedReport { agent, notice }));
             }
+            Ok(RelayDatagram::Notice(RelayNotice::ListChange(notice))) => {
+                self.send_event(TrafficEvent::ListChange(notice));
+            }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
             | Ok(RelayDatagram::Notice(RelayNotice::Keepalive(_))) => {
                 self.count_malformed("unexpected")
--- a/crates/entry/tests/cmd_check_settings.rs
+++ b/crates/entry/tests/cmd_check_settings.rs
@@ -20,6 +20,7 @@
 /// Guards against errors for a valid file, and against an error without the file, the key or the allowed values.
 #[parameterized(
     valid = { "", None },
+    apply = { "apply_ms = 100", Some("relay.apply_ms is 100; allowed: 600 to 60000 milliseconds") },
     linger = { "linger_ms = 90000", Some("relay.linger_ms is 90000; allowed: 0 to 60000 milliseconds") },
     unknown = { "speed = 1", Some("unknown field `speed`") },
 )]
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -102,6 +102,8 @@
     EndpointRegistered = 4014, Info, "endpoint-registered";
     /// The agent's endpoint was removed from the list because its lease ended.
     LeaseLost = 4015, Warn, "lease-lost";
+    /// An entry began to follow the list of endpoints itself, or to leave that to other entries of its zone.
+    ListRole = 4016, Info, "list-role";
     /// A task or thread ended with an error.
     TaskFailed = 5001, Error, "task-failed";
     /// Changed control keys came into force.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod output;
 pub mod relay;
 pub mod settings;
+pub mod sockets;
 pub mod status;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,6 +1,7 @@
 //! Code that the entries and agents of the relay share.
 
 pub mod follow;
+pub mod notices;
 pub mod settings;
 pub mod signals;
 pub mod threads;
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -8,10 +8,11 @@
     WatchEvent,
 };
 use rand::rngs::SmallRng;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep_until, timeout_at};
 
 /// An event of a followed range.
 #[derive(Debug)]
@@ -20,8 +21,11 @@
     Loaded {
         /// All keys of the range with their values.
         entries: Vec<KeyValue>,
-        /// When the read began; changes made after this point in time may be missing.
-        read: Instant,
+        /// Store revision of the read.
+        revision: StoreRevision,
+        /// When the read began; changes made after this point in time may be missing. `None` for a read that may miss
+        /// earlier changes too.
+        read: Option<Instant>,
     },
     /// Changes since the last event; empty if a poll found none.
     Changed(Vec<WatchEvent>),
@@ -33,6 +37,15 @@
     ConfirmFailed,
 }
 
+/// How [`follow`] learns of changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FollowMode {
+    /// Watches the range, and so learns of each change at once.
+    Watch,
+    /// Reads the range seldom, from a replica; changes arrive in another way.
+    Poll,
+}
+
 /// Range and polling of [`follow`].
 #[derive(Debug)]
 pub struct FollowPlan {
@@ -40,14 +53,23 @@
     pub name: &'static str,
     /// Keys to follow.
     pub range: KeyRange,
-    /// Pause after a poll that found changes, so that the next call returns several changes at once.
+    /// Pause after a watch has returned changes, so that the next call returns several changes at once.
     pub pause: Duration,
+    /// Pause between a read of the range and the watch, which finds the changes made meanwhile.
+    pub settle: Duration,
+    /// How to learn of changes; may change at any time.
+    pub mode: watch::Receiver<FollowMode>,
+}
+
+/// Returns the mode of a range that is always watched.
+pub fn always_watch() -> watch::Receiver<FollowMode> {
+    watch::channel(FollowMode::Watch).1
 }
 
 /// Follows a range of keys until the future is dropped.
 pub async fn follow<S: CatalogueStore>(
     store: S,
-    plan: FollowPlan,
+    mut plan: FollowPlan,
     mut sink: impl FnMut(FollowEvent),
 ) {
     let mut failures = FailureLog {
@@ -57,15 +79,36 @@
         rng: SmallRng::from_os_rng(),
     };
     loop {
+        let mode = *plan.mode.borrow_and_update();
         let read = Instant::now();
-        match store.range(&plan.range).await {
+        let result = match mode {
+            FollowMode::Watch => store.range(&plan.range).await,
+            FollowMode::Poll => store.range_stale(&plan.range).await,
+        };
+        match result {
             Ok(result) => {
                 failures.record_success();
                 failures.loaded = true;
-                let entries = result.entries;
-                sink(FollowEvent::Loaded { entries, read });
-                let from = result.revision.saturating_add(1);
-                watch(&store, &plan, from, &mut failures, &mut sink).await;
+                let (records, revision) = (result.entries.len(), result.revision);
+                sink(FollowEvent::Loaded {
+                    entries: result.entries,
+                    revision,
+                    read: (mode == FollowMode::Watch).then_some(read),
+                });
+                let from = revision.saturating_add(1);
+                if mode == FollowMode::Watch {
+                    tokio::time::sleep(plan.settle).await;
+                }
+                let mode = *plan.mode.borrow();
+                let left = match mode {
+                    FollowMode::Watch => {
+                        watch_range(&store, &plan, from, &mut failures, &mut sink).await
+                    }
+                    FollowMode::Poll => WatchEnd::ModeChanged,
+                };
+                if left == WatchEnd::ModeChanged {
+                    wait_for_poll(&mut plan, records, &mut failures.rng).await;
+                }
             }
             Err(error) => {
                 sink(FollowEvent::Failed);
@@ -75,6 +118,21 @@
     }
 }
 
+/// Waits until the next poll is due or the range has to be watched.
+async fn wait_for_poll(plan: &mut FollowPlan, records: usize, rng: &mut SmallRng) {
+    let records = u32::try_from(records).unwrap_or(u32::MAX);
+    let interval = Duration::from_secs_f64(f64::from(records) / POLL_RECORDS_PER_S);
+    let interval = interval
+        .max(POLL_INTERVAL_MIN)
+        .mul_f64(rng.random_range(0.8..1.2));
+    let deadline = tokio::time::Instant::now() + interval;
+    let watched = plan.mode.wait_for(|mode| *mode == FollowMode::Watch);
+    // A mode that never changes any more is an error at once; the poll still has to wait.
+    if let Ok(Err(_)) = timeout_at(deadline, watched).await {
+        sleep_until(deadline).await;
+    }
+}
+
 /// Reads the whole range again each time that `requests` is notified, until the future is dropped.
 ///
 /// A long poll without an answer does not show that nothing has changed: the store may be slow, or the connection may be
@@ -92,7 +150,8 @@
         match store.range(&range).await {
             Ok(result) => sink(FollowEvent::Loaded {
                 entries: result.entries,
-                read,
+                revision: result.revision,
+                read: Some(read),
             }),
             // `follow` notices and logs the outage of the store. The caller has to request another read.
             Err(_) => sink(FollowEvent::ConfirmFailed),
@@ -101,20 +160,30 @@
     }
 }
 
+/// Why [`watch_range`] has returned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WatchEnd {
+    /// The range has to be read again at once.
+    Reread,
+    /// The range need not be watched any longer.
+    ModeChanged,
+}
+
 /// Watches until the store has compacted the revisions that the watch needs, or does not answer. The caller then reads
 /// the range again, because a read shows sooner than a long poll that the store is back.
-async fn watch<S: CatalogueStore>(
+async fn watch_range<S: CatalogueStore>(
     store: &S,
     plan: &FollowPlan,
     from: StoreRevision,
     failures: &mut FailureLog,
     sink: &mut impl FnMut(FollowEvent),
-) {
+) -> WatchEnd {
     let mut watch = match store.watch(&plan.range, from).await {
         Ok(watch) => watch,
         Err(error) => {
             sink(FollowEvent::Failed);
-            return failures.pause(&error).await;
+            failures.pause(&error).await;
+            return WatchEnd::Reread;
         }
     };
     loop {
@@ -123,14 +192,18 @@
                 failures.record_success();
                 let changed = !events.is_empty();
                 sink(FollowEvent::Changed(events));
+                if *plan.mode.borrow() == FollowMode::Poll {
+                    return WatchEnd::ModeChanged;
+                }
                 if changed {
                     tokio::time::sleep(plan.pause).await;
                 }
             }
-            Ok(WatchBatch::Compacted { .. }) => return,
+            Ok(WatchBatch::Compacted { .. }) => return WatchEnd::Reread,
             Err(error) => {
                 sink(FollowEvent::Failed);
-                return failures.pause(&error).await;
+                failures.pause(&error).await;
+                return WatchEnd::Reread;
             }
         }
     }
@@ -182,6 +255,12 @@
 /// packet after 200 ms.
 const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
 
+/// Shortest interval between two polls of a range that is not watched.
+const POLL_INTERVAL_MIN: Duration = Duration::from_secs(10);
+
+/// Records that polls read per second on average, about 2 KB; polls of a long list are rarer.
+const POLL_RECORDS_PER_S: f64 = 14.0;
+
 /// Shortest pause between two calls to a store that does not answer. The store counts these calls too.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
 
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -1,7 +1,9 @@
 //! Following a range of a store that is unavailable or whose watches are interrupted.
 
 use ntex::rt::{spawn, DefaultRuntime, System};
-use quetzalhill_node::relay::follow::{confirm, follow, FollowEvent, FollowPlan};
+use quetzalhill_node::relay::follow::{
+    always_watch, confirm, follow, FollowEvent, FollowMode, FollowPlan,
+};
 use quetzalhill_store::api::{
     CatalogueStore, CatalogueWatch, KeyRange, LeaseGrant, LeaseId, RangeResult, StoreError,
     StoreRevision, Transaction, TransactionOutcome, WatchBatch,
@@ -9,7 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::time::sleep;
 
 /// A store that counts reads and can be made unavailable.
@@ -17,6 +19,7 @@
 struct FakeStore {
     outage: Rc<Cell<bool>>,
     reads: Rc<Cell<u32>>,
+    stale_reads: Rc<Cell<u32>>,
     /// Ends the open watch with an error.
     watch_end: Rc<Notify>,
 }
@@ -51,6 +54,11 @@
         }
     }
 
+    async fn range_stale(&self, range: &KeyRange) -> Result<RangeResult, StoreError> {
+        self.stale_reads.set(self.stale_reads.get() + 1);
+        self.range(range).await
+    }
+
     async fn watch(&self, _: &KeyRange, _: StoreRevision) -> Result<FakeWatch, StoreError> {
         match self.outage.get() {
             true => Err(unavailable()),
@@ -79,11 +87,20 @@
     System::new("follow", DefaultRuntime).block_on(test);
 }
 
-fn start(store: &FakeStore) -> Rc<RefCell<Vec<Instant>>> {
+fn start(store: &FakeStore) -> Rc<RefCell<Vec<Option<Instant>>>> {
+    start_in(store, always_watch())
+}
+
+fn start_in(
+    store: &FakeStore,
+    mode: watch::Receiver<FollowMode>,
+) -> Rc<RefCell<Vec<Option<Instant>>>> {
     let plan = FollowPlan {
         name: "test",
         range: KeyRange::Prefix("a/".into()),
         pause: Duration::from_millis(300),
+        settle: Duration::ZERO,
+        mode,
     };
     let loads = Rc::new(RefCell::new(Vec::new()));
     let recorded = loads.clone();
@@ -168,6 +185,43 @@
         sleep(Duration::from_millis(500)).await;
         let reads = reads.borrow();
         assert!((2..=4).contains(&reads.len()), "{} reads", reads.len());
-        assert!(reads.iter().all(|read| *read >= first_request));
+        assert!(reads.iter().all(|read| *read >= Some(first_request)));
+    });
+}
+
+/// Guards against a range that is watched, or read in full price, by an entry that leaves this to others, and against an
+/// entry that takes a read of a replica for the current state.
+#[test]
+fn polled_range_is_read_from_a_replica_and_seldom() {
+    run(async {
+        let store = FakeStore::default();
+        let (sender, mode) = watch::channel(FollowMode::Poll);
+        let loads = start_in(&store, mode);
+        sleep(Duration::from_millis(1_500)).await;
+        assert_eq!((store.reads.get(), store.stale_reads.get()), (1, 1));
+        assert_eq!(*loads.borrow(), [None]);
+        // An entry that has to watch the range from now on must not wait for the next poll.
+        sender.send_replace(FollowMode::Watch);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!((store.reads.get(), store.stale_reads.get()), (2, 1));
+        assert!(loads.borrow()[1].is_some());
+        // A watch goes on until it returns, and is not opened again.
+        sender.send_replace(FollowMode::Poll);
+        store.watch_end.notify_one();
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!((store.reads.get(), store.stale_reads.get()), (3, 2));
+    });
+}
+
+/// Guards against a poll that spins when the mode can no longer change.
+#[test]
+fn poll_without_a_sender_of_modes_waits() {
+    run(async {
+        let store = FakeStore::default();
+        let (sender, mode) = watch::channel(FollowMode::Poll);
+        drop(sender);
+        start_in(&store, mode);
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(store.reads.get(), 1);
     });
 }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -6,9 +6,11 @@
     Compare, KeyRange, KeyValue, LeaseGrant, LeaseId, StoreError, StoreRevision, Transaction,
     TransactionOutcome, WatchBatch, WatchEvent,
 };
-use quetzalhill_store::codec::{CallMethod, HttpAnswer, HttpCall, RangePage, StoreCodec};
-use serde::de::DeserializeOwned;
+use quetzalhill_store::codec::{
+    CallMethod, HttpAnswer, HttpCall, RangePage, ReadFreshness, StoreCodec,
+};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::time::Duration;
 
 pub(crate) const OK: u16 = 200;
@@ -57,19 +59,29 @@
     store_revision: StoreRevision,
 }
 
+/// The part of an item that names it, for an item whose other fields cannot be decoded.
+#[derive(Debug, Default, Deserialize)]
+struct ItemKeyBody {
+    key: String,
+}
+
+/// A page of a read. Items are decoded one by one, because any writer may add an item that cannot be decoded.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct RangeBody {
-    items: Vec<ItemBody>,
+struct RangeBody<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     #[serde(default)]
     has_more: bool,
     store_revision: StoreRevision,
 }
 
+/// The answer to a watch, with events that are decoded one by one like the items of a page.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct WatchBody {
-    events: Vec<ItemBody>,
+struct WatchBody<'a> {
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
     store_revision: StoreRevision,
 }
 
@@ -137,12 +149,46 @@
     }
 }
 
+/// Decodes one item of a page. An item that cannot be decoded becomes an entry without a value, which names nothing
+/// that any reader uses; so it neither hides the other items nor goes unnoticed.
+fn decode_item(item: &RawValue) -> KeyValue {
+    let decoded = serde_json::from_str::<ItemBody>(item.get());
+    let entry = decoded.map_err(unreadable).and_then(ItemBody::decode);
+    entry.unwrap_or_else(|_| valueless(item))
+}
+
+/// Decodes one event of a watch, with the same fallback as [`decode_item`].
+fn decode_event(event: &RawValue) -> WatchEvent {
+    let decoded = serde_json::from_str::<ItemBody>(event.get());
+    let event_of = decoded.map_err(unreadable).and_then(ItemBody::decode_event);
+    event_of.unwrap_or_else(|_| WatchEvent::Put(valueless(event)))
+}
+
+/// Returns an entry with the key of `item`, empty if there is none, and without a value.
+fn valueless(item: &RawValue) -> KeyValue {
+    let body: ItemKeyBody = serde_json::from_str(item.get()).unwrap_or_default();
+    KeyValue {
+        key: body.key,
+        value: Vec::new(),
+        create_revision: 0,
+        mod_revision: 0,
+    }
+}
+
 impl StoreCodec for PlatformCodec {
-    fn encode_range(&self, range: &KeyRange, after: Option<&str>) -> HttpCall {
+    fn encode_range(
+        &self,
+        range: &KeyRange,
+        freshness: ReadFreshness,
+        after: Option<&str>,
+    ) -> HttpCall {
         let mut path = match range {
             KeyRange::Key(key) => format!("{KEY_PATH}?key={}", escape(key)),
             KeyRange::Prefix(prefix) => format!("{RANGE_PATH}?prefix={}", escape(prefix)),
         };
+        if freshness == ReadFreshness::Stale {
+            path.push_str("&allowStale=1");
+        }
         if let Some(after) = after {
             path.push_str("&after=");
             path.push_str(&escape(after));
@@ -158,11 +204,10 @@
         if let KeyRange::Key(_) = range {
             return decode_key(answer);
         }
-        let body: RangeBody = decode_ok(answer)?;
-        let entries: Result<Vec<_>, _> = body.items.into_iter().map(ItemBody::decode).collect();
+        let body: RangeBody<'_> = decode_ok(answer)?;
         Ok(RangePage {
             revision: body.store_revision,
-            entries: entries?,
+            entries: body.items.into_iter().map(decode_item).collect(),
             more: body.has_more,
         })
     }
@@ -186,15 +231,16 @@
         if answer.status == GONE {
             return Ok(WatchBatch::Compacted { revision: after });
         }
-        let body: WatchBody = decode_ok(answer)?;
+        let body: WatchBody<'_> = decode_ok(answer)?;
         let mut events = Vec::with_capacity(body.events.len());
         for event in body.events {
+            let event = decode_event(event);
             let wanted = match range {
-                KeyRange::Key(key) => event.key == *key,
+                KeyRange::Key(key) => key_of(&event) == key,
                 KeyRange::Prefix(_) => true,
             };
             if wanted {
-                events.push(event.decode_event()?);
+                events.push(event);
             }
         }
         Ok(WatchBatch::Events {
@@ -284,6 +330,13 @@
     }
 }
 
+fn key_of(event: &WatchEvent) -> &str {
+    match event {
+        WatchEvent::Put(entry) => &entry.key,
+        WatchEvent::Delete { key, .. } => key,
+    }
+}
+
 fn decode_key(answer: HttpAnswer<'_>) -> Result<RangePage, StoreError> {
     if answer.status == NOT_FOUND {
         // The body may hold the store revision of the read.
@@ -308,7 +361,7 @@
     store_revision: StoreRevision,
 }
 
-fn decode_ok<T: DeserializeOwned>(answer: HttpAnswer<'_>) -> Result<T, StoreError> {
+fn decode_ok<'a, T: Deserialize<'a>>(answer: HttpAnswer<'a>) -> Result<T, StoreError> {
     match answer.status {
         OK => serde_json::from_slice(answer.body).map_err(unreadable),
         UNAVAILABLE => Err(StoreError::NotApplied {
--- a/crates/platform/tests/bodies.rs
+++ b/crates/platform/tests/bodies.rs
@@ -8,7 +8,7 @@
     Compare, DeleteOp, KeyRange, PutOp, StoreError, Transaction, TransactionOutcome, WatchBatch,
     WatchEvent,
 };
-use quetzalhill_store::codec::{HttpAnswer, StoreCodec};
+use quetzalhill_store::codec::{HttpAnswer, ReadFreshness, StoreCodec};
 use std::time::{Duration, Instant};
 use yare::parameterized;
 
@@ -191,10 +191,22 @@
 /// Guards against keys with reserved characters that add parameters to the query.
 #[test]
 fn keys_are_escaped() {
-    let call = PlatformCodec.encode_range(&KeyRange::Key("a b&c=d".into()), None);
+    let key = KeyRange::Key("a b&c=d".into());
+    let call = PlatformCodec.encode_range(&key, ReadFreshness::Current, None);
     assert_eq!(call.path, "/-/kv-key?key=a%20b%26c%3Dd");
 }
 
+/// Guards against a read that may be stale although current state is needed, or that is paid in full although it may be
+/// stale.
+#[test]
+fn only_stale_reads_allow_stale_answers() {
+    let range = KeyRange::Prefix("a/".into());
+    let current = PlatformCodec.encode_range(&range, ReadFreshness::Current, Some("a/1"));
+    assert_eq!(current.path, "/-/kv-range?prefix=a/&after=a/1");
+    let stale = PlatformCodec.encode_range(&range, ReadFreshness::Stale, Some("a/1"));
+    assert_eq!(stale.path, "/-/kv-range?prefix=a/&allowStale=1&after=a/1");
+}
+
 proptest! {
     /// Guards against a panic on an arbitrary body.
     #[test]
@@ -208,3 +220,69 @@
         let _ = announcement::decode("i".into(), &body, Instant::now());
     }
 }
+
+/// Returns the items of a page or watch: `odd` between two good ones.
+fn items_around(odd: &str) -> String {
+    let good = |key: &str| {
+        format!(r#"{{"key":"{key}","value":"Z29vZA==","revision":3,"created":3,"lease":7}}"#)
+    };
+    format!("[{},{odd},{}]", good("p/1"), good("p/3"))
+}
+
+/// Nesting depth beyond the recursion limit of any JSON decoder.
+const DEEP: usize = 10_000;
+
+fn deep_item() -> String {
+    let (open, close) = ("[".repeat(DEEP), "]".repeat(DEEP));
+    format!(r#"{{"key":"p/2","value":{open}{close},"revision":4}}"#)
+}
+
+/// Guards against one odd item of another writer that makes a page or a watch unreadable, so that the entry stops
+/// following the range: only the value of that item may be lost.
+#[parameterized(
+    value_not_base64 = { r#"{"key":"p/2","value":"%%","revision":4}"#.into(), "p/2" },
+    value_number = { r#"{"key":"p/2","value":1e999,"revision":4}"#.into(), "p/2" },
+    value_missing_type = { r#"{"key":"p/2","value":null,"revision":4}"#.into(), "p/2" },
+    value_deep = { deep_item(), "p/2" },
+    unknown_field_deep = { format!(r#"{{"key":"p/2","x":{}{},"value":"%"}}"#, "[".repeat(DEEP), "]".repeat(DEEP)), "p/2" },
+    revision_too_large = { r#"{"key":"p/2","value":"Z29vZA==","revision":18446744073709551616}"#.into(), "p/2" },
+    revision_infinite = { r#"{"key":"p/2","value":"Z29vZA==","revision":1e400}"#.into(), "p/2" },
+    revision_text = { r#"{"key":"p/2","value":"Z29vZA==","revision":"4"}"#.into(), "p/2" },
+    value_twice = { r#"{"key":"p/2","value":"Z29vZA==","value":"Z29vZA==","revision":4}"#.into(), "p/2" },
+    key_missing = { r#"{"value":"Z29vZA==","revision":4}"#.into(), "" },
+    key_number = { r#"{"key":4,"value":"Z29vZA==","revision":4}"#.into(), "" },
+    null = { "null".into(), "" },
+    number = { "1e999".into(), "" },
+)]
+fn odd_item_costs_only_its_own_value(odd: String, key: &str) {
+    let items = items_around(&odd);
+    let prefix = KeyRange::Prefix("p/".into());
+    let body = format!(r#"{{"items":{items},"hasMore":true,"storeRevision":9}}"#);
+    let answer = HttpAnswer {
+        status: 200,
+        body: body.as_bytes(),
+    };
+    let page = PlatformCodec
+        .decode_range(&prefix, answer)
+        .expect("the page holds two good items");
+    assert_eq!((page.revision, page.more), (9, true));
+    let found: Vec<_> = page
+        .entries
+        .iter()
+        .map(|entry| (entry.key.as_str(), entry.value.as_slice()))
+        .collect();
+    let expected: [(&str, &[u8]); 3] = [("p/1", b"good"), (key, b""), ("p/3", b"good")];
+    assert_eq!(found, expected);
+    let body = format!(r#"{{"events":{items},"storeRevision":9}}"#);
+    let answer = HttpAnswer {
+        status: 200,
+        body: body.as_bytes(),
+    };
+    let batch = PlatformCodec
+        .decode_watch(&prefix, 2, answer)
+        .expect("the watch holds two good events");
+    let WatchBatch::Events { revision, events } = batch else {
+        panic!("no events: {batch:?}");
+    };
+    assert_eq!((revision, events.len()), (9, 3));
+}
--- a/crates/platform/tests/standin.rs
+++ b/crates/platform/tests/standin.rs
@@ -13,7 +13,7 @@
 use quetzalhill_store::api::{
     KeyRange, KeyValue, PutOp, StoreError, Transaction, TransactionOutcome, WatchBatch, WatchEvent,
 };
-use quetzalhill_store::codec::{CallMethod, HttpAnswer, HttpCall, StoreCodec};
+use quetzalhill_store::codec::{CallMethod, HttpAnswer, HttpCall, ReadFreshness, StoreCodec};
 use std::time::{Duration, Instant};
 
 fn decode_store_call(call: &HttpCall) -> StoreCall {
@@ -49,7 +49,7 @@
 fn reads_and_watches_round_trip() {
     let codec = PlatformCodec;
     let range = KeyRange::Prefix("a b/ü".into());
-    let call = codec.encode_range(&range, Some("a b/ü&1"));
+    let call = codec.encode_range(&range, ReadFreshness::Current, Some("a b/ü&1"));
     let StoreCall::Range(seen, after) = decode_store_call(&call) else {
         panic!("{call:?}");
     };
--- a/crates/platform/tests/templates.rs
+++ b/crates/platform/tests/templates.rs
@@ -30,6 +30,9 @@
         ("service", "feed"),
         ("app", "127.0.0.1:8165"),
         ("heartbeatMs", "770"),
+        ("#bounds.configApplyMs", ""),
+        ("bounds.configApplyMs", "3000"),
+        ("/bounds.configApplyMs", ""),
     ] {
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -230,6 +230,7 @@
                 agents: SocketAddrV4::new(*packets.ip(), REPORT_PORT),
                 ready: SocketAddrV4::new(*packets.ip(), READY_PORT),
                 linger_ms: 1_500,
+                apply_ms: 3_000,
             },
         }
     }
--- a/crates/standins/tests/settings_page.rs
+++ b/crates/standins/tests/settings_page.rs
@@ -104,6 +104,7 @@
             agents: ADDRESS,
             ready: ADDRESS,
             linger_ms: 1,
+            apply_ms: 1,
         },
     }
 }
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -5,10 +5,7 @@
 use std::fmt::{Display, Formatter, Result as FormatResult};
 use std::time::Duration;
 
-/// Revision of the store, which rises with each write to any key. The catalogue counts its own revisions.
-pub type StoreRevision = i64;
-
-pub use quetzalhill_core::ids::LeaseId;
+pub use quetzalhill_core::ids::{LeaseId, StoreRevision};
 
 /// One key with its value.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -242,6 +239,16 @@
     /// Any [`StoreError`] except [`StoreError::Unknown`], since a read has no effect.
     async fn range(&self, range: &KeyRange) -> Result<RangeResult, StoreError>;
 
+    /// Reads keys from a replica, which costs less than [`CatalogueStore::range`] and may miss changes of the last
+    /// seconds. A store without such reads reads as usual.
+    ///
+    /// # Errors
+    ///
+    /// See [`CatalogueStore::range`].
+    async fn range_stale(&self, range: &KeyRange) -> Result<RangeResult, StoreError> {
+        self.range(range).await
+    }
+
     /// Writes several keys if all conditions hold.
     ///
     /// # Errors
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -18,6 +18,15 @@
     Delete,
 }
 
+/// What a read must include.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadFreshness {
+    /// Every change that was acknowledged before the read began.
+    Current,
+    /// A consistent but possibly older state, which costs the store less.
+    Stale,
+}
+
 /// An encoded HTTP request, without the address of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HttpCall {
@@ -55,9 +64,15 @@
 /// an answer that it cannot decode.
 pub trait StoreCodec: Clone + Debug {
     /// Encodes a read of the keys in `range`, or of those after the key `after`, the last key of the previous page.
-    fn encode_range(&self, range: &KeyRange, after: Option<&str>) -> HttpCall;
+    fn encode_range(
+        &self,
+        range: &KeyRange,
+        freshness: ReadFreshness,
+        after: Option<&str>,
+    ) -> HttpCall;
 
-    /// Decodes the answer to a read.
+    /// Decodes the answer to a read. A single item that cannot be decoded becomes an entry without a value, and without
+    /// a key if that cannot be decoded either; events of a watch likewise.
     ///
     /// # Errors
     ///
--- a/crates/store/src/polled.rs
+++ b/crates/store/src/polled.rs
@@ -5,7 +5,7 @@
     StoreRevision, Transaction, TransactionOutcome, WatchBatch,
 };
 use crate::budget::{BudgetLimits, CallBudget, CallCounts, CallKind};
-use crate::codec::{CallMethod, HttpAnswer, HttpCall, StoreCodec};
+use crate::codec::{CallMethod, HttpAnswer, HttpCall, ReadFreshness, StoreCodec};
 use crate::connect::ProbedConnector;
 use crate::http::{classify_error, millis, not_applied, unknown, unknown_to_not_applied};
 use ntex::client::{Client, ClientRequest, Connector};
@@ -117,19 +117,19 @@
         let limit = self.settings.call_timeout;
         self.send(call, limit).await
     }
-}
 
-impl<C: StoreCodec> CatalogueStore for PolledStore<C> {
-    type Watch = PolledWatch<C>;
-
-    async fn range(&self, range: &KeyRange) -> Result<RangeResult, StoreError> {
+    async fn read_pages(
+        &self,
+        range: &KeyRange,
+        freshness: ReadFreshness,
+    ) -> Result<RangeResult, StoreError> {
         let mut result = RangeResult {
             revision: StoreRevision::MAX,
             entries: Vec::new(),
         };
+        let mut after: Option<String> = None;
         loop {
-            let after = result.entries.last().map(|entry| entry.key.clone());
-            let call = self.codec.encode_range(range, after.as_deref());
+            let call = self.codec.encode_range(range, freshness, after.as_deref());
             let answer = self.call(CallKind::Read, call).await;
             let (status, body) = answer.map_err(unknown_to_not_applied)?;
             let answer = HttpAnswer {
@@ -143,12 +143,32 @@
             // The pages are read at different revisions. The lowest is reported, so that a watch from there misses no
             // change to a page that was read earlier.
             result.revision = result.revision.min(page.revision);
+            // An item that cannot be decoded may have no key, from which no page can begin.
+            let keys = page.entries.iter().map(|entry| &entry.key);
+            let next = keys.filter(|key| !key.is_empty()).max().cloned();
+            let advances = next > after;
+            after = next;
             result.entries.extend(page.entries);
             if !page.more {
                 return Ok(result);
             }
+            if !advances {
+                return Err(not_applied("a page of the range does not advance"));
+            }
         }
     }
+}
+
+impl<C: StoreCodec> CatalogueStore for PolledStore<C> {
+    type Watch = PolledWatch<C>;
+
+    async fn range(&self, range: &KeyRange) -> Result<RangeResult, StoreError> {
+        self.read_pages(range, ReadFreshness::Current).await
+    }
+
+    async fn range_stale(&self, range: &KeyRange) -> Result<RangeResult, StoreError> {
+        self.read_pages(range, ReadFreshness::Stale).await
+    }
 
     async fn commit(&self, transaction: &Transaction) -> Result<TransactionOutcome, StoreError> {
         let call = self.codec.encode_commit(transaction)?;
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -6,12 +6,16 @@
 
 use crate::packet::WIRE_VERSION;
 use quetzalhill_core::ids::{
-    address_of, id_of, EndpointId, IncarnationNumber, ServiceDigest, ServiceName, ZoneName,
+    address_of, id_of, EndpointId, EntryId, IncarnationNumber, ServiceDigest, ServiceName,
+    StoreRevision, ZoneName,
 };
 use quetzalhill_core::relay::digest::FlowDigest;
-use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint};
+use quetzalhill_core::relay::fleet::{
+    DueKeepalive, EndpointReport, ListChange, ListEffect, ListedEndpoint,
+};
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
 use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::subscribe::{DueReport, EntryKeepalive, ReportRate};
 use serde::de::{Error as _, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -22,8 +26,8 @@
 /// Kind byte of a datagram that carries a packet of a flow.
 const KIND_FLOW: u8 = 3;
 
-/// Kind byte of a datagram that carries a [`RelayNotice`].
-const KIND_NOTICE: u8 = 4;
+/// Kind byte of a datagram that carries a [`RelayNotice`]. Kind 4 had keepalives and reports without lifetimes.
+const KIND_NOTICE: u8 = 5;
 
 /// Bytes before the postcard body: version and kind.
 const PREFIX_BYTES: usize = 2;
@@ -60,6 +64,8 @@
     Foreign,
     /// The body cannot be encoded or decoded.
     Body,
+    /// The record names no usable address, or another one than its key.
+    Address,
 }
 
 const TAG_DELIVER: u8 = 0;
@@ -156,6 +162,54 @@
     Keepalive(KeepaliveNotice),
     /// From an agent to an entry: the state of the agent's endpoint.
     Report(ReportNotice),
+    /// From an entry that reads the list of endpoints to another one of its zone: changes of the list.
+    ListChange(ListNotice),
+}
+
+/// Changes of the list of endpoints, in the order of the store.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListNotice {
+    changes: Vec<StoredChange>,
+}
+
+/// Maximum number of changes in one [`ListNotice`], so that it fits into a datagram.
+pub const LIST_CHANGES_MAX: usize = 12;
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+enum StoredChange {
+    Written(StoreRevision, StoredEndpoint),
+    Removed(StoreRevision, EndpointId),
+}
+
+impl ListNotice {
+    /// Creates a notice of these changes.
+    pub fn new(changes: &[ListChange]) -> Self {
+        let mut notice = Self::default();
+        for change in changes {
+            notice.changes.push(match &change.effect {
+                ListEffect::Written(endpoint) => {
+                    StoredChange::Written(change.revision, StoredEndpoint::from_listed(endpoint))
+                }
+                ListEffect::Removed(id) => StoredChange::Removed(change.revision, *id),
+            });
+        }
+        notice
+    }
+
+    /// Converts the notice to changes.
+    pub fn into_changes(self) -> Vec<ListChange> {
+        let mut changes = Vec::with_capacity(self.changes.len());
+        for change in self.changes {
+            let (revision, effect) = match change {
+                StoredChange::Written(revision, endpoint) => {
+                    (revision, ListEffect::Written(endpoint.into_listed()))
+                }
+                StoredChange::Removed(revision, id) => (revision, ListEffect::Removed(id)),
+            };
+            changes.push(ListChange { revision, effect });
+        }
+        changes
+    }
 }
 
 /// Keepalive of an entry.
@@ -166,6 +220,41 @@
     pub clock_ms: u32,
     /// Whether the agent must send a report immediately instead of at the next interval.
     pub urgent: bool,
+    /// Whether the agent reports at changes and at a sparse refresh only.
+    pub sparse: bool,
+    /// Time for which the agent reports after this keepalive, in milliseconds.
+    pub lifetime_ms: u32,
+}
+
+impl KeepaliveNotice {
+    /// Creates the notice of `keepalive`, sent at `now` by an entry whose clock was 0 at `epoch`.
+    pub fn new(keepalive: &DueKeepalive, epoch: Instant, now: Instant) -> Self {
+        Self {
+            clock_ms: millis_between(epoch, now),
+            urgent: keepalive.urgent,
+            sparse: keepalive.rate == ReportRate::Sparse,
+            lifetime_ms: millis_between(now, keepalive.expires),
+        }
+    }
+
+    /// Converts the notice, received at `now`, to a keepalive.
+    pub fn to_keepalive(self, now: Instant) -> EntryKeepalive {
+        let rate = match self.sparse {
+            true => ReportRate::Sparse,
+            false => ReportRate::Frequent,
+        };
+        EntryKeepalive {
+            clock_ms: self.clock_ms,
+            urgent: self.urgent,
+            rate,
+            expires: now + Duration::from_millis(self.lifetime_ms.into()),
+        }
+    }
+}
+
+fn millis_between(from: Instant, to: Instant) -> u32 {
+    let millis = to.saturating_duration_since(from).as_millis();
+    u32::try_from(millis).unwrap_or(u32::MAX)
 }
 
 /// State of an upstream in a report.
@@ -217,6 +306,10 @@
     pub fingerprints: Option<Vec<u8>>,
     /// Clock of the entry's last keepalive, in milliseconds.
     pub keepalive_ms: u32,
+    /// Time for which the report counts if no other follows, in milliseconds.
+    pub lifetime_ms: u32,
+    /// Some entries of the agent's zone, only in reports to these entries.
+    pub peers: Vec<EntryId>,
 }
 
 /// A datagram that has been decoded.
@@ -298,19 +391,35 @@
 /// Version byte of a record in the list; records of other versions are ignored.
 const ENDPOINT_VERSION: u8 = 1;
 
+impl StoredEndpoint {
+    fn from_listed(endpoint: &ListedEndpoint) -> Self {
+        Self {
+            id: endpoint.id,
+            service: endpoint.service.clone(),
+            zone: endpoint.zone.clone(),
+            incarnation: endpoint.incarnation,
+            slots: endpoint.slots,
+        }
+    }
+
+    fn into_listed(self) -> ListedEndpoint {
+        ListedEndpoint {
+            id: self.id,
+            service: self.service,
+            zone: self.zone,
+            incarnation: self.incarnation,
+            slots: self.slots,
+        }
+    }
+}
+
 /// Encodes an endpoint for the store's list.
 ///
 /// # Errors
 ///
 /// Returns [`RelayError::Body`] if the record cannot be encoded, which no content of its fields causes.
 pub fn encode_endpoint(endpoint: &ListedEndpoint) -> Result<Vec<u8>, RelayError> {
-    let stored = StoredEndpoint {
-        id: endpoint.id,
-        service: endpoint.service.clone(),
-        zone: endpoint.zone.clone(),
-        incarnation: endpoint.incarnation,
-        slots: endpoint.slots,
-    };
+    let stored = StoredEndpoint::from_listed(endpoint);
     postcard::to_extend(&stored, vec![ENDPOINT_VERSION]).map_err(|_| RelayError::Body)
 }
 
@@ -324,13 +433,37 @@
         return Err(RelayError::Foreign);
     };
     let stored: StoredEndpoint = postcard::from_bytes(body).map_err(|_| RelayError::Body)?;
-    Ok(ListedEndpoint {
-        id: stored.id,
-        service: stored.service,
-        zone: stored.zone,
-        incarnation: stored.incarnation,
-        slots: stored.slots,
-    })
+    Ok(stored.into_listed())
+}
+
+/// Returns the key of the record of the endpoint `id` in a list whose keys begin with `prefix`.
+pub fn record_key(prefix: &str, id: EndpointId) -> String {
+    format!("{prefix}{}", address_of(id))
+}
+
+/// Returns the endpoint whose record has the key `key`, or `None` if the key names none.
+pub fn endpoint_of_key(prefix: &str, key: &str) -> Option<EndpointId> {
+    key.strip_prefix(prefix)?.parse().ok().map(id_of)
+}
+
+/// Decodes the record under `key` in a list whose keys begin with `prefix`.
+///
+/// Only the agent of an endpoint may describe it, so a record that names another address than its key is refused: it
+/// would add an endpoint that does not exist, or replace one that does.
+///
+/// # Errors
+///
+/// Returns the errors of [`decode_endpoint`], and [`RelayError::Address`] if the address cannot be that of an agent or
+/// does not match the key.
+pub fn decode_record(prefix: &str, key: &str, value: &[u8]) -> Result<ListedEndpoint, RelayError> {
+    let endpoint = decode_endpoint(value)?;
+    let address = address_of(endpoint.id);
+    let usable =
+        id_of(address) == endpoint.id && address.port() != 0 && !address.ip().is_unspecified();
+    match usable && key == record_key(prefix, endpoint.id) {
+        true => Ok(endpoint),
+        false => Err(RelayError::Address),
+    }
 }
 
 impl StateNotice {
@@ -356,13 +489,11 @@
 }
 
 impl ReportNotice {
-    /// Creates the notice of `report` for an entry; `now` is the time of sending, and `keepalive_ms` the clock of the
-    /// entry's last keepalive.
-    pub fn new(report: &EndpointReport, keepalive_ms: u32, now: Instant) -> Self {
-        let cold = report
+    /// Creates the notice of `report` that is `due`, sent at `now`.
+    pub fn new(report: &EndpointReport, due: &DueReport, now: Instant) -> Self {
+        let cold_left_ms = report
             .cold_until
-            .map(|until| until.saturating_duration_since(now));
-        let cold_left_ms = cold.unwrap_or_default().as_millis();
+            .map_or(0, |until| millis_between(now, until));
         Self {
             service: report.endpoint.service.clone(),
             zone: report.endpoint.zone.clone(),
@@ -374,11 +505,13 @@
             stopping: report.stopping,
             flows: report.load.flows,
             busy: report.load.busy,
-            cold_left_ms: u32::try_from(cold_left_ms).unwrap_or(u32::MAX),
+            cold_left_ms,
             addresses: report.addresses.iter().copied().map(id_of).collect(),
             covers_all_flows: report.covers_all_flows,
             fingerprints: report.digest.as_deref().map(encode_digest),
-            keepalive_ms,
+            keepalive_ms: due.clock_ms,
+            lifetime_ms: millis_between(now, due.expires),
+            peers: Vec::new(),
         }
     }
 
@@ -410,6 +543,7 @@
                 .map(decode_digest)
                 .map(Arc::new),
             keepalive_sent: epoch.checked_add(Duration::from_millis(self.keepalive_ms.into())),
+            expires: now + Duration::from_millis(self.lifetime_ms.into()),
         }
     }
 }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -3,15 +3,20 @@
 use proptest::prelude::*;
 use quetzalhill_core::ids::{id_of, service_digest};
 use quetzalhill_core::relay::digest::FlowDigest;
-use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint};
+use quetzalhill_core::relay::fleet::{
+    DueKeepalive, EndpointReport, ListChange, ListEffect, ListedEndpoint,
+};
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
 use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::subscribe::{DueReport, ReportRate};
 use quetzalhill_wire::relay::{
-    decode_datagram, decode_endpoint, encode_endpoint, RelayDatagram, RelayError, RelayHeader,
-    RelayNotice, ReportNotice, RELAY_HEADER_MAX,
+    decode_datagram, decode_endpoint, decode_record, encode_endpoint, endpoint_of_key, record_key,
+    KeepaliveNotice, ListNotice, RelayDatagram, RelayError, RelayHeader, RelayNotice, ReportNotice,
+    LIST_CHANGES_MAX, RELAY_HEADER_MAX,
 };
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use yare::parameterized;
 
 fn endpoint() -> ListedEndpoint {
     ListedEndpoint {
@@ -82,8 +87,15 @@
         cold_until: Some(now + Duration::from_millis(500)),
         digest: Some(Arc::new(FlowDigest::new(vec![9, 65_535, 256]))),
         keepalive_sent: Some(now + Duration::from_millis(70_000)),
+        expires: now + Duration::from_millis(5_000),
+    };
+    let due = DueReport {
+        entry: 1,
+        clock_ms: 70_000,
+        rate: ReportRate::Sparse,
+        expires: report.expires,
     };
-    let notice = RelayNotice::Report(ReportNotice::new(&report, 70_000, now));
+    let notice = RelayNotice::Report(ReportNotice::new(&report, &due, now));
     let mut datagram = notice.encode().expect("encodes");
     let Ok(RelayDatagram::Notice(RelayNotice::Report(received))) = decode_datagram(&mut datagram)
     else {
@@ -104,3 +116,81 @@
     assert_eq!(decode_endpoint(b""), Err(RelayError::Foreign));
     assert_ne!(service_digest("feed"), service_digest("batch"));
 }
+
+/// Guards against a record of another writer that adds an endpoint which does not exist, or replaces the record of an
+/// agent at another address.
+#[parameterized(
+    own_key = { endpoint().id, "p/10.1.0.12:8172", true },
+    key_of_another_agent = { endpoint().id, "p/10.1.0.13:8172", false },
+    key_without_address = { endpoint().id, "p/odd", false },
+    key_empty = { endpoint().id, "", false },
+    port_zero = { id_of("10.1.0.12:0".parse().expect("address")), "p/10.1.0.12:0", false },
+    address_unspecified = { id_of("0.0.0.0:8172".parse().expect("address")), "p/0.0.0.0:8172", false },
+    id_beyond_an_address = { endpoint().id | 1 << 60, "p/10.1.0.12:8172", false },
+)]
+fn record_names_the_address_of_its_key(id: u64, key: &str, accepted: bool) {
+    let listed = ListedEndpoint { id, ..endpoint() };
+    let value = encode_endpoint(&listed).expect("encodes");
+    let decoded = decode_record("p/", key, &value);
+    match accepted {
+        true => assert_eq!(decoded, Ok(listed)),
+        false => assert_eq!(decoded, Err(RelayError::Address)),
+    }
+    assert_eq!(record_key("p/", endpoint().id), "p/10.1.0.12:8172");
+}
+
+/// Guards against changes of the list that are lost, changed or reordered between two entries, and against a notice
+/// that does not fit into a datagram.
+#[test]
+fn list_changes_round_trip() {
+    let mut changes = Vec::new();
+    for revision in 0..LIST_CHANGES_MAX as i64 {
+        let effect = match revision % 3 {
+            0 => ListEffect::Removed(endpoint().id),
+            _ => ListEffect::Written(endpoint()),
+        };
+        changes.push(ListChange { revision, effect });
+    }
+    let notice = RelayNotice::ListChange(ListNotice::new(&changes));
+    let mut datagram = notice.encode().expect("encodes");
+    assert!(datagram.len() < 1_200, "{} bytes", datagram.len());
+    let Ok(RelayDatagram::Notice(RelayNotice::ListChange(received))) =
+        decode_datagram(&mut datagram)
+    else {
+        panic!("not a list of changes");
+    };
+    assert_eq!(received.into_changes(), changes);
+    assert_eq!(
+        endpoint_of_key("p/", "p/10.1.0.12:8172"),
+        Some(endpoint().id)
+    );
+    assert_eq!(endpoint_of_key("p/", "p/odd"), None);
+    assert_eq!(endpoint_of_key("p/", "q/10.1.0.12:8172"), None);
+}
+
+/// Guards against a keepalive whose rate or lifetime is lost between entry and agent.
+#[test]
+fn keepalive_round_trip() {
+    let now = Instant::now();
+    for (rate, urgent) in [(ReportRate::Sparse, true), (ReportRate::Frequent, false)] {
+        let keepalive = DueKeepalive {
+            id: 1,
+            rate,
+            expires: now + Duration::from_secs(12),
+            urgent,
+        };
+        let notice = KeepaliveNotice::new(&keepalive, now - Duration::from_secs(3), now);
+        let mut datagram = RelayNotice::Keepalive(notice).encode().expect("encodes");
+        let Ok(RelayDatagram::Notice(RelayNotice::Keepalive(received))) =
+            decode_datagram(&mut datagram)
+        else {
+            panic!("not a keepalive");
+        };
+        let received = received.to_keepalive(now);
+        assert_eq!((received.rate, received.urgent), (rate, urgent));
+        assert_eq!(
+            (received.clock_ms, received.expires),
+            (3_000, keepalive.expires)
+        );
+    }
+}
