Share the confirmation of the list, read the start of a body before the head

The agent waits up to 20 ms for the first part of a body.

Seen failing before: answer_to_an_empty_body_that_ends_late_arrives.

--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -203,7 +203,12 @@
                 self.send_event(TrafficEvent::Keepalive(entry, keepalive));
             }
             Ok(RelayDatagram::Flow(RelayHeader::Return { .. }, _))
-            | Ok(RelayDatagram::Notice(RelayNotice::Report(_) | RelayNotice::ListChange(_))) => {
+            | Ok(RelayDatagram::Notice(
+                RelayNotice::Report(_)
+                | RelayNotice::ListChange(_)
+                | RelayNotice::ConfirmRequest(_)
+                | RelayNotice::ConfirmAnswer { .. },
+            )) => {
                 self.count_malformed("unexpected");
             }
             Err(error) => self.count_malformed(&format!("{error:?}")),
--- a/crates/agent/src/traffic/upstream.rs
+++ b/crates/agent/src/traffic/upstream.rs
@@ -12,7 +12,7 @@
 use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Idle time after which a connection to the upstream is closed.
 const IDLE_TIMEOUT: Seconds = Seconds(5);
@@ -23,6 +23,10 @@
 /// being established, and 2 % of the requests exceeded their deadline.
 const CONNECTIONS_MAX: usize = 10_000;
 
+/// Longest wait for the first part of a body before the head is sent. A caller may want the head of the response before
+/// it sends its body.
+const BODY_WAIT: Duration = Duration::from_millis(20);
+
 /// Reason why a request got no response from the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum UpstreamError {
@@ -117,6 +121,10 @@
             request = request.force_close();
         }
         let body_failed = Rc::new(Cell::new(false));
+        let mut reader = reader;
+        let start = read_start(start, &mut reader)
+            .await
+            .map_err(|_| UpstreamError::RequestBody)?;
         let body = request_body(head, start, reader, body_failed.clone());
         let answer = tokio::time::timeout_at(deadline.into(), request.send_body(body)).await;
         match answer {
@@ -128,6 +136,23 @@
     }
 }
 
+/// Reads the first part of a body if it arrives soon.
+///
+/// The end of an empty body may arrive just after the head. If the body were sent as a stream, its end would follow the
+/// head in a separate write, and an upstream that answers and closes the connection in between makes the client lose the
+/// answer.
+async fn read_start(start: BodyStart, reader: &mut BodyReader) -> std::io::Result<BodyStart> {
+    let BodyStart::Unread = start else {
+        return Ok(start);
+    };
+    match tokio::time::timeout(BODY_WAIT, read_chunk(reader)).await {
+        Ok(Ok(Some(chunk))) => Ok(BodyStart::Chunk(chunk)),
+        Ok(Ok(None)) => Ok(BodyStart::End),
+        Ok(Err(error)) => Err(error),
+        Err(_) => Ok(BodyStart::Unread),
+    }
+}
+
 async fn build(connector: Connector) -> anyhow::Result<Client> {
     Client::builder()
         .connector::<()>(connector.lifetime(Seconds(3_600)))
--- a/crates/agent/tests/traffic/answers.rs
+++ b/crates/agent/tests/traffic/answers.rs
@@ -38,6 +38,26 @@
     });
 }
 
+/// Guards against an answer that is lost, so that its caller is told that the outcome is unknown, because the upstream
+/// answers and closes the connection before the end of an empty body was sent (scenarios keyed-steady and
+/// entries-replaced).
+#[test]
+fn answer_to_an_empty_body_that_ends_late_arrives() {
+    let site = TestSite::start(4, LimitSet::default());
+    block_on(async {
+        let caller = site.connect().await;
+        for _ in 0..20 {
+            let request = http::Request::post("https://localhost/answer-head").body(());
+            let mut requests = caller.requests.clone();
+            let mut stream = requests.send_request(request.unwrap()).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            stream.finish().await.unwrap();
+            let answer = stream.recv_response().await.unwrap();
+            assert_eq!(answer.status().as_u16(), 200);
+        }
+    });
+}
+
 /// Guards against a deadline that cuts a streamed response; it applies only until the head has arrived.
 #[test]
 fn deadline_ends_with_the_head() {
--- a/crates/agent/tests/traffic/handover.rs
+++ b/crates/agent/tests/traffic/handover.rs
@@ -184,6 +184,23 @@
     frame
 }
 
+/// Requests that follow each other on one connection without a pause.
+const FOLLOWING: u32 = 60;
+
+/// Guards against a request that is lost because it arrives on a connection on which the previous request was answered a
+/// moment ago.
+#[test]
+fn request_that_follows_an_answer_at_once_is_served() {
+    let site = TestSite::start(4, LimitSet::default());
+    let record = site.record();
+    let mut connection = RawConnection::connect(site.settings.agent.peer, &ring(1)).unwrap();
+    for _ in 0..FOLLOWING {
+        connection.send(&offer(record.id + 1, &record, "/hello"));
+        assert_eq!(connection.body(), b"hello");
+    }
+    assert_eq!(site.log.requests.load(Ordering::SeqCst), FOLLOWING);
+}
+
 /// Guards against running a request from a frame that fails authentication, is repeated, or is copied from another
 /// connection.
 #[test]
--- a/crates/agent/tests/traffic/home.rs
+++ b/crates/agent/tests/traffic/home.rs
@@ -67,6 +67,35 @@
     });
 }
 
+/// Callers that send keyed requests through the other agent at the same time, and the requests of each.
+const CALLERS: u32 = 4;
+const REQUESTS: u32 = 150;
+
+/// Guards against "outcome unknown" for a keyed request whose connection to its home agent is used again at once.
+#[test]
+fn keyed_requests_that_follow_each_other_are_answered() {
+    let (issuer, other) = two_sites();
+    block_on(async {
+        let issuer_caller = issuer.connect().await;
+        let token = token(&issuer_caller).await;
+        let other_caller = other.connect().await;
+        let send = async |caller: u32| {
+            for number in 0..REQUESTS {
+                let key = format!("{caller}-{number}");
+                let answer = post(&other_caller, "/echo", &key, &token, b"some text").await;
+                assert_eq!(
+                    answer.status.as_u16(),
+                    200,
+                    "request {key}: {}",
+                    answer.body
+                );
+            }
+        };
+        tokio::join!(send(0), send(1), send(2), send(3));
+    });
+    assert_eq!(runs([&issuer, &other]), CALLERS * REQUESTS);
+}
+
 /// Guards against a second run of a keyed request while the first copy runs at the issuer of the token.
 #[test]
 fn copies_at_the_same_time_run_once() {
--- a/crates/agent/tests/traffic/peer.rs
+++ b/crates/agent/tests/traffic/peer.rs
@@ -36,6 +36,7 @@
 
     fn set_up(mut stream: TcpStream, side: FrameSide, ring: &KeyRing) -> io::Result<Self> {
         stream.set_read_timeout(Some(STEP))?;
+        stream.set_nodelay(true)?;
         let key = ring.current();
         let local_nonce: [u8; NONCE_BYTES] = rand::random();
         let mut preamble = vec![WIRE_VERSION, KIND_STREAM, key.number()];
--- a/crates/agent/tests/traffic/upstream.rs
+++ b/crates/agent/tests/traffic/upstream.rs
@@ -119,6 +119,12 @@
             continue;
         }
         let number = log.requests.fetch_add(1, Ordering::SeqCst) + 1;
+        if head.path == "/answer-head" {
+            let _ = stream.write_all(
+                b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\nconnection: close\r\n\r\nhead",
+            );
+            return;
+        }
         let Some(body) = read_body(&mut reader, &head) else {
             return;
         };
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -6,6 +6,7 @@
 //! endpoints in the same order. See docs/relay.md.
 
 pub mod chain;
+pub mod confirm;
 pub mod digest;
 pub mod fleet;
 pub mod flows;
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -16,6 +16,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Interval between two reports of an agent to each entry of its availability zone.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -41,6 +42,9 @@
 /// Keepalive intervals for which a keepalive subscribes the entry to an agent of another zone; two may be lost.
 const FAR_SUBSCRIPTION_INTERVALS: u32 = 3;
 
+/// Seed of the fingerprint of the list.
+const LIST_SEED: u64 = 0x0011_5700;
+
 /// Time within which an endpoint in doubt has to report, before it counts as silent; several times the round trip.
 const DOUBT_TIME: Duration = Duration::from_millis(400);
 
@@ -289,6 +293,14 @@
         }
     }
 
+    /// Returns a fingerprint of the endpoints that are listed, which is equal for equal lists.
+    pub fn list_fingerprint(&self) -> u64 {
+        let listed = self.known.values().filter(|known| known.listed);
+        listed.fold(0, |sum, known| {
+            sum ^ xxh3_64_with_seed(&known.endpoint.id.to_be_bytes(), LIST_SEED)
+        })
+    }
+
     /// Removes endpoints that are neither listed nor report and whose time to return has passed.
     pub fn tick(&mut self, now: Instant) {
         self.known
--- a/crates/core/src/relay/peers.rs
+++ b/crates/core/src/relay/peers.rs
@@ -77,6 +77,11 @@
         self.peers.keys().copied()
     }
 
+    /// Returns the entry that confirms the list for the others of the zone, or `None` if it is this one.
+    pub fn confirmer(&self) -> Option<EntryId> {
+        self.peers().min().filter(|lowest| *lowest < self.own)
+    }
+
     /// Returns how this entry reads the list. An entry that knows no peers reads it itself.
     pub fn role(&self, now: Instant) -> ListRole {
         let before = self.peers().filter(|id| *id < self.own).count();
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions on packets of opaque flows.
 
 mod chain;
+mod confirm;
 mod digest;
 mod fleet;
 mod health;
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -9,6 +9,7 @@
 use anyhow::{anyhow, Context, Result};
 use prometheus::Registry;
 use quetzalhill_core::ids::{address_of, id_of};
+use quetzalhill_core::relay::confirm::{ConfirmController, ConfirmQueue};
 use quetzalhill_core::relay::fleet::{DueKeepalive, FleetController};
 use quetzalhill_core::relay::peers::{ListRole, PeerController, ROLE_TIME};
 use quetzalhill_core::relay::routes::{RouteController, RouteOutcome};
@@ -197,8 +198,14 @@
                 Ok(Some(TrafficEvent::Unanswered(id))) => {
                     control.borrow_mut().doubt(id, Instant::now());
                 }
+                Ok(Some(TrafficEvent::ConfirmRequest(client))) => {
+                    control.borrow_mut().handle_confirm_request(client);
+                }
+                Ok(Some(TrafficEvent::ConfirmAnswer { id, list })) => {
+                    control.borrow_mut().handle_confirm_answer(id, list, Instant::now());
+                }
                 Ok(Some(TrafficEvent::ConfirmEndpoints)) => {
-                    control.borrow().confirm_endpoints.notify_one();
+                    control.borrow_mut().confirm_list(Instant::now());
                 }
                 Ok(Some(TrafficEvent::ConfirmRoutes)) => {
                     control.borrow().confirm_routes.notify_one();
@@ -275,6 +282,9 @@
     /// Highest store revision of the list that is known.
     list_revision: StoreRevision,
     peers: PeerController,
+    confirm: ConfirmController,
+    /// Requests of other entries to confirm the list.
+    confirm_clients: ConfirmQueue,
     /// How the list is followed, by the role of this entry.
     list_mode: watch::Sender<FollowMode>,
     /// End of the wait for first reports; unset before the first list of endpoints.
@@ -304,6 +314,8 @@
             endpoints_range: RangeState::default(),
             list_revision: 0,
             peers: PeerController::new(id_of(setup.settings.relay.agents), now),
+            confirm: ConfirmController::default(),
+            confirm_clients: ConfirmQueue::default(),
             list_mode: watch::Sender::new(FollowMode::Watch),
             settle_deadline: None,
             confirm_endpoints: Rc::default(),
@@ -374,6 +386,12 @@
         self.next_tick = now + TICK_INTERVAL;
         self.fleet.tick(now);
         self.update_role(now);
+        if self.confirm.tick(now) {
+            self.confirm_endpoints.notify_one();
+        }
+        if self.confirm.is_wanted() {
+            self.confirm_list(now);
+        }
         self.send_keepalives(now);
         self.publish(now);
         self.update_metrics();
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -2,7 +2,8 @@
 
 use super::{RelayControl, LOAD_AGE, SETTLE_TIME};
 use crate::relay::traffic::ArrivedReport;
-use quetzalhill_core::ids::{address_of, id_of, EndpointId};
+use quetzalhill_core::ids::{address_of, id_of, EndpointId, EntryId};
+use quetzalhill_core::relay::confirm::{ConfirmAction, ConfirmClient, ConfirmId, ConfirmOutcome};
 use quetzalhill_core::relay::fleet::{ListChange, ListEffect, ListedEndpoint, ReportOutcome};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::follow::FollowEvent;
@@ -30,6 +31,7 @@
                 self.list_revision = self.list_revision.max(revision);
                 self.endpoints_range.record_loaded(read);
                 self.load_endpoints(&entries, now);
+                self.answer_confirm_requests(read);
             }
             FollowEvent::Changed(events) => {
                 self.endpoints_range.current = true;
@@ -43,6 +45,57 @@
         self.publish(now);
     }
 
+    /// Has the list confirmed as of now, by another entry of the zone if there is one.
+    pub(super) fn confirm_list(&mut self, now: Instant) {
+        match self.confirm.request(self.peers.confirmer(), now) {
+            ConfirmAction::Read => self.confirm_endpoints.notify_one(),
+            ConfirmAction::Ask { entry, id } => {
+                self.send_to_peer(&RelayNotice::ConfirmRequest(id), entry, NoticeKind::Confirm);
+                self.request_digests(now);
+            }
+            ConfirmAction::Wait(until) => self.next_tick = self.next_tick.min(until),
+        }
+    }
+
+    /// Reads the list for another entry.
+    pub(super) fn handle_confirm_request(&mut self, client: ConfirmClient) {
+        self.confirm_clients.push(client);
+        self.confirm_endpoints.notify_one();
+    }
+
+    /// Tells the entries that have asked before the read began which list was read.
+    fn answer_confirm_requests(&mut self, read: Option<Instant>) {
+        let Some(read) = read else {
+            return;
+        };
+        let list = self.fleet.list_fingerprint();
+        for client in self.confirm_clients.take_answered(read) {
+            let answer = RelayNotice::ConfirmAnswer {
+                id: client.id,
+                list,
+            };
+            self.send_to_peer(&answer, client.entry, NoticeKind::Confirm);
+        }
+    }
+
+    /// Applies the answer of another entry, or reads the list if it is not the own one.
+    pub(super) fn handle_confirm_answer(&mut self, id: ConfirmId, list: u64, now: Instant) {
+        let same_list = list == self.fleet.list_fingerprint();
+        match self.confirm.record_answer(id, same_list) {
+            ConfirmOutcome::Confirmed(read) => {
+                self.endpoints_range.record_loaded(Some(read));
+                self.publish(now);
+            }
+            ConfirmOutcome::Differs => self.confirm_endpoints.notify_one(),
+            ConfirmOutcome::Ignored => {}
+        }
+    }
+
+    fn send_to_peer(&self, notice: &RelayNotice, peer: EntryId, kind: NoticeKind) {
+        let size = self.sockets.send_notice(notice, address_of(peer));
+        self.state.counters.notices.count(kind, size);
+    }
+
     fn load_endpoints(&mut self, entries: &[KeyValue], now: Instant) {
         self.settle_deadline = self.settle_deadline.or(Some(now + SETTLE_TIME));
         let mut endpoints = Vec::new();
@@ -83,9 +136,7 @@
     /// up for a lost one.
     fn pass_on(&self, notice: &RelayNotice) {
         for peer in self.peers.peers() {
-            let size = self.sockets.send_notice(notice, address_of(peer));
-            let counters = &self.state.counters.notices;
-            counters.count(NoticeKind::ListChange, size);
+            self.send_to_peer(notice, peer, NoticeKind::ListChange);
         }
     }
 
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -9,6 +9,7 @@
 use anyhow::Result;
 use quetzalhill_core::ids::{address_of, id_of, EndpointId};
 use quetzalhill_core::relay::chain::{DeliverReason, DeliverTarget, RelayDrop, RelayVerdict};
+use quetzalhill_core::relay::confirm::{ConfirmClient, ConfirmId};
 use quetzalhill_core::relay::hold::HoldReason;
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
@@ -44,6 +45,15 @@
     Report(ArrivedReport),
     /// Another entry passes on changes of the list of endpoints.
     ListChange(ListNotice),
+    /// Another entry requests a read of the list of endpoints.
+    ConfirmRequest(ConfirmClient),
+    /// Another entry has read the list of endpoints.
+    ConfirmAnswer {
+        /// Number of the request.
+        id: ConfirmId,
+        /// Fingerprint of the list that was read.
+        list: u64,
+    },
     /// An endpoint left the first packet of a flow unanswered.
     Unanswered(EndpointId),
     /// No known endpoint holds a flow. The control thread reads the list of endpoints again, as it may be out of date.
@@ -241,6 +251,16 @@
             Ok(RelayDatagram::Notice(RelayNotice::ListChange(notice))) => {
                 self.send_event(TrafficEvent::ListChange(notice));
             }
+            Ok(RelayDatagram::Notice(RelayNotice::ConfirmRequest(id))) => {
+                self.send_event(TrafficEvent::ConfirmRequest(ConfirmClient {
+                    entry: id_of(agent),
+                    id,
+                    arrived: Instant::now(),
+                }));
+            }
+            Ok(RelayDatagram::Notice(RelayNotice::ConfirmAnswer { id, list })) => {
+                self.send_event(TrafficEvent::ConfirmAnswer { id, list });
+            }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
             | Ok(RelayDatagram::Notice(RelayNotice::Keepalive(_))) => {
                 self.count_malformed("unexpected")
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -251,9 +251,9 @@
     }
 }
 
-/// Pause between two reads by [`confirm`]. All flows that need one in between share one call. A caller retransmits a
-/// packet after 200 ms.
-const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two reads by [`confirm`]. All flows that need one in between share one call, and so do the entries of
+/// a zone. A caller retransmits a packet after 200 ms.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(100);
 
 /// Shortest interval between two polls of a range that is not watched.
 const POLL_INTERVAL_MIN: Duration = Duration::from_secs(10);
--- a/crates/node/src/relay/notices.rs
+++ b/crates/node/src/relay/notices.rs
@@ -12,6 +12,8 @@
     Report(ReportRate),
     /// Change of the list of endpoints, between entries of a zone.
     ListChange,
+    /// Request to confirm the list, or its answer, between entries of a zone.
+    Confirm,
 }
 
 impl NoticeKind {
@@ -23,6 +25,7 @@
             NoticeKind::Report(ReportRate::Frequent) => "report-near",
             NoticeKind::Report(ReportRate::Sparse) => "report-far",
             NoticeKind::ListChange => "list-change",
+            NoticeKind::Confirm => "confirm",
         }
     }
 }
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -297,7 +297,10 @@
     };
     match header("quetzalhill-outcome") {
         Some("not-run") => return CallOutcome::NotRun(answer.status.to_string()),
-        Some("unknown") => return CallOutcome::Unknown(answer.status.to_string()),
+        Some("unknown") => {
+            let reason = String::from_utf8_lossy(&answer.body);
+            return CallOutcome::Unknown(format!("{}: {reason}", answer.status));
+        }
         _ => {}
     }
     if answer.status != StatusCode::OK {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -9,6 +9,7 @@
     address_of, id_of, EndpointId, EntryId, IncarnationNumber, ServiceDigest, ServiceName,
     StoreRevision, ZoneName,
 };
+use quetzalhill_core::relay::confirm::ConfirmId;
 use quetzalhill_core::relay::digest::FlowDigest;
 use quetzalhill_core::relay::fleet::{
     DueKeepalive, EndpointReport, ListChange, ListEffect, ListedEndpoint,
@@ -164,6 +165,15 @@
     Report(ReportNotice),
     /// From an entry that reads the list of endpoints to another one of its zone: changes of the list.
     ListChange(ListNotice),
+    /// From an entry to another one of its zone: requests a read of the list of endpoints.
+    ConfirmRequest(ConfirmId),
+    /// Answer to a [`RelayNotice::ConfirmRequest`], after a read that began later.
+    ConfirmAnswer {
+        /// Number of the request.
+        id: ConfirmId,
+        /// Fingerprint of the list that was read.
+        list: u64,
+    },
 }
 
 /// Changes of the list of endpoints, in the order of the store.
