Split long files, count the soak's time without faults from the last one

Cause: the soak told its ledger every 25 ms that no fault was active, which started the time without faults anew, so the check CONFIG could not fire.

Seen failing before: outdated_route_is_seen_while_faults_come_and_go.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod hold;
 pub mod intake;
+pub mod list;
 pub mod load;
 pub mod packet;
 pub mod peers;
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -4,9 +4,9 @@
 //! come from its agent directly, so neither an outage of the store nor an expired lease hides an endpoint that still
 //! reports. A flow may be declared ended only if no endpoint is missing from both sources.
 
-use crate::ids::{
-    service_digest, EndpointId, IncarnationNumber, ServiceName, StoreRevision, ZoneName,
-};
+pub use crate::relay::list::{ListChange, ListEffect, ListedEndpoint};
+
+use crate::ids::{service_digest, EndpointId, ServiceName, StoreRevision, ZoneName};
 use crate::relay::digest::FlowDigest;
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
@@ -52,39 +52,6 @@
 /// Endpoints whose lease expired during an outage of the store are listed again within two seconds of its return.
 const LAPSED_TIME: Duration = Duration::from_millis(2_500);
 
-/// An endpoint as it is written in the store's list.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ListedEndpoint {
-    /// Identity: the packet address of its agent.
-    pub id: EndpointId,
-    /// Service whose flows the endpoint accepts.
-    pub service: ServiceName,
-    /// Availability zone of the upstream.
-    pub zone: ZoneName,
-    /// Incarnation of the upstream; 0 while it is not known.
-    pub incarnation: IncarnationNumber,
-    /// Number of requests that the upstream runs concurrently.
-    pub slots: u32,
-}
-
-/// A change of the store's list.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ListChange {
-    /// Store revision of the change; changes of one endpoint count in the order of their revisions.
-    pub revision: StoreRevision,
-    /// What the change did.
-    pub effect: ListEffect,
-}
-
-/// Effect of a change of the store's list.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ListEffect {
-    /// A record was written.
-    Written(ListedEndpoint),
-    /// The record of this endpoint was removed.
-    Removed(EndpointId),
-}
-
 /// State and load of an endpoint as its agent reports them.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EndpointReport {
--- /dev/null
+++ b/crates/core/src/relay/list.rs
@@ -0,0 +1,36 @@
+//! The store's list of endpoints and its changes.
+
+use crate::ids::{EndpointId, IncarnationNumber, ServiceName, StoreRevision, ZoneName};
+
+/// An endpoint as it is written in the store's list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedEndpoint {
+    /// Identity: the packet address of its agent.
+    pub id: EndpointId,
+    /// Service whose flows the endpoint accepts.
+    pub service: ServiceName,
+    /// Availability zone of the upstream.
+    pub zone: ZoneName,
+    /// Incarnation of the upstream; 0 while it is not known.
+    pub incarnation: IncarnationNumber,
+    /// Number of requests that the upstream runs concurrently.
+    pub slots: u32,
+}
+
+/// A change of the store's list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListChange {
+    /// Store revision of the change; changes of one endpoint count in the order of their revisions.
+    pub revision: StoreRevision,
+    /// What the change did.
+    pub effect: ListEffect,
+}
+
+/// Effect of a change of the store's list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ListEffect {
+    /// A record was written.
+    Written(ListedEndpoint),
+    /// The record of this endpoint was removed.
+    Removed(EndpointId),
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -14,5 +14,6 @@
 mod presence;
 mod registration;
 mod routes;
+mod search;
 mod subscribe;
 mod support;
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -8,10 +8,10 @@
 use super::traffic::{RelaySockets, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
 use prometheus::Registry;
-use quetzalhill_core::ids::{address_of, id_of};
+use quetzalhill_core::ids::id_of;
 use quetzalhill_core::relay::confirm::{ConfirmController, ConfirmQueue};
-use quetzalhill_core::relay::fleet::{DueKeepalive, FleetController};
-use quetzalhill_core::relay::peers::{ListRole, PeerController, ROLE_TIME};
+use quetzalhill_core::relay::fleet::FleetController;
+use quetzalhill_core::relay::peers::{PeerController, ROLE_TIME};
 use quetzalhill_core::relay::routes::{RouteController, RouteOutcome};
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
@@ -19,14 +19,12 @@
 use quetzalhill_node::relay::follow::{
     always_watch, confirm, follow, FollowEvent, FollowMode, FollowPlan,
 };
-use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
 use quetzalhill_platform::manifest::{self, MANIFEST_KEY};
 use quetzalhill_platform::server::{self, ServerCall};
 use quetzalhill_platform::store::PlatformCodec;
 use quetzalhill_store::api::{KeyRange, KeyValue, StoreRevision, WatchEvent};
 use quetzalhill_store::polled::PolledStore;
-use quetzalhill_wire::relay::{KeepaliveNotice, RelayNotice};
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -397,46 +395,6 @@
         self.update_metrics();
     }
 
-    /// Follows the list in the way of this entry's role among the entries of its zone.
-    fn update_role(&mut self, now: Instant) {
-        self.peers.tick(now);
-        let role = self.peers.role(now);
-        let mode = match role {
-            ListRole::Reader => FollowMode::Watch,
-            ListRole::Follower => FollowMode::Poll,
-        };
-        if *self.list_mode.borrow() == mode {
-            return;
-        }
-        let peers = self.peers.peers().count();
-        emit(
-            EventCode::ListRole,
-            &[("role", &role.name()), ("peers", &peers)],
-        );
-        self.list_mode.send_replace(mode);
-    }
-
-    /// Sends the keepalives that are due. Agents answer them with reports.
-    fn send_keepalives(&mut self, now: Instant) {
-        for keepalive in self.fleet.take_keepalives(now) {
-            self.send_keepalive(&keepalive, now);
-        }
-    }
-
-    /// Requests a fresh report from each agent that reports a digest of its flows.
-    fn request_digests(&self, now: Instant) {
-        for keepalive in self.fleet.digest_requests(now) {
-            self.send_keepalive(&keepalive, now);
-        }
-    }
-
-    fn send_keepalive(&self, keepalive: &DueKeepalive, now: Instant) {
-        let notice = RelayNotice::Keepalive(KeepaliveNotice::new(keepalive, self.epoch, now));
-        let size = self.sockets.send_notice(&notice, address_of(keepalive.id));
-        let notices = &self.state.counters.notices;
-        notices.count(NoticeKind::Keepalive(keepalive.rate), size);
-    }
-
     fn publish(&mut self, now: Instant) {
         self.last_published = now;
         let mut former = self.routes.former().clone();
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -1,21 +1,64 @@
-//! How the control thread applies changes of the list of endpoints and reports of agents.
+//! How the control thread keeps in touch with agents and with the other entries of its zone, and follows the list of endpoints.
 
 use super::{RelayControl, LOAD_AGE, SETTLE_TIME};
 use crate::relay::traffic::ArrivedReport;
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, EntryId};
 use quetzalhill_core::relay::confirm::{ConfirmAction, ConfirmClient, ConfirmId, ConfirmOutcome};
-use quetzalhill_core::relay::fleet::{ListChange, ListEffect, ListedEndpoint, ReportOutcome};
+use quetzalhill_core::relay::fleet::{
+    DueKeepalive, ListChange, ListEffect, ListedEndpoint, ReportOutcome,
+};
+use quetzalhill_core::relay::peers::ListRole;
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::relay::follow::FollowEvent;
+use quetzalhill_node::relay::follow::{FollowEvent, FollowMode};
 use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
 use quetzalhill_store::api::{KeyValue, WatchEvent};
 use quetzalhill_wire::relay::{
-    decode_record, endpoint_of_key, ListNotice, RelayNotice, LIST_CHANGES_MAX,
+    decode_record, endpoint_of_key, KeepaliveNotice, ListNotice, RelayNotice, LIST_CHANGES_MAX,
 };
 use std::time::Instant;
 
 impl RelayControl {
+    /// Follows the list in the way of this entry's role among the entries of its zone.
+    pub(super) fn update_role(&mut self, now: Instant) {
+        self.peers.tick(now);
+        let role = self.peers.role(now);
+        let mode = match role {
+            ListRole::Reader => FollowMode::Watch,
+            ListRole::Follower => FollowMode::Poll,
+        };
+        if *self.list_mode.borrow() == mode {
+            return;
+        }
+        let peers = self.peers.peers().count();
+        emit(
+            EventCode::ListRole,
+            &[("role", &role.name()), ("peers", &peers)],
+        );
+        self.list_mode.send_replace(mode);
+    }
+
+    /// Sends the keepalives that are due. Agents answer them with reports.
+    pub(super) fn send_keepalives(&mut self, now: Instant) {
+        for keepalive in self.fleet.take_keepalives(now) {
+            self.send_keepalive(&keepalive, now);
+        }
+    }
+
+    /// Requests a fresh report from each agent that reports a digest of its flows.
+    pub(super) fn request_digests(&self, now: Instant) {
+        for keepalive in self.fleet.digest_requests(now) {
+            self.send_keepalive(&keepalive, now);
+        }
+    }
+
+    fn send_keepalive(&self, keepalive: &DueKeepalive, now: Instant) {
+        let notice = RelayNotice::Keepalive(KeepaliveNotice::new(keepalive, self.epoch, now));
+        let size = self.sockets.send_notice(&notice, address_of(keepalive.id));
+        let notices = &self.state.counters.notices;
+        notices.count(NoticeKind::Keepalive(keepalive.rate), size);
+    }
+
     /// Applies an event of the list of endpoints.
     pub(super) fn handle_endpoints_event(&mut self, event: FollowEvent, now: Instant) {
         match event {
--- a/crates/standins/src/flows/ledger.rs
+++ b/crates/standins/src/flows/ledger.rs
@@ -55,7 +55,7 @@
 pub struct FlowLedger {
     started: Instant,
     routes: Vec<PublishedRoutes>,
-    /// Time of the last call of [`FlowLedger::set_fault_free`] without an active fault; `None` while one is active.
+    /// End of the last fault; `None` while one is active.
     fault_free_since: Option<Instant>,
     holders: HashMap<FlowAddresses, FlowHolder>,
     /// Number of runs of each request that was sent and has not finished, or that failed.
@@ -112,7 +112,10 @@
 
     /// Records whether the site is free of faults at `now`, since faults may delay route changes.
     pub fn set_fault_free(&mut self, fault_free: bool, now: Instant) {
-        self.fault_free_since = fault_free.then_some(now);
+        self.fault_free_since = match fault_free {
+            true => self.fault_free_since.or(Some(now)),
+            false => None,
+        };
     }
 
     /// Checks that routes which may be in force let an upstream of `service` receive the first packet of `flow`. Its
--- a/crates/standins/tests/flow_ledger.rs
+++ b/crates/standins/tests/flow_ledger.rs
@@ -80,6 +80,26 @@
     assert_eq!(opened_after_change(4_100), ["CONFIG"]);
 }
 
+/// Guards against a soak that never sees an outdated route, because each call that tells it that no fault is active
+/// starts the time without faults anew.
+#[test]
+fn outdated_route_is_seen_while_faults_come_and_go() {
+    let first = SERVICES[0].to_string();
+    let seen = |fault_at_ms: Option<u64>| {
+        violated_checks(|ledger, now| {
+            ledger.record_routes(routes(2, SERVICES[1]), now);
+            for ms in (0..6_000).step_by(25) {
+                let fault_free = fault_at_ms != Some(ms);
+                ledger.set_fault_free(fault_free, now + Duration::from_millis(ms));
+            }
+            let sent = now + Duration::from_millis(6_000);
+            ledger.check_opening(flow(), &first, sent, sent);
+        })
+    };
+    assert_eq!(seen(None), ["CONFIG"]);
+    assert!(seen(Some(5_000)).is_empty());
+}
+
 /// Guards against a soak that misses requests that run twice, that no caller sent, or that run but are answered as not
 /// run.
 #[test]
