Request digests of all agents every 150 ms at most

Change: a pacer spaces the requests out; one that was put off follows the last flow.

Guarded by digests_are_requested_seldom_and_after_the_last_flow.

--- a/crates/core/src/relay/confirm.rs
+++ b/crates/core/src/relay/confirm.rs
@@ -16,6 +16,9 @@
 /// Shortest time between two requests; one covers all flows that became unresolved before it.
 const ASK_GAP: Duration = Duration::from_millis(40);
 
+/// Shortest time between two requests for digests; a held packet waits for 350 ms at most.
+const DIGEST_GAP: Duration = Duration::from_millis(150);
+
 /// Limit of requests that wait for a read.
 const CLIENTS_MAX: usize = 1_024;
 
@@ -126,6 +129,32 @@
     }
 }
 
+/// Spaces out the requests for fresh digests, which go to every agent that has one: after a power failure these are all
+/// agents, and a request with each confirmation would fill the link of a small instance.
+#[derive(Debug, Default)]
+pub struct DigestPacer {
+    next: Option<Instant>,
+    wanted: bool,
+}
+
+impl DigestPacer {
+    /// Returns whether digests are to be requested at `now`. If not, the request is due at [`DigestPacer::due`].
+    pub fn request(&mut self, now: Instant) -> bool {
+        if self.next.is_some_and(|next| now < next) {
+            self.wanted = true;
+            return false;
+        }
+        self.next = Some(now + DIGEST_GAP);
+        self.wanted = false;
+        true
+    }
+
+    /// Returns when a request that was put off is due, or `None` if there is none.
+    pub fn due(&self) -> Option<Instant> {
+        self.next.filter(|_| self.wanted)
+    }
+}
+
 /// A request of another entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConfirmClient {
--- a/crates/core/tests/relay/confirm.rs
+++ b/crates/core/tests/relay/confirm.rs
@@ -1,7 +1,7 @@
 //! Tests of the shared confirmation of the list of endpoints.
 
 use quetzalhill_core::relay::confirm::{
-    ConfirmAction, ConfirmClient, ConfirmController, ConfirmOutcome, ConfirmQueue,
+    ConfirmAction, ConfirmClient, ConfirmController, ConfirmOutcome, ConfirmQueue, DigestPacer,
 };
 use std::time::{Duration, Instant};
 
@@ -81,3 +81,23 @@
     let read = now + Duration::from_millis(50);
     assert_eq!(queue.take_answered(read), [client(2, 1, 10)]);
 }
+
+/// Load: all callers return after a power failure, and flows become unresolved every few milliseconds. Guards against
+/// digests of all agents that are requested with each confirmation, and against a flow whose request is put off for ever.
+#[test]
+fn digests_are_requested_seldom_and_after_the_last_flow() {
+    let start = Instant::now();
+    let mut pacer = DigestPacer::default();
+    let mut requests = Vec::new();
+    for ms in (0..1_000).step_by(10) {
+        let now = start + Duration::from_millis(ms);
+        if pacer.request(now) {
+            requests.push(now);
+        }
+    }
+    assert_eq!(requests.len(), 7);
+    let due = pacer.due().expect("the last flow waits");
+    assert!(due <= start + Duration::from_millis(1_140));
+    assert!(pacer.request(due));
+    assert_eq!(pacer.due(), None);
+}
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -9,7 +9,7 @@
 use anyhow::{anyhow, Context, Result};
 use prometheus::Registry;
 use quetzalhill_core::ids::id_of;
-use quetzalhill_core::relay::confirm::{ConfirmController, ConfirmQueue};
+use quetzalhill_core::relay::confirm::{ConfirmController, ConfirmQueue, DigestPacer};
 use quetzalhill_core::relay::fleet::FleetController;
 use quetzalhill_core::relay::peers::{PeerController, ROLE_TIME};
 use quetzalhill_core::relay::routes::{RouteController, RouteOutcome};
@@ -281,6 +281,7 @@
     list_revision: StoreRevision,
     peers: PeerController,
     confirm: ConfirmController,
+    digest_pacer: DigestPacer,
     /// Requests of other entries to confirm the list.
     confirm_clients: ConfirmQueue,
     /// How the list is followed, by the role of this entry.
@@ -313,6 +314,7 @@
             list_revision: 0,
             peers: PeerController::new(id_of(setup.settings.relay.agents), now),
             confirm: ConfirmController::default(),
+            digest_pacer: DigestPacer::default(),
             confirm_clients: ConfirmQueue::default(),
             list_mode: watch::Sender::new(FollowMode::Watch),
             settle_deadline: None,
@@ -390,6 +392,11 @@
         if self.confirm.is_wanted() {
             self.confirm_list(now);
         }
+        match self.digest_pacer.due() {
+            Some(due) if due <= now => self.request_digests(now),
+            Some(due) => self.next_tick = self.next_tick.min(due),
+            None => {}
+        }
         self.send_keepalives(now);
         self.publish(now);
         self.update_metrics();
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -45,8 +45,13 @@
         }
     }
 
-    /// Requests a fresh report from each agent that reports a digest of its flows.
-    pub(super) fn request_digests(&self, now: Instant) {
+    /// Requests a fresh report from each agent that reports a digest of its flows, soon if not at once.
+    pub(super) fn request_digests(&mut self, now: Instant) {
+        if !self.digest_pacer.request(now) {
+            let due = self.digest_pacer.due().unwrap_or(now);
+            self.next_tick = self.next_tick.min(due);
+            return;
+        }
         for keepalive in self.fleet.digest_requests(now) {
             self.send_keepalive(&keepalive, now);
         }
