--- a/review/testbed.py
+++ b/review/testbed.py
@@ -131,20 +131,31 @@
     def __init__(self):
         held = []
         while len(held) < len(self.NAMES):
-            tcp = socket.socket()
-            tcp.bind(("0.0.0.0", 0))
-            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            try:
-                udp.bind(("0.0.0.0", tcp.getsockname()[1]))
-            except OSError:
-                tcp.close()
-                continue
-            held.append((tcp, udp))
-        for name, (tcp, udp) in zip(self.NAMES, held):
-            setattr(self, name, tcp.getsockname()[1])
-        for tcp, udp in held:
-            tcp.close()
-            udp.close()
+            sockets = self.bind_all()
+            if sockets:
+                held.append(sockets)
+        for name, sockets in zip(self.NAMES, held):
+            setattr(self, name, sockets[0].getsockname()[1])
+        for sockets in held:
+            for part in sockets:
+                part.close()
+
+    @staticmethod
+    def bind_all():
+        """Binds a port that the kernel chooses on one address of each kind, or returns None if it isn't free on all."""
+        sockets, port = [], 0
+        for address in ("127.0.0.1", store_ip(1), entry_ip(1), side_ip(1), client_ip(1)):
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                part = socket.socket(socket.AF_INET, kind)
+                sockets.append(part)
+                try:
+                    part.bind((address, port))
+                except OSError:
+                    for bound in sockets:
+                        bound.close()
+                    return None
+                port = part.getsockname()[1]
+        return sockets
 
 
 class Store:
