relay: log where an entry learned an incarnation, and why a flow lost its holder

QH3002 incarnation-changed names the incarnations before and after and the source, list or report. QH1016 holder-dropped names the holder that the flow table gives up and what the view says of the endpoint. QH1013 to QH1015 list the endpoints that are ruled out. Counters: quetzalhill_relay_incarnation_changes_total{source} and quetzalhill_relay_dropped_holders_total{state}.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -12,6 +12,7 @@
 pub mod flows;
 pub mod health;
 pub mod hold;
+pub mod identity;
 pub mod intake;
 pub mod list;
 pub mod load;
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -8,8 +8,8 @@
 use crate::relay::flows::{FlowRecord, FlowTable, RoundRecord};
 use crate::relay::hold::HoldReason;
 use crate::relay::intake::ReturnReason;
-use crate::relay::packet::{PacketHead, PacketKind};
-use crate::relay::place::{self, EndpointKey, SearchOrder};
+use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
+use crate::relay::place::{self, EndpointKey, SearchOrder, TriedList};
 use crate::relay::routes::choose_target;
 use crate::relay::view::{EndpointStatus, RelayView, ServiceView, ViewEndpoint};
 use smallvec::{smallvec, SmallVec};
@@ -168,11 +168,25 @@
     suspects: HashMap<EndpointId, Instant>,
     /// Endpoints that became suspect since they were taken last.
     unanswered: UnansweredList,
+    /// Holders that were dropped from the flow table since they were taken last.
+    dropped_holders: DroppedHolders,
 }
 
 /// Endpoints that left a first packet unanswered; a flow is placed on one.
 pub type UnansweredList = SmallVec<[EndpointId; 2]>;
 
+/// Endpoint to which the packets of a flow no longer go, because the view has no such incarnation of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DroppedHolder {
+    /// Holder in the flow table.
+    pub holder: EndpointKey,
+    /// The same endpoint in the view; `None` if it is not in the view.
+    pub current: Option<EndpointKey>,
+}
+
+/// Holders that one decision dropped; a flow has one, or a few during a search.
+pub type DroppedHolders = SmallVec<[DroppedHolder; 2]>;
+
 impl RelayChain {
     /// Makes a chain with an empty flow table.
     pub fn new(now: Instant) -> Self {
@@ -181,6 +195,7 @@
             pending: HashMap::new(),
             suspects: HashMap::new(),
             unanswered: UnansweredList::new(),
+            dropped_holders: DroppedHolders::new(),
         }
     }
 
@@ -194,6 +209,19 @@
         std::mem::take(&mut self.unanswered)
     }
 
+    /// Removes and returns the holders that the last decisions dropped from the flow table.
+    pub fn take_dropped_holders(&mut self) -> DroppedHolders {
+        std::mem::take(&mut self.dropped_holders)
+    }
+
+    /// Returns the endpoints that the search for a flow leaves out because they returned a packet of it.
+    pub fn ruled_out(&self, flow: FlowAddresses) -> TriedList {
+        let record = self.flows.get(flow);
+        record
+            .map(|record| record.tried.clone())
+            .unwrap_or_default()
+    }
+
     /// Decides what to do with a packet that a caller sent.
     pub fn decide(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> RelayVerdict {
         let idle = match view.routes.idle_timeout {
@@ -340,7 +368,13 @@
                     record.queried.push(key);
                 }
                 // The endpoint is gone, or has restarted and lost its flows.
-                None => record.tried.push(key),
+                None => {
+                    record.tried.push(key);
+                    self.dropped_holders.push(DroppedHolder {
+                        holder: key,
+                        current: view.key_of(head.flow, key.id),
+                    });
+                }
             }
         }
         if targets.is_empty() {
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -8,6 +8,7 @@
 
 use crate::ids::{service_digest, EndpointId, ServiceName, StoreRevision, ZoneName};
 use crate::relay::digest::FlowDigest;
+use crate::relay::identity::{IncarnationChange, IncarnationSource};
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
 use crate::relay::routes::FormerServices;
@@ -131,6 +132,8 @@
 pub struct FleetController {
     zone: ZoneName,
     known: HashMap<EndpointId, KnownEndpoint>,
+    /// Changes of incarnations since they were taken last.
+    incarnation_changes: Vec<IncarnationChange>,
 }
 
 impl FleetController {
@@ -139,6 +142,7 @@
         Self {
             zone,
             known: HashMap::new(),
+            incarnation_changes: Vec::new(),
         }
     }
 
@@ -157,7 +161,8 @@
         if known.endpoint.service != endpoint.service {
             known.last = None;
         }
-        known.endpoint = endpoint;
+        let change = known.set_endpoint(endpoint, IncarnationSource::List);
+        self.incarnation_changes.extend(change);
     }
 
     /// Applies a change of the store's list, unless a later one of the same endpoint was applied: several entries pass
@@ -243,10 +248,12 @@
             0 => known.endpoint.incarnation,
             incarnation => incarnation,
         };
-        known.endpoint = ListedEndpoint {
+        let endpoint = ListedEndpoint {
             incarnation,
             ..report.endpoint.clone()
         };
+        let change = known.set_endpoint(endpoint, IncarnationSource::Report);
+        self.incarnation_changes.extend(change);
         known.reports += 1;
         known.retained_until = now + LAPSED_TIME;
         known.doubted = false;
@@ -260,6 +267,11 @@
         }
     }
 
+    /// Removes and returns the changes of incarnations since the last call.
+    pub fn take_incarnation_changes(&mut self) -> Vec<IncarnationChange> {
+        std::mem::take(&mut self.incarnation_changes)
+    }
+
     /// Returns a fingerprint of the endpoints that are listed, which is equal for equal lists.
     pub fn list_fingerprint(&self) -> u64 {
         let listed = self.known.values().filter(|known| known.listed);
@@ -413,6 +425,24 @@
         }
     }
 
+    /// Replaces the endpoint, and returns the change of its incarnation, if any.
+    fn set_endpoint(
+        &mut self,
+        endpoint: ListedEndpoint,
+        source: IncarnationSource,
+    ) -> Option<IncarnationChange> {
+        let before = self.endpoint.incarnation;
+        let after = endpoint.incarnation;
+        let id = endpoint.id;
+        self.endpoint = endpoint;
+        (before != after).then_some(IncarnationChange {
+            id,
+            before,
+            after,
+            source,
+        })
+    }
+
     /// Returns a keepalive to the endpoint's agent and the interval until the next one.
     fn keepalive(
         &self,
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -92,6 +92,11 @@
         self.rotate_at = now + idle;
     }
 
+    /// Returns the record of `flow`, if there is one.
+    pub fn get(&self, flow: FlowAddresses) -> Option<&FlowRecord> {
+        self.recent.get(&flow).or_else(|| self.old.get(&flow))
+    }
+
     /// Returns the record of `flow`, creating an empty one if there is none, and moves it to the recent generation.
     pub fn record(&mut self, flow: FlowAddresses) -> &mut FlowRecord {
         let old = &mut self.old;
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -404,6 +404,7 @@
 
     fn publish(&mut self, now: Instant) {
         self.last_published = now;
+        self.log_incarnations();
         let mut former = self.routes.former().clone();
         self.fleet.add_holders(&mut former);
         let view = RelayView {
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -214,6 +214,24 @@
         self.send_keepalives(now);
     }
 
+    /// Logs the incarnations that changed since the last call, with the source from which each was learned.
+    pub(super) fn log_incarnations(&mut self) {
+        for change in self.fleet.take_incarnation_changes() {
+            let source = change.source.name();
+            let counter = &self.state.counters.incarnations;
+            counter.with_label_values(&[source]).inc();
+            emit(
+                EventCode::IncarnationChanged,
+                &[
+                    ("endpoint", &address_of(change.id)),
+                    ("before", &change.before),
+                    ("after", &change.after),
+                    ("source", &source),
+                ],
+            );
+        }
+    }
+
     /// Decodes a record of the list. An invalid record is logged and skipped.
     fn read_record(&self, entry: &KeyValue) -> Option<ListedEndpoint> {
         match decode_record(ENDPOINT_PREFIX, &entry.key, &entry.value) {
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -25,6 +25,10 @@
     pub(super) invalid_records: IntCounter,
     /// Packets that agents returned, by reason.
     pub(super) returned: IntCounterVec,
+    /// Changes of the incarnation of an endpoint, by the source that told of it.
+    pub(super) incarnations: IntCounterVec,
+    /// Flows whose holder was dropped from the flow table, by what the view says of it.
+    pub(super) dropped_holders: IntCounterVec,
     /// Time from the arrival of a packet to the end of its handling, in seconds.
     pub(super) decision: Histogram,
     /// Flows in the flow table.
@@ -88,6 +92,16 @@
                 "Packets that agents returned.",
                 "reason",
             )?,
+            incarnations: counter(
+                "quetzalhill_relay_incarnation_changes_total",
+                "Changes of the incarnation of an endpoint.",
+                "source",
+            )?,
+            dropped_holders: counter(
+                "quetzalhill_relay_dropped_holders_total",
+                "Flows whose holder was dropped from the flow table.",
+                "state",
+            )?,
             decision,
             flows: gauge(
                 "quetzalhill_relay_flows",
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -8,12 +8,14 @@
 use crate::traffic::{bind, expect_v4, is_idle, ERROR_PAUSE};
 use anyhow::Result;
 use quetzalhill_core::ids::{address_of, id_of, EndpointId};
-use quetzalhill_core::relay::chain::{DeliverReason, DeliverTarget, RelayDrop, RelayVerdict};
+use quetzalhill_core::relay::chain::{
+    DeliverReason, DeliverTarget, DroppedHolder, RelayDrop, RelayVerdict,
+};
 use quetzalhill_core::relay::confirm::{ConfirmClient, ConfirmId};
 use quetzalhill_core::relay::hold::HoldReason;
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
-use quetzalhill_core::relay::place::EndpointKey;
+use quetzalhill_core::relay::place::{EndpointKey, TriedList};
 use quetzalhill_core::relay::view::RelayView;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::threads::TrafficThreads;
@@ -187,10 +189,18 @@
             Err(error) => return self.count_malformed(&format!("{error:?}")),
         };
         let view = self.state.view.load();
-        let (verdict, unanswered) = {
+        let (verdict, unanswered, dropped) = {
             let mut chain = self.state.chain();
-            (chain.decide(&head, &view, now), chain.take_unanswered())
+            let verdict = chain.decide(&head, &view, now);
+            (
+                verdict,
+                chain.take_unanswered(),
+                chain.take_dropped_holders(),
+            )
         };
+        for holder in dropped {
+            self.log_dropped_holder(&head, holder);
+        }
         self.execute(&head, &verdict, buffer);
         for id in unanswered {
             self.send_event(TrafficEvent::Unanswered(id));
@@ -377,10 +387,11 @@
         }
     }
 
-    /// Logs a packet that was not delivered, with the revision of the routes and the age of the list of endpoints that the
-    /// decision used.
+    /// Logs a packet that was not delivered, with the revision of the routes, the age of the list of endpoints that the
+    /// decision used, and the endpoints that were ruled out because they returned a packet of the flow.
     fn log_undelivered(&self, code: EventCode, head: &PacketHead, reason: &str, view: &RelayView) {
         let age = view.endpoints_read.map(|read| read.elapsed().as_millis());
+        let ruled_out = self.state.chain().ruled_out(head.flow);
         emit(
             code,
             &[
@@ -389,6 +400,25 @@
                 ("revision", &view.routes.revision),
                 ("synced", &view.synced),
                 ("list_age_ms", &age.unwrap_or_default()),
+                ("ruled_out", &KeyList(ruled_out)),
+            ],
+        );
+    }
+
+    fn log_dropped_holder(&self, head: &PacketHead, dropped: DroppedHolder) {
+        let (state, incarnation) = match dropped.current {
+            Some(current) => ("replaced", current.incarnation),
+            None => ("absent", 0),
+        };
+        let counter = &self.state.counters.dropped_holders;
+        counter.with_label_values(&[state]).inc();
+        emit(
+            EventCode::HolderDropped,
+            &[
+                ("flow", &head.flow),
+                ("holder", &KeyText(dropped.holder)),
+                ("state", &state),
+                ("incarnation", &incarnation),
             ],
         );
     }
@@ -409,8 +439,30 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
         for (index, target) in self.0.iter().enumerate() {
             let separator = if index == 0 { "" } else { "," };
-            let EndpointKey { id, incarnation } = target.endpoint;
-            write!(f, "{separator}{}@{incarnation}", address_of(id))?;
+            write!(f, "{separator}{}", KeyText(target.endpoint))?;
+        }
+        Ok(())
+    }
+}
+
+/// Formats an endpoint with its incarnation, as `10.0.0.1:7000@1783371811029`.
+struct KeyText(EndpointKey);
+
+impl Display for KeyText {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        let EndpointKey { id, incarnation } = self.0;
+        write!(f, "{}@{incarnation}", address_of(id))
+    }
+}
+
+/// Formats the endpoints that a search leaves out, separated by commas.
+struct KeyList(TriedList);
+
+impl Display for KeyList {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        for (index, key) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{}", KeyText(*key))?;
         }
         Ok(())
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -54,6 +54,8 @@
     FlowDropped = 1014, Info, "flow-dropped";
     /// An entry holds a packet of a flow until its view of routes and endpoints is newer.
     FlowHeld = 1015, Info, "flow-held";
+    /// An entry no longer sends the packets of a flow to the endpoint that its flow table holds.
+    HolderDropped = 1016, Info, "holder-dropped";
     /// An agent started and accepts flows.
     AgentStarted = 2001, Info, "agent-started";
     /// An agent began to drain.
@@ -74,6 +76,8 @@
     UpstreamEjected = 2014, Warn, "upstream-ejected";
     /// An endpoint was added or removed, or its state changed.
     EndpointChanged = 3001, Info, "endpoint-changed";
+    /// An entry learned another incarnation of an endpoint's upstream.
+    IncarnationChanged = 3002, Info, "incarnation-changed";
     /// A catalogue revision came into force.
     CatalogueInForce = 4001, Info, "catalogue-in-force";
     /// A catalogue that failed validation was ignored; the catalogue in force stays.
@@ -133,6 +137,7 @@
                 | EventCode::FlowReset
                 | EventCode::FlowDropped
                 | EventCode::FlowHeld
+                | EventCode::HolderDropped
                 | EventCode::PacketReturned
                 | EventCode::RequestSeen
         )
