relay: rule out the holder of a flow only on its own answer

Cause: the flow table took every difference between its holder and the view as the end of the holder and ruled it out for the life of the flow. The view differs without any end of the upstream when an agent that has just started registers its endpoint with incarnation 0 (trace of: source=list), when an old record replaces the incarnation of a silent endpoint, and when an endpoint that was cut off longer than its lease is dropped and returns. Incarnation 0 is therefore one of three ways, not the cause: the test of a holder that was cut off fails without one.

core/relay/identity.rs now answers whether two accounts concern the same incarnation and whether a holder still runs: same, unknown, other; current, replaced, absent. An unknown incarnation never replaces a known one, unless the address went to another service. A holder that is replaced or absent is searched for again; only endpoints that returned a packet are left out. The flag that kept a flow ended is gone for the same reason: a reset follows from what is known at each packet. A flow found before the incarnation was known is looked up in the digest of the upstream, so that a restarted one does not get it as its own.

--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -7,6 +7,7 @@
 use crate::relay::digest::fingerprint_of;
 use crate::relay::flows::{FlowRecord, FlowTable, RoundRecord};
 use crate::relay::hold::HoldReason;
+use crate::relay::identity::HolderState;
 use crate::relay::intake::ReturnReason;
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use crate::relay::place::{self, EndpointKey, SearchOrder, TriedList};
@@ -282,7 +283,8 @@
                 record.tried.push(key);
             }
         }
-        match record.queried.iter().position(|queried| *queried == known) {
+        let queried = record.queried.iter().position(|key| key.may_be(known));
+        match queried {
             Some(index) => {
                 record.queried.remove(index);
                 if !record.queried.is_empty() {
@@ -329,8 +331,7 @@
         Some(RelayVerdict::Reset(ResetReason::NoRoute))
     }
 
-    /// Delivers to the endpoints that the flow table holds for the flow, and resets a flow that is known to have
-    /// ended.
+    /// Delivers to the endpoints that the flow table holds for the flow, as long as they may still hold it.
     fn check_flow_table(
         &mut self,
         head: &PacketHead,
@@ -352,30 +353,25 @@
             // is queried again.
             record.tried.clear();
         }
-        if record.ended {
-            return Some(RelayVerdict::Reset(ResetReason::Ended));
-        }
         let mut targets = DeliverList::new();
         let queried = std::mem::take(&mut record.queried);
         for key in queried {
-            match view.service_of(head.flow, key) {
-                Some(service) => {
+            // A holder that is dropped is not ruled out: it has not returned the packet, and may be back later.
+            let current = match view.holder_state(head.flow, key) {
+                HolderState::Current { key, service } => {
                     targets.push(DeliverTarget {
                         endpoint: key,
                         service: service.digest,
                         forced: false,
                     });
                     record.queried.push(key);
+                    continue;
                 }
-                // The endpoint is gone, or has restarted and lost its flows.
-                None => {
-                    record.tried.push(key);
-                    self.dropped_holders.push(DroppedHolder {
-                        holder: key,
-                        current: view.key_of(head.flow, key.id),
-                    });
-                }
-            }
+                HolderState::Replaced { by } => Some(by),
+                HolderState::Absent => None,
+            };
+            let holder = key;
+            self.dropped_holders.push(DroppedHolder { holder, current });
         }
         if targets.is_empty() {
             return None;
@@ -444,7 +440,7 @@
             index = service
                 .endpoints
                 .iter()
-                .position(|known| known.key() == *best);
+                .position(|known| known.key().may_be(*best));
             record.forced = true;
         }
         let Some(index) = index else {
@@ -457,7 +453,6 @@
         };
         let endpoint = &service.endpoints[index];
         record.queried = smallvec![endpoint.key()];
-        record.ended = false;
         let target = DeliverTarget {
             endpoint: endpoint.key(),
             service: service.digest,
@@ -498,7 +493,6 @@
                 unresolved_since,
             )));
         }
-        record.ended = true;
         Some(RelayVerdict::Reset(ResetReason::Ended))
     }
 
@@ -534,7 +528,8 @@
             {
                 let endpoint = &service.endpoints[index];
                 let key = endpoint.key();
-                if record.tried.contains(&key) || record.queried.contains(&key) {
+                let is_queried = record.queried.iter().any(|queried| queried.may_be(key));
+                if is_queried || record.tried.contains(&key) {
                     continue;
                 }
                 let digest = endpoint.digest.as_ref();
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::ids::{service_digest, EndpointId, ServiceName, StoreRevision, ZoneName};
 use crate::relay::digest::FlowDigest;
-use crate::relay::identity::{IncarnationChange, IncarnationSource};
+use crate::relay::identity::{merge_accounts, IncarnationChange, IncarnationSource};
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
 use crate::relay::routes::FormerServices;
@@ -241,18 +241,7 @@
             }
         }
         let before = known.status(now);
-        let previous_incarnation = known.endpoint.incarnation;
-        // An agent that has just started does not know the incarnation of its upstream; the listed one stays until it
-        // does.
-        let incarnation = match report.endpoint.incarnation {
-            0 => known.endpoint.incarnation,
-            incarnation => incarnation,
-        };
-        let endpoint = ListedEndpoint {
-            incarnation,
-            ..report.endpoint.clone()
-        };
-        let change = known.set_endpoint(endpoint, IncarnationSource::Report);
+        let change = known.set_endpoint(report.endpoint.clone(), IncarnationSource::Report);
         self.incarnation_changes.extend(change);
         known.reports += 1;
         known.retained_until = now + LAPSED_TIME;
@@ -261,7 +250,7 @@
             expires: report.expires.min(now + REPORT_LIFETIME_MAX),
             report,
         });
-        match known.status(now) == before && incarnation == previous_incarnation {
+        match known.status(now) == before && change.is_none() {
             true => ReportOutcome::Load,
             false => ReportOutcome::Status,
         }
@@ -425,18 +414,17 @@
         }
     }
 
-    /// Replaces the endpoint, and returns the change of its incarnation, if any.
+    /// Applies an account of the endpoint, and returns the change of its incarnation, if any.
     fn set_endpoint(
         &mut self,
-        endpoint: ListedEndpoint,
+        told: ListedEndpoint,
         source: IncarnationSource,
     ) -> Option<IncarnationChange> {
         let before = self.endpoint.incarnation;
-        let after = endpoint.incarnation;
-        let id = endpoint.id;
-        self.endpoint = endpoint;
+        self.endpoint = merge_accounts(&self.endpoint, told);
+        let after = self.endpoint.incarnation;
         (before != after).then_some(IncarnationChange {
-            id,
+            id: self.endpoint.id,
             before,
             after,
             source,
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -48,8 +48,6 @@
     /// Arrival of the first packet for which the entry found no known holder or no route. Only lists, routes and
     /// reports from later than this can prove that the flow has ended.
     pub unresolved_since: Option<Instant>,
-    /// Whether the flow has been found to have ended, so that its packets are answered with a reset.
-    pub ended: bool,
 }
 
 /// Records of the flows seen lately.
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -124,14 +124,8 @@
         keys.find(|key| key.id == id)
     }
 
-    /// Returns the service of the endpoint `key`, if this incarnation still exists and may hold the flow.
-    pub fn service_of(&self, flow: FlowAddresses, key: EndpointKey) -> Option<&ServiceView> {
-        let holds_key =
-            |service: &&ServiceView| service.endpoints.iter().any(|known| known.key() == key);
-        self.holders(flow).find(holds_key)
-    }
-
-    fn holders(&self, flow: FlowAddresses) -> impl Iterator<Item = &ServiceView> {
+    /// Returns the services that may hold the flow, the most probable first.
+    pub(super) fn holders(&self, flow: FlowAddresses) -> impl Iterator<Item = &ServiceView> {
         let names = self.holder_services(flow).into_iter();
         names.filter_map(|name| self.services.get(name))
     }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod health;
 mod herd;
 mod hold;
+mod identity;
 mod intake;
 mod load;
 mod peers;
