relay: let a deregistration end only the incarnation that it names

A restarted upstream may keep its name. An agent that was paused reads the calls of both incarnations in any order, so the deregistration of the earlier one could mark the running one as gone; its packets were then returned as not held until the next announcement, and entries ruled it out for these flows.

The deregistration's incarnation is decoded where it is given, and compared by core/relay/identity.rs. Without it the name decides, as before.

With the comparison switched off the new test deregistration_ends_only_its_own_incarnation::earlier fails; with it relay tests 139 passed, platform tests passed.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -11,8 +11,9 @@
 use ntex::time::{sleep, timeout, Millis};
 use ntex::SharedCfg;
 use prometheus::Registry;
-use quetzalhill_core::ids::{address_of, id_of, IncarnationNumber};
+use quetzalhill_core::ids::{address_of, id_of, IncarnationNumber, UpstreamName};
 use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint, REPORT_INTERVAL};
+use quetzalhill_core::relay::identity::UNKNOWN_INCARNATION;
 use quetzalhill_core::relay::intake::UpstreamState;
 use quetzalhill_core::relay::presence::{
     PresenceController, PresenceOutcome, UpstreamAnnouncement,
@@ -213,7 +214,10 @@
                 CallReply::text(400, error.to_string())
             }
         },
-        ServerCall::Deregister(name) => control.borrow_mut().deregister(&name, now),
+        ServerCall::Deregister(name) => {
+            let incarnation = announcement::decode_deregistration(&call.body);
+            control.borrow_mut().deregister(&name, incarnation, now)
+        }
         ServerCall::Other => CallReply::text(404, "no such page\n"),
     }
 }
@@ -288,9 +292,23 @@
         }
     }
 
-    fn deregister(&mut self, name: &str, now: Instant) -> CallReply {
-        if self.presence.deregister(&name.to_string()) == PresenceOutcome::Changed {
-            self.publish_change("goodbye", now);
+    fn deregister(
+        &mut self,
+        name: &UpstreamName,
+        incarnation: IncarnationNumber,
+        now: Instant,
+    ) -> CallReply {
+        match self.presence.deregister(name, incarnation) {
+            PresenceOutcome::Changed => self.publish_change("goodbye", now),
+            PresenceOutcome::Confirmed => {}
+            PresenceOutcome::Late | PresenceOutcome::Foreign => emit(
+                EventCode::AnnouncementRefused,
+                &[
+                    ("upstream", name),
+                    ("incarnation", &incarnation),
+                    ("outcome", &"late deregistration"),
+                ],
+            ),
         }
         CallReply::json(200, server::ACKNOWLEDGEMENT)
     }
@@ -375,7 +393,9 @@
 
     fn incarnation(&self) -> IncarnationNumber {
         let upstream = self.presence.upstream();
-        upstream.map_or(0, |record| record.announcement.incarnation)
+        upstream.map_or(UNKNOWN_INCARNATION, |record| {
+            record.announcement.incarnation
+        })
     }
 
     /// Returns a point in time before which the current incarnation of the upstream cannot have accepted flows. It is
--- a/crates/core/src/relay/presence.rs
+++ b/crates/core/src/relay/presence.rs
@@ -1,6 +1,7 @@
 //! Tracks the state of an agent's upstream from the upstream's announcements.
 
 use crate::ids::{IncarnationNumber, ServiceName, UpstreamName, ZoneName};
+use crate::relay::identity::{match_incarnations, IncarnationMatch};
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::IDLE_MAX;
 use std::time::{Duration, Instant};
@@ -194,11 +195,20 @@
         PresenceOutcome::Changed
     }
 
-    /// Marks the upstream as gone because the upstream `name` deregistered; ignored if another one runs by now.
-    pub fn deregister(&mut self, name: &UpstreamName) -> PresenceOutcome {
-        let upstream = self.upstream.as_ref();
-        if upstream.is_some_and(|known| known.announcement.name != *name) {
-            return PresenceOutcome::Late;
+    /// Marks the upstream as gone because `incarnation` of the upstream `name` deregistered; ignored if another one runs
+    /// by now. A restarted upstream may have the same name, and an agent that was paused may read the calls of both in
+    /// any order.
+    pub fn deregister(
+        &mut self,
+        name: &UpstreamName,
+        incarnation: IncarnationNumber,
+    ) -> PresenceOutcome {
+        if let Some(known) = &self.upstream {
+            let last = &known.announcement;
+            let relation = match_incarnations(last.incarnation, incarnation);
+            if last.name != *name || relation == IncarnationMatch::Other {
+                return PresenceOutcome::Late;
+            }
         }
         self.set_gone()
     }
--- a/crates/core/tests/relay/presence.rs
+++ b/crates/core/tests/relay/presence.rs
@@ -133,11 +133,34 @@
     let now = Instant::now();
     let mut presence = controller(now);
     presence.announce(announcement(5, 1), now);
-    assert_eq!(presence.deregister(&"i-0".into()), PresenceOutcome::Late);
-    assert_eq!(presence.deregister(&"i-1".into()), PresenceOutcome::Changed);
+    assert_eq!(presence.deregister(&"i-0".into(), 0), PresenceOutcome::Late);
+    assert_eq!(
+        presence.deregister(&"i-1".into(), 0),
+        PresenceOutcome::Changed
+    );
     assert_eq!(presence.state(), UpstreamState::Gone);
 }
 
+/// Guards against a running upstream that counts as gone because the deregistration of its earlier incarnation, under
+/// the same name, is read after its own announcement, as by an agent that was paused.
+#[parameterized(
+    earlier = { 5, PresenceOutcome::Late, UpstreamState::Ready },
+    present = { 6, PresenceOutcome::Changed, UpstreamState::Gone },
+    not_named = { 0, PresenceOutcome::Changed, UpstreamState::Gone },
+)]
+fn deregistration_ends_only_its_own_incarnation(
+    incarnation: u64,
+    expected: PresenceOutcome,
+    state: UpstreamState,
+) {
+    let now = Instant::now();
+    let mut presence = controller(now);
+    presence.announce(announcement(5, 9), now);
+    presence.announce(announcement(6, 1), now);
+    let outcome = presence.deregister(&"i-1".into(), incarnation);
+    assert_eq!((outcome, presence.state()), (expected, state));
+}
+
 /// Guards against a packet for one service that reaches an upstream of another, and against new flows for an upstream
 /// that is not ready. Packets of open flows reach their upstream until it has ended.
 #[parameterized(
--- a/crates/platform/src/announcement.rs
+++ b/crates/platform/src/announcement.rs
@@ -1,6 +1,7 @@
 //! Decoding of the announcements by which upstreams register and refresh themselves.
 
-use quetzalhill_core::ids::UpstreamName;
+use quetzalhill_core::ids::{IncarnationNumber, UpstreamName};
+use quetzalhill_core::relay::identity::UNKNOWN_INCARNATION;
 use quetzalhill_core::relay::presence::UpstreamAnnouncement;
 use serde::Deserialize;
 use std::time::{Duration, Instant};
@@ -29,6 +30,19 @@
     Draining,
 }
 
+/// JSON body of a deregistration; it may be missing.
+#[derive(Debug, Deserialize)]
+struct DeregistrationBody {
+    /// Start of the incarnation that ends, in Unix milliseconds.
+    born: u64,
+}
+
+/// Decodes the incarnation that a deregistration names; [`UNKNOWN_INCARNATION`] if it names none.
+pub fn decode_deregistration(body: &[u8]) -> IncarnationNumber {
+    let body: Result<DeregistrationBody, _> = serde_json::from_slice(body);
+    body.map_or(UNKNOWN_INCARNATION, |body| body.born)
+}
+
 /// Decodes the announcement of the upstream `name`, which arrived at `now`.
 ///
 /// # Errors
--- a/crates/platform/src/standin/call.rs
+++ b/crates/platform/src/standin/call.rs
@@ -53,8 +53,12 @@
 }
 
 /// Encodes the deregistration of an upstream.
-pub fn deregister(name: &UpstreamName) -> HttpCall {
-    post(format!("{DEREGISTER_PREFIX}{name}"), None)
+pub fn deregister(name: &UpstreamName, incarnation: IncarnationNumber) -> HttpCall {
+    let body = json!({ "born": incarnation });
+    post(
+        format!("{DEREGISTER_PREFIX}{name}"),
+        Some(body.to_string().into_bytes()),
+    )
 }
 
 /// Encodes the readiness probe that the fabric sends to an entry.
--- a/crates/platform/tests/bodies.rs
+++ b/crates/platform/tests/bodies.rs
@@ -81,6 +81,20 @@
     manifest::decode(body.as_bytes()).expect_err("wrong");
 }
 
+/// Guards against a deregistration that is refused or taken for one of another incarnation.
+#[parameterized(
+    named = { r#"{"born":1783371811029}"#, 1_783_371_811_029 },
+    more_fields = { r#"{"id":"i-7","born":5}"#, 5 },
+    empty = { "", 0 },
+    no_field = { "{}", 0 },
+    wrong_type = { r#"{"born":"5"}"#, 0 },
+    negative = { r#"{"born":-5}"#, 0 },
+)]
+fn deregistration_names_an_incarnation_or_none(body: &str, expected: u64) {
+    let decoded = announcement::decode_deregistration(body.as_bytes());
+    assert_eq!(decoded, expected);
+}
+
 /// Guards against decoding a request as one of another kind.
 #[parameterized(
     ready = { "GET", "/-/ready", ServerCall::Ready },
--- a/crates/platform/tests/standin.rs
+++ b/crates/platform/tests/standin.rs
@@ -196,7 +196,12 @@
     assert_eq!((decoded.name.as_str(), decoded.sequence), ("i-7", 4));
     assert_eq!(decoded.incarnation, announcement.incarnation);
     assert_eq!((decoded.slots, decoded.draining), (3, true));
-    let deregistration = call::deregister(&announcement.name);
+    let deregistration = call::deregister(&announcement.name, announcement.incarnation);
+    let body = deregistration.body.as_deref().expect("a body");
+    assert_eq!(
+        announcement::decode_deregistration(body),
+        announcement.incarnation
+    );
     assert_eq!(
         server::decode("POST", &deregistration.path),
         ServerCall::Deregister("i-7".into())
--- a/crates/standins/src/flows/upstream.rs
+++ b/crates/standins/src/flows/upstream.rs
@@ -153,7 +153,7 @@
 
     /// Deregisters the upstream at its agent; it runs on until it is dropped.
     pub async fn deregister(&self, client: &Client) {
-        let call = call::deregister(&self.plan.name);
+        let call = call::deregister(&self.plan.name, self.plan.incarnation);
         // The upstream ends even if the deregistration is not acknowledged.
         let _ = send_call(client, self.plan.announcements, call, ACKNOWLEDGE_TIMEOUT).await;
     }
