soak: rounds of restarting agents, and a check on lost requests

FaultMix::Restarts kills up to four agents at a time for 0.1 to 10 s, some with an entry, their upstream, their lease or a fault of the store, then waits until the bounds hold again. Callers pause for up to 8 s. The new check LOST fails if a request that was sent after four seconds without a fault never reached the living upstream that holds its flow.

--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -5,6 +5,7 @@
 use anyhow::{anyhow, Result};
 use argh::FromArgs;
 use quetzalhill_standins::scenario::process::run_node;
+use quetzalhill_standins::soak::plan::FaultMix;
 use quetzalhill_standins::soak::run::{run_seed, SoakPlan};
 use quetzalhill_standins::soak::site::SiteSize;
 use rand::Rng;
@@ -30,6 +31,9 @@
     /// seeds that run at the same time (default 2)
     #[argh(option, default = "2")]
     jobs: u8,
+    /// kinds of faults: all or restarts (default all)
+    #[argh(option, default = "FaultMix::All", from_str_fn(parse_mix))]
+    mix: FaultMix,
     /// seconds during which faults start (default 12)
     #[argh(option, default = "12")]
     seconds: u64,
@@ -47,6 +51,14 @@
     folder: String,
 }
 
+fn parse_mix(text: &str) -> Result<FaultMix, String> {
+    match text {
+        "all" => Ok(FaultMix::All),
+        "restarts" => Ok(FaultMix::Restarts),
+        other => Err(format!("unknown mix {other:?}; known are all and restarts")),
+    }
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     if let Some(code) = run_node(&arguments) {
@@ -75,6 +87,7 @@
             agents: args.agents,
             callers: args.callers,
         },
+        mix: args.mix,
         fault_time: Duration::from_secs(args.seconds),
         folder: PathBuf::from(&args.folder),
     };
--- a/crates/standins/src/flows/caller.rs
+++ b/crates/standins/src/flows/caller.rs
@@ -44,6 +44,18 @@
 /// Longer than most faults last.
 const LONG_PAUSE: Duration = Duration::from_millis(2_500);
 
+/// Longest pause of [`CallerPace::Idle`].
+const IDLE_PAUSE_MAX: Duration = Duration::from_millis(8_000);
+
+/// How long a caller waits between two requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerPace {
+    /// Short pauses, with a [`LONG_PAUSE`] now and then.
+    Busy,
+    /// Pauses of up to [`IDLE_PAUSE_MAX`], so that flows are idle during whole outages.
+    Idle,
+}
+
 /// A caller, which uses one flow at a time and a new port for each.
 #[derive(Debug)]
 pub struct FlowCaller {
@@ -52,6 +64,7 @@
     fabric: Rc<FlowFabric>,
     ledger: SharedLedger,
     rng: SmallRng,
+    pace: CallerPace,
     port: u16,
     requests: u64,
 }
@@ -85,7 +98,7 @@
 }
 
 impl FlowCaller {
-    /// Creates a caller at `address`; `seed` determines its flows, requests and pauses.
+    /// Creates a caller at `address`; `seed` and `pace` determine its flows, requests and pauses.
     ///
     /// # Errors
     ///
@@ -95,6 +108,7 @@
         fabric: Rc<FlowFabric>,
         ledger: SharedLedger,
         seed: u64,
+        pace: CallerPace,
     ) -> io::Result<Self> {
         let socket = std::net::UdpSocket::bind(address)?;
         socket.set_nonblocking(true)?;
@@ -104,6 +118,7 @@
             fabric,
             ledger,
             rng: SmallRng::seed_from_u64(seed),
+            pace,
             port: 1_024,
             requests: 0,
         })
@@ -140,9 +155,10 @@
     }
 
     async fn pause(&mut self) {
-        let pause = match self.rng.random_ratio(1, LONG_PAUSE_ONE_IN) {
-            true => LONG_PAUSE,
-            false => PAUSE_MAX.mul_f64(self.rng.random_range(0.0..1.0)),
+        let pause = match self.pace {
+            CallerPace::Idle => IDLE_PAUSE_MAX.mul_f64(self.rng.random_range(0.0..1.0)),
+            CallerPace::Busy if self.rng.random_ratio(1, LONG_PAUSE_ONE_IN) => LONG_PAUSE,
+            CallerPace::Busy => PAUSE_MAX.mul_f64(self.rng.random_range(0.0..1.0)),
         };
         tokio::time::sleep(pause).await;
     }
@@ -209,7 +225,8 @@
     /// Sends a request and retransmits it until it is answered, its flow is closed or its deadline has passed.
     async fn send_request(&mut self, open: &mut OpenFlow, name: &str) -> RequestEnd {
         let data = request_head(name);
-        let deadline = Instant::now() + REQUEST_TIMEOUT;
+        let sent = Instant::now();
+        let deadline = sent + REQUEST_TIMEOUT;
         let mut retransmit_interval = RETRANSMIT_MIN;
         self.ledger.borrow_mut().record_sent(name);
         while Instant::now() < deadline {
@@ -228,6 +245,8 @@
                 }
             }
         }
+        let now = Instant::now();
+        self.ledger.borrow_mut().check_reached(open.flow, sent, now);
         self.send(
             open.flow,
             PacketKind::Ending,
--- a/crates/standins/src/flows/ledger.rs
+++ b/crates/standins/src/flows/ledger.rs
@@ -12,7 +12,8 @@
 /// Time within which a route change has to be in force on every entry (the platform's bound).
 const ROUTES_LIMIT: Duration = Duration::from_millis(3_000);
 
-/// Time after the end of the last fault from which [`ROUTES_LIMIT`] holds again (the platform's bound).
+/// Time after the end of the last fault from which [`ROUTES_LIMIT`] holds again and all requests reach their upstreams
+/// (the platform's bound).
 const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
 /// Time after an acknowledged announcement of draining from which an upstream gets no new flows (the platform's bound).
@@ -58,6 +59,8 @@
     /// End of the last fault; `None` while one is active.
     fault_free_since: Option<Instant>,
     holders: HashMap<FlowAddresses, FlowHolder>,
+    /// When the last packet of each open flow reached its holder.
+    arrivals: HashMap<FlowAddresses, Instant>,
     /// Number of runs of each request that was sent and has not finished, or that failed.
     runs: HashMap<String, u32>,
     outcomes: BTreeMap<RequestOutcome, u64>,
@@ -73,6 +76,7 @@
             routes: Vec::new(),
             fault_free_since: Some(now),
             holders: HashMap::new(),
+            arrivals: HashMap::new(),
             runs: HashMap::new(),
             outcomes: BTreeMap::new(),
             recent: Vec::new(),
@@ -136,9 +140,7 @@
                 format!("{flow} was opened at {service}, which no published routes allow");
             return self.record_violation("ROUTE", details, now);
         }
-        let settled = self
-            .fault_free_since
-            .is_some_and(|since| since + SETTLE_TIME <= sent);
+        let settled = self.is_settled(sent);
         let mut oldest_in_force = 0;
         for (index, published) in self.routes.iter().enumerate() {
             if published.since + ROUTES_LIMIT <= sent {
@@ -171,9 +173,38 @@
         self.holders.insert(flow, holder);
     }
 
+    /// Records that a packet of an open flow reached the upstream that holds it.
+    pub fn record_arrival(&mut self, flow: FlowAddresses, now: Instant) {
+        self.arrivals.insert(flow, now);
+    }
+
     /// Records that a flow was closed by one of its ends.
     pub fn record_close(&mut self, flow: FlowAddresses) {
         self.holders.remove(&flow);
+        self.arrivals.remove(&flow);
+    }
+
+    /// Checks a request that its caller sent at `sent` and gave up at `now`: if the site was free of faults, a packet of
+    /// it has reached the upstream that holds the flow.
+    pub fn check_reached(&mut self, flow: FlowAddresses, sent: Instant, now: Instant) {
+        let Some(holder) = self.holders.get(&flow) else {
+            return;
+        };
+        let reached = self.arrivals.get(&flow).is_some_and(|at| *at >= sent);
+        if reached || !self.is_settled(sent) {
+            return;
+        }
+        let details = format!(
+            "a request on {flow} never reached upstream {}@{}, which holds it",
+            holder.upstream, holder.incarnation
+        );
+        self.record_violation("LOST", details, now);
+    }
+
+    /// Returns whether the site was free of faults for [`SETTLE_TIME`] before `at`.
+    fn is_settled(&self, at: Instant) -> bool {
+        self.fault_free_since
+            .is_some_and(|since| since + SETTLE_TIME <= at)
     }
 
     /// Records that the upstream at this address has ended and has lost all its flows.
--- a/crates/standins/src/flows/upstream.rs
+++ b/crates/standins/src/flows/upstream.rs
@@ -299,6 +299,7 @@
             }
             Some(FlowState::Open { .. }) => {}
         }
+        self.ledger.borrow_mut().record_arrival(flow, now);
         let Some(FlowState::Open { last_request, .. }) = state.flows.get_mut(&flow) else {
             return true;
         };
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -18,6 +18,29 @@
 /// Longer than any fault, and longer than the four seconds after it in which the bound on route changes does not apply.
 const LONG_GAP: Duration = Duration::from_millis(5_500);
 
+/// Longest outage of a process in [`FaultMix::Restarts`], longer than a lease and the time for its endpoint to return.
+const OUTAGE_MAX_MS: f64 = 10_000.0;
+
+/// Shortest outage of a process in [`FaultMix::Restarts`].
+const OUTAGE_MIN_MS: f64 = 100.0;
+
+/// Largest number of agents that a round of [`FaultMix::Restarts`] kills.
+const ROUND_AGENTS_MAX: usize = 4;
+
+/// Time without faults after a round of [`FaultMix::Restarts`]: the bounds on flows hold again after four seconds, and a
+/// request on a lost flow is given up after three more.
+pub const QUIET_TIME: Duration = Duration::from_millis(7_500);
+
+/// Kinds of faults that a run draws.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FaultMix {
+    /// Faults of all kinds, which overlap and leave little time without a fault.
+    All,
+    /// Rounds of agents that are killed and restarted, some with an entry, their upstream, their lease or the store,
+    /// each followed by [`QUIET_TIME`]. Flows are idle for seconds, so that they are used before, during and after it.
+    Restarts,
+}
+
 /// A fault of an entry or agent process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProcessFault {
@@ -128,6 +151,79 @@
     }
 }
 
+/// Draws the rounds of [`FaultMix::Restarts`] that `seed` determines, in the order of their start. All start within
+/// `fault_time`.
+pub fn draw_restarts(
+    seed: u64,
+    entries: usize,
+    agents: usize,
+    fault_time: Duration,
+) -> Vec<PlannedFault> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut plan = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < fault_time {
+        let longest = draw_round(&mut rng, entries, agents, at, &mut plan);
+        at += longest + QUIET_TIME;
+    }
+    plan
+}
+
+/// Adds the faults of one round, and returns the longest outage.
+fn draw_round(
+    rng: &mut SmallRng,
+    entries: usize,
+    agents: usize,
+    at: Duration,
+    plan: &mut Vec<PlannedFault>,
+) -> Duration {
+    let mut longest = Duration::ZERO;
+    let mut add = |duration: Duration, fault| {
+        longest = longest.max(duration);
+        plan.push(PlannedFault {
+            at,
+            duration,
+            fault,
+        });
+    };
+    let first = rng.random_range(0..agents);
+    let count = rng.random_range(1..=ROUND_AGENTS_MAX.min(agents));
+    let outage = draw_outage(rng);
+    for offset in 0..count {
+        let agent = (first + offset) % agents;
+        let outage = match rng.random_ratio(1, 2) {
+            true => outage,
+            false => draw_outage(rng),
+        };
+        add(
+            outage,
+            SoakFault::Process(entries + agent, ProcessFault::Kill),
+        );
+        if rng.random_ratio(1, 5) {
+            // The upstream is back before its agent.
+            let away = outage.mul_f64(rng.random_range(0.2..0.9));
+            add(away, SoakFault::Upstream(agent, UpstreamFault::Crash));
+        }
+    }
+    if rng.random_ratio(1, 3) {
+        let entry = rng.random_range(0..entries);
+        add(outage, SoakFault::Process(entry, ProcessFault::Kill));
+    }
+    if rng.random_ratio(1, 4) {
+        add(outage, SoakFault::Store(StoreFault::RevokeLeases));
+    }
+    if rng.random_ratio(1, 4) {
+        add(outage, SoakFault::Store(draw_store_fault(rng)));
+    }
+    longest
+}
+
+/// Draws an outage; short ones are as frequent as long ones.
+fn draw_outage(rng: &mut SmallRng) -> Duration {
+    let ms = OUTAGE_MIN_MS * (OUTAGE_MAX_MS / OUTAGE_MIN_MS).powf(rng.random_range(0.0..1.0));
+    Duration::from_secs_f64(ms / 1_000.0)
+}
+
 fn draw_fault(rng: &mut SmallRng, entries: usize, agents: usize) -> SoakFault {
     let process = rng.random_range(0..entries + agents);
     let upstream = rng.random_range(0..agents);
--- a/crates/standins/src/soak/run.rs
+++ b/crates/standins/src/soak/run.rs
@@ -1,9 +1,11 @@
 //! Injects the faults of a seed into a site and reports the violations.
 
 use super::plan::{
-    draw_faults, PlannedFault, ProcessFault, RouteChange, SoakFault, StoreFault, UpstreamFault,
+    draw_faults, draw_restarts, FaultMix, PlannedFault, ProcessFault, RouteChange, SoakFault,
+    StoreFault, UpstreamFault, QUIET_TIME,
 };
 use super::site::{route_address, set_target, unix_millis, SiteSize, SoakSite, SERVICES};
+use crate::flows::caller::CallerPace;
 use crate::flows::ledger::RequestOutcome;
 use crate::link::LinkFault;
 use crate::store::StandinMode;
@@ -112,6 +114,8 @@
 pub struct SoakPlan {
     /// Numbers of entries, agents and callers.
     pub size: SiteSize,
+    /// Kinds of faults.
+    pub mix: FaultMix,
     /// Time during which faults start.
     pub fault_time: Duration,
     /// Folder in which each seed has a subfolder for settings and logs. The subfolder is removed if the seed had no
@@ -132,21 +136,20 @@
     }
     fs::create_dir_all(&folder)?;
     let system = System::new("soak", DefaultRuntime);
-    let report = system.block_on(run(seed, block, folder.clone(), plan.size, plan.fault_time))?;
+    let report = system.block_on(run(seed, block, folder.clone(), plan.clone()))?;
     if report.violations.is_empty() {
         fs::remove_dir_all(&folder)?;
     }
     Ok(report)
 }
 
-async fn run(
-    seed: u64,
-    block: u8,
-    folder: PathBuf,
-    size: SiteSize,
-    fault_time: Duration,
-) -> Result<SoakReport> {
-    let site = SoakSite::start(block, &folder, size, seed).await?;
+async fn run(seed: u64, block: u8, folder: PathBuf, plan: SoakPlan) -> Result<SoakReport> {
+    let (size, mix) = (plan.size, plan.mix);
+    let pace = match mix {
+        FaultMix::All => CallerPace::Busy,
+        FaultMix::Restarts => CallerPace::Idle,
+    };
+    let site = SoakSite::start(block, &folder, size, seed, pace).await?;
     let mut run = SoakRun {
         pending_undos: Vec::new(),
         disrupted: vec![false; size.entries + size.agents],
@@ -155,7 +158,11 @@
         site,
     };
     sleep(WARM_UP_TIME).await;
-    let plan = draw_faults(seed, size.entries, size.agents, fault_time);
+    let draw = match mix {
+        FaultMix::All => draw_faults,
+        FaultMix::Restarts => draw_restarts,
+    };
+    let plan = draw(seed, size.entries, size.agents, plan.fault_time);
     let start = Instant::now();
     for planned in &plan {
         while Instant::now() < start + planned.at {
@@ -168,6 +175,9 @@
         sleep(TICK_INTERVAL).await;
         run.undo_due(Instant::now()).await?;
     }
+    if mix == FaultMix::Restarts {
+        sleep(QUIET_TIME).await;
+    }
     run.check_recovery().await;
     run.check_processes();
     let ledger = run.site.ledger.borrow();
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -1,6 +1,6 @@
 //! Processes and stand-ins of one run, which has its own range of loopback addresses.
 
-use crate::flows::caller::FlowCaller;
+use crate::flows::caller::{CallerPace, FlowCaller};
 use crate::flows::fabric::{FabricEntry, FlowFabric};
 use crate::flows::ledger::{FlowLedger, SharedLedger};
 use crate::flows::upstream::{FlowUpstream, UpstreamPlan, ANNOUNCE_MS};
@@ -99,7 +99,13 @@
     /// # Errors
     ///
     /// The HTTP client, the store, a link, a process or another stand-in could not be started.
-    pub async fn start(block: u8, folder: &Path, size: SiteSize, seed: u64) -> Result<Self> {
+    pub async fn start(
+        block: u8,
+        folder: &Path,
+        size: SiteSize,
+        seed: u64,
+        pace: CallerPace,
+    ) -> Result<Self> {
         let now = Instant::now();
         let ledger: SharedLedger = Rc::new(RefCell::new(FlowLedger::new(now)));
         let client = Client::builder().build(SharedCfg::default()).await;
@@ -131,7 +137,7 @@
             site.upstreams.push(None);
             site.start_upstream(index, unix_millis())?;
         }
-        site.start_callers(seed)?;
+        site.start_callers(seed, pace)?;
         Ok(site)
     }
 
@@ -154,7 +160,7 @@
         Ok(())
     }
 
-    fn start_callers(&self, seed: u64) -> Result<()> {
+    fn start_callers(&self, seed: u64, pace: CallerPace) -> Result<()> {
         let mut entries = Vec::new();
         for index in 0..self.size.entries {
             entries.push(FabricEntry {
@@ -169,7 +175,8 @@
         for index in 0..self.size.callers {
             let address = address(self.block, CALLER_NET, host_byte(index), PACKET_PORT);
             let seed = seed.wrapping_add(u64::from(host_byte(index)));
-            let caller = FlowCaller::new(address, fabric.clone(), self.ledger.clone(), seed)?;
+            let (fabric, ledger) = (fabric.clone(), self.ledger.clone());
+            let caller = FlowCaller::new(address, fabric, ledger, seed, pace)?;
             ntex::rt::spawn(caller.run()).detach();
         }
         Ok(())
--- a/crates/standins/tests/flow_ledger.rs
+++ b/crates/standins/tests/flow_ledger.rs
@@ -3,7 +3,7 @@
 use quetzalhill_core::relay::packet::FlowAddresses;
 use quetzalhill_core::relay::routes::RouteSet;
 use quetzalhill_standins::flows::ledger::{FlowHolder, FlowLedger, RequestOutcome};
-use quetzalhill_standins::soak::plan::draw_faults;
+use quetzalhill_standins::soak::plan::{draw_faults, draw_restarts};
 use quetzalhill_standins::soak::site::{route_address, set_target, SERVICES};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -61,6 +61,31 @@
     assert!(allowed.is_empty(), "{allowed:?}");
 }
 
+/// Guards against a soak that misses a request which never reaches its living upstream, or reports one that was sent
+/// during or soon after a fault, that reached its upstream, or whose upstream has ended.
+#[test]
+fn lost_request_is_seen() {
+    let given_up = |sent_ms: u64, record: &dyn Fn(&mut FlowLedger, Instant)| {
+        violated_checks(|ledger, now| {
+            ledger.record_open(flow(), holder());
+            ledger.record_arrival(flow(), now);
+            ledger.set_fault_free(false, now);
+            ledger.set_fault_free(true, now);
+            let sent = now + Duration::from_millis(sent_ms);
+            record(ledger, sent);
+            ledger.check_reached(flow(), sent, sent + Duration::from_secs(3));
+        })
+    };
+    assert_eq!(given_up(4_100, &|_, _| {}), ["LOST"]);
+    assert!(given_up(3_900, &|_, _| {}).is_empty());
+    let reached = given_up(4_100, &|ledger, sent| ledger.record_arrival(flow(), sent));
+    assert!(reached.is_empty());
+    let ended = given_up(4_100, &|ledger, _| {
+        ledger.record_upstream_end(holder().upstream);
+    });
+    assert!(ended.is_empty());
+}
+
 /// Guards against a soak that misses a flow at a service that no route allows, or that only old routes allow after the
 /// time within which a route change has to be in force.
 #[test]
@@ -134,4 +159,7 @@
     let faults = |seed| format!("{:?}", draw_faults(seed, 4, 8, fault_time));
     assert_eq!(faults(7), faults(7));
     assert_ne!(faults(7), faults(8));
+    let restarts = |seed| format!("{:?}", draw_restarts(seed, 4, 8, fault_time));
+    assert_eq!(restarts(7), restarts(7));
+    assert_ne!(restarts(7), restarts(8));
 }
--- a/crates/standins/tests/soak.rs
+++ b/crates/standins/tests/soak.rs
@@ -4,6 +4,7 @@
 //! Each seed in `soak-seeds.txt` found a violation once. See docs/soak.md.
 
 use quetzalhill_standins::scenario::process::run_node;
+use quetzalhill_standins::soak::plan::FaultMix;
 use quetzalhill_standins::soak::run::{run_seed, SoakPlan};
 use quetzalhill_standins::soak::site::SiteSize;
 use std::path::{Path, PathBuf};
@@ -15,6 +16,9 @@
 /// Seeds that run in addition to those in the file.
 const SEEDS: [u64; 3] = [1, 2, 3];
 
+/// Seeds that run with agents that restart; review/2 lost flows then.
+const RESTART_SEEDS: [u64; 3] = [1, 2, 3];
+
 /// Time of a run during which faults start.
 const FAULT_TIME: Duration = Duration::from_secs(10);
 
@@ -35,20 +39,28 @@
             agents: 6,
             callers: 16,
         },
+        mix: FaultMix::All,
         fault_time: FAULT_TIME,
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
     };
-    let seeds = load_seeds();
+    let restarts = SoakPlan {
+        mix: FaultMix::Restarts,
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-restarts"),
+        ..plan.clone()
+    };
+    let mut runs = Vec::new();
+    runs.extend(RESTART_SEEDS.map(|seed| (&restarts, seed)));
+    runs.extend(load_seeds().into_iter().map(|seed| (&plan, seed)));
     let next = AtomicUsize::new(0);
     let failed = AtomicUsize::new(0);
     thread::scope(|scope| {
         for worker in 0..PARALLEL {
-            let (plan, seeds, next, failed) = (&plan, &seeds, &next, &failed);
+            let (runs, next, failed) = (&runs, &next, &failed);
             scope.spawn(move || {
-                while let Some(seed) = seeds.get(next.fetch_add(1, Ordering::Relaxed)) {
+                while let Some((plan, seed)) = runs.get(next.fetch_add(1, Ordering::Relaxed)) {
                     let report =
                         run_seed(plan, *seed, FIRST_BLOCK + worker).expect("site does not start");
-                    println!("{report}");
+                    println!("{:?} {report}", plan.mix);
                     failed.fetch_add(
                         usize::from(!report.violations.is_empty()),
                         Ordering::Relaxed,
@@ -58,7 +70,7 @@
         }
     });
     let failed = failed.into_inner();
-    println!("{} passed, {failed} failed", seeds.len() - failed);
+    println!("{} passed, {failed} failed", runs.len() - failed);
     match failed {
         0 => ExitCode::SUCCESS,
         _ => ExitCode::FAILURE,
