relay: name the right flow in holder-dropped

A holder that is dropped while a returned packet is decided was logged with the next packet of any caller, and so with the wrong flow: only packets of callers took the list. Read from the code.

A dropped holder carries its flow, and both paths take the list. Decisions are as before. Test: dropped_holder_names_its_flow (does not compile before); relay tests of core: 140 passed.

--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -179,6 +179,8 @@
 /// Endpoint to which the packets of a flow no longer go, because the view has no such incarnation of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DroppedHolder {
+    /// Flow that the endpoint held.
+    pub flow: FlowAddresses,
     /// Holder in the flow table.
     pub holder: EndpointKey,
     /// The same endpoint in the view; `None` if it is not in the view.
@@ -370,8 +372,11 @@
                 HolderState::Replaced { by } => Some(by),
                 HolderState::Absent => None,
             };
-            let holder = key;
-            self.dropped_holders.push(DroppedHolder { holder, current });
+            self.dropped_holders.push(DroppedHolder {
+                flow: head.flow,
+                holder: key,
+                current,
+            });
         }
         if targets.is_empty() {
             return None;
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -199,7 +199,7 @@
             )
         };
         for holder in dropped {
-            self.log_dropped_holder(&head, holder);
+            self.log_dropped_holder(holder);
         }
         self.execute(&head, &verdict, buffer);
         for id in unanswered {
@@ -297,10 +297,14 @@
         );
         let view = self.state.view.load();
         let now = Instant::now();
-        let verdict = self
-            .state
-            .chain()
-            .decide_returned(&head, endpoint, reason, &view, now);
+        let (verdict, dropped) = {
+            let mut chain = self.state.chain();
+            let verdict = chain.decide_returned(&head, endpoint, reason, &view, now);
+            (verdict, chain.take_dropped_holders())
+        };
+        for holder in dropped {
+            self.log_dropped_holder(holder);
+        }
         self.execute(&head, &verdict, buffer);
     }
 
@@ -405,7 +409,7 @@
         );
     }
 
-    fn log_dropped_holder(&self, head: &PacketHead, dropped: DroppedHolder) {
+    fn log_dropped_holder(&self, dropped: DroppedHolder) {
         let (state, incarnation) = match dropped.current {
             Some(current) => ("replaced", current.incarnation),
             None => ("absent", 0),
@@ -415,7 +419,7 @@
         emit(
             EventCode::HolderDropped,
             &[
-                ("flow", &head.flow),
+                ("flow", &dropped.flow),
                 ("holder", &KeyText(dropped.holder)),
                 ("state", &state),
                 ("incarnation", &incarnation),
