--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -16,5 +16,6 @@
 mod registration;
 mod routes;
 mod search;
+mod site;
 mod subscribe;
 mod support;
