Record how calls to the store end, and how old routes and list are

Cause: a refused connection, a cut poll and a silent store have the same text in the log, and no line says which revision an entry had, how old its last answer was, or when it caught up. Change: StoreError has the end of the call. QH4003, QH4004, QH4010, QH4012 and the lines on flows have revision, source and age; the entry has metrics of failures, revision, age and time to catch up by range. Decisions and timing stay.

--- a/crates/agent/src/relay/registration.rs
+++ b/crates/agent/src/relay/registration.rs
@@ -7,7 +7,7 @@
 };
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
-use quetzalhill_store::api::{CatalogueStore, PutOp, StoreError, Transaction};
+use quetzalhill_store::api::{CallEnd, CatalogueStore, PutOp, StoreError, Transaction};
 use quetzalhill_wire::relay::{encode_endpoint, record_key};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -72,6 +72,7 @@
         }
         RegistrationAction::Write(endpoint, lease) => {
             let value = encode_endpoint(endpoint).map_err(|error| StoreError::NotApplied {
+                end: CallEnd::NotMade,
                 cause: format!("{error:?}"),
             })?;
             let put = PutOp {
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -87,6 +87,8 @@
     pub synced: bool,
     /// Start of the store read that returned the routes. A route created after this time may be missing.
     pub routes_read: Option<Instant>,
+    /// When the store last confirmed the routes: start of a read, or arrival of the answer to a poll. For logs only.
+    pub routes_confirmed: Option<Instant>,
     /// Start of the store read that returned the list of endpoints. The list may have changed since, so it proves
     /// only that an endpoint was missing before this time.
     pub endpoints_read: Option<Instant>,
--- a/crates/core/tests/relay/site.rs
+++ b/crates/core/tests/relay/site.rs
@@ -179,6 +179,7 @@
             services: self.fleet.services(self.now),
             holders_known: self.fleet.holders_known(),
             synced: true,
+            routes_confirmed: Some(self.now),
             routes_read: Some(self.now),
             endpoints_read: Some(self.now),
             loaded: true,
--- a/crates/core/tests/relay/support.rs
+++ b/crates/core/tests/relay/support.rs
@@ -109,6 +109,7 @@
         .into(),
         holders_known: true,
         synced: true,
+        routes_confirmed: Some(Instant::now()),
         routes_read: Some(Instant::now() + Duration::from_secs(60)),
         endpoints_read: Some(Instant::now() + Duration::from_secs(60)),
         loaded: true,
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry of the relay: follows routes and endpoints, publishes the view, answers readiness probes.
 
 mod endpoints;
+mod range;
 
 use super::counters::set;
 use super::settings::RelaySettings;
@@ -17,7 +18,7 @@
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::follow::{
-    always_watch, confirm, follow, FollowEvent, FollowMode, FollowPlan,
+    always_watch, confirm, follow, FollowEvent, FollowMode, FollowPlan, FollowSource,
 };
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
 use quetzalhill_platform::manifest::{self, MANIFEST_KEY};
@@ -25,6 +26,7 @@
 use quetzalhill_platform::store::PlatformCodec;
 use quetzalhill_store::api::{KeyRange, KeyValue, StoreRevision, WatchEvent};
 use quetzalhill_store::polled::PolledStore;
+use range::{RangeProgress, RangeState};
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -53,6 +55,12 @@
 /// that it gets its first flows only a little later.
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(2_000);
 
+/// Name of the routes in the log field and the label `follows`.
+const ROUTES_NAME: &str = "routes";
+
+/// Name of the list of endpoints in the log field and the label `follows`.
+const ENDPOINTS_NAME: &str = "endpoints";
+
 /// Stops and joins a running control thread.
 #[derive(Debug)]
 pub(super) struct ControlHandle {
@@ -148,7 +156,7 @@
         )
     };
     let plan = FollowPlan {
-        name: "routes",
+        name: ROUTES_NAME,
         range: KeyRange::Key(MANIFEST_KEY.into()),
         pause: Duration::from_millis(setup.settings.relay.apply_ms / APPLY_PARTS),
         settle: Duration::ZERO,
@@ -162,7 +170,7 @@
         RelayControl::handle_routes_event,
     );
     let plan = FollowPlan {
-        name: "endpoints",
+        name: ENDPOINTS_NAME,
         range: KeyRange::Prefix(ENDPOINT_PREFIX.into()),
         pause: ENDPOINTS_PAUSE,
         settle: ROLE_TIME + TICK_INTERVAL,
@@ -250,24 +258,6 @@
     }
 }
 
-/// How far a range of the store has been read, and whether it is up to date.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-struct RangeState {
-    loaded: bool,
-    current: bool,
-    /// Start of the last read of the whole range.
-    read: Option<Instant>,
-}
-
-impl RangeState {
-    /// Records a read of the whole range, which began at `read` unless it may miss earlier changes.
-    fn record_loaded(&mut self, read: Option<Instant>) {
-        self.loaded = true;
-        self.current = true;
-        self.read = self.read.max(read);
-    }
-}
-
 /// State of the control thread: what it read from the store and what agents reported.
 struct RelayControl {
     state: Arc<RelayState>,
@@ -275,8 +265,10 @@
     store: PolledStore<PlatformCodec>,
     routes: RouteController,
     routes_range: RangeState,
+    routes_progress: RangeProgress,
     fleet: FleetController,
     endpoints_range: RangeState,
+    endpoints_progress: RangeProgress,
     /// Highest store revision of the list that is known.
     list_revision: StoreRevision,
     peers: PeerController,
@@ -309,8 +301,10 @@
             store,
             routes: RouteController::default(),
             routes_range: RangeState::default(),
+            routes_progress: RangeProgress::new(ROUTES_NAME),
             fleet: FleetController::new(setup.settings.node.zone.clone()),
             endpoints_range: RangeState::default(),
+            endpoints_progress: RangeProgress::new(ENDPOINTS_NAME),
             list_revision: 0,
             peers: PeerController::new(id_of(setup.settings.relay.agents), now),
             confirm: ConfirmController::default(),
@@ -331,31 +325,48 @@
 
     fn handle_routes_event(&mut self, event: FollowEvent, now: Instant) {
         let before = self.routes_range;
+        let state = Arc::clone(&self.state);
+        let counters = &state.counters;
         match event {
-            FollowEvent::Loaded { entries, read, .. } => {
+            FollowEvent::Loaded {
+                entries,
+                revision,
+                read,
+                source,
+            } => {
+                let confirmed = read.unwrap_or(now);
+                let progress = &mut self.routes_progress;
+                let age = progress.record_answer(revision, confirmed, now, counters);
                 self.routes_range.record_loaded(read);
                 for entry in entries {
-                    self.apply_routes(&entry);
+                    self.apply_routes(&entry, source, age);
                 }
             }
-            FollowEvent::Changed(events) => {
+            FollowEvent::Changed { events, revision } => {
+                let progress = &mut self.routes_progress;
+                let age = progress.record_answer(revision, now, now, counters);
                 self.routes_range.current = true;
                 for event in events {
                     // The key of the routes is only ever replaced, never deleted.
                     if let WatchEvent::Put(entry) = event {
-                        self.apply_routes(&entry);
+                        self.apply_routes(&entry, FollowSource::Poll, age);
                     }
                 }
             }
-            FollowEvent::Failed => self.routes_range.current = false,
-            FollowEvent::ConfirmStarted | FollowEvent::ConfirmFailed => {}
+            FollowEvent::Failed(end) => {
+                self.routes_progress.record_failure(end, counters);
+                self.routes_range.current = false;
+            }
+            FollowEvent::ConfirmStarted => {}
+            FollowEvent::ConfirmFailed(end) => self.routes_progress.count_failure(end, counters),
         }
         if before != self.routes_range {
             self.publish(now);
         }
     }
 
-    fn apply_routes(&mut self, entry: &KeyValue) {
+    /// Puts routes in force if they are newer. `age` is the age of the state before the answer that brought them.
+    fn apply_routes(&mut self, entry: &KeyValue, source: FollowSource, age: Duration) {
         let routes = match manifest::decode(&entry.value) {
             Ok(routes) => routes,
             Err(error) => {
@@ -367,7 +378,12 @@
             }
         };
         let (revision, count) = (routes.revision, routes.by_address.len());
+        let older = revision < self.routes.current().revision;
         if self.routes.adopt(routes) == RouteOutcome::Stale {
+            if older {
+                let counter = &self.state.counters.older_routes;
+                counter.with_label_values(&[source.name()]).inc();
+            }
             return;
         }
         emit(
@@ -376,6 +392,8 @@
                 ("revision", &revision),
                 ("routes", &count),
                 ("store_revision", &entry.mod_revision),
+                ("source", &source.name()),
+                ("age_ms", &age.as_millis()),
             ],
         );
         set(&self.state.counters.revision, revision);
@@ -399,7 +417,7 @@
         }
         self.send_keepalives(now);
         self.publish(now);
-        self.update_metrics();
+        self.update_metrics(now);
     }
 
     fn publish(&mut self, now: Instant) {
@@ -414,6 +432,7 @@
             services: self.fleet.services(now),
             synced: self.routes_range.current && self.endpoints_range.current,
             routes_read: self.routes_range.read,
+            routes_confirmed: self.routes_progress.confirmed(),
             endpoints_read: self.endpoints_range.read,
             oldest_keepalive: self.fleet.oldest_keepalive(now),
             loaded: self.is_loaded(now),
@@ -457,8 +476,10 @@
         self.stopping = true;
     }
 
-    fn update_metrics(&self) {
+    fn update_metrics(&self, now: Instant) {
         let counters = &self.state.counters;
+        self.routes_progress.update_metrics(now, counters);
+        self.endpoints_progress.update_metrics(now, counters);
         set(&counters.flows, self.state.chain().flows());
         let view = self.state.view.load();
         for (status, name) in [
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -16,6 +16,7 @@
 use quetzalhill_wire::relay::{
     decode_record, endpoint_of_key, KeepaliveNotice, ListNotice, RelayNotice, LIST_CHANGES_MAX,
 };
+use std::sync::Arc;
 use std::time::Instant;
 
 impl RelayControl {
@@ -66,11 +67,14 @@
 
     /// Applies an event of the list of endpoints.
     pub(super) fn handle_endpoints_event(&mut self, event: FollowEvent, now: Instant) {
+        let state = Arc::clone(&self.state);
+        let counters = &state.counters;
         match event {
             FollowEvent::Loaded {
                 entries,
                 revision,
                 read,
+                source,
             } => {
                 // A replica may be older than the changes that other entries have passed on.
                 if read.is_none() && revision < self.list_revision {
@@ -78,16 +82,35 @@
                 }
                 self.list_revision = self.list_revision.max(revision);
                 self.endpoints_range.record_loaded(read);
-                self.load_endpoints(&entries, now);
+                let confirmed = read.unwrap_or(now);
+                let progress = &mut self.endpoints_progress;
+                let age = progress.record_answer(revision, confirmed, now, counters);
+                emit(
+                    EventCode::ListLoaded,
+                    &[
+                        ("records", &entries.len()),
+                        ("endpoints", &self.load_endpoints(&entries, now)),
+                        ("store_revision", &revision),
+                        ("source", &source.name()),
+                        ("age_ms", &age.as_millis()),
+                    ],
+                );
                 self.answer_confirm_requests(read);
             }
-            FollowEvent::Changed(events) => {
+            FollowEvent::Changed { events, revision } => {
+                let progress = &mut self.endpoints_progress;
+                progress.record_answer(revision, now, now, counters);
                 self.endpoints_range.current = true;
                 self.change_endpoints(events, now);
             }
-            FollowEvent::Failed => self.endpoints_range.current = false,
+            FollowEvent::Failed(end) => {
+                self.endpoints_progress.record_failure(end, counters);
+                self.endpoints_range.current = false;
+            }
             FollowEvent::ConfirmStarted => return self.request_digests(now),
-            FollowEvent::ConfirmFailed => return,
+            FollowEvent::ConfirmFailed(end) => {
+                return self.endpoints_progress.count_failure(end, counters);
+            }
         }
         self.send_keepalives(now);
         self.publish(now);
@@ -132,6 +155,7 @@
         match self.confirm.record_answer(id, same_list) {
             ConfirmOutcome::Confirmed(read) => {
                 self.endpoints_range.record_loaded(Some(read));
+                self.endpoints_progress.record_confirmed(read);
                 self.publish(now);
             }
             ConfirmOutcome::Differs => self.confirm_endpoints.notify_one(),
@@ -144,17 +168,16 @@
         self.state.counters.notices.count(kind, size);
     }
 
-    fn load_endpoints(&mut self, entries: &[KeyValue], now: Instant) {
+    /// Replaces the list, and returns the number of endpoints in it.
+    fn load_endpoints(&mut self, entries: &[KeyValue], now: Instant) -> usize {
         self.settle_deadline = self.settle_deadline.or(Some(now + SETTLE_TIME));
         let mut endpoints = Vec::new();
         for entry in entries {
             endpoints.extend(self.read_record(entry));
         }
-        emit(
-            EventCode::ListLoaded,
-            &[("records", &entries.len()), ("endpoints", &endpoints.len())],
-        );
+        let count = endpoints.len();
         self.fleet.replace_list(endpoints, now);
+        count
     }
 
     /// Applies changes from the store, and passes them on to the other entries of the zone.
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -1,7 +1,8 @@
 //! Metrics of an entry of the relay.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, Result,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, Result,
 };
 use quetzalhill_core::relay::chain::{DeliverReason, RelayDrop, RelayVerdict, ResetReason};
 use quetzalhill_core::relay::hold::HoldReason;
@@ -12,6 +13,10 @@
     0.000_002, 0.000_005, 0.000_01, 0.000_02, 0.000_05, 0.000_1, 0.001, 0.01,
 ];
 
+/// Upper bounds of the buckets of the time to catch up after an outage of the store, in seconds. They separate the bound
+/// of three seconds for a change from a poll that stays unanswered, which takes 26 s.
+const CATCH_UP_BUCKETS: [f64; 9] = [0.1, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 30.0, 60.0];
+
 /// Metrics that the traffic threads and the control thread update.
 #[derive(Clone, Debug)]
 pub(super) struct RelayCounters {
@@ -39,6 +44,16 @@
     pub(super) endpoints: prometheus::IntGaugeVec,
     /// Calls to the store since the start, by kind.
     pub(super) store_calls: prometheus::IntGaugeVec,
+    /// Failed calls to the store by range and end of the call.
+    pub(super) store_failures: IntCounterVec,
+    /// Store revision of the last answer, by range.
+    pub(super) range_revision: prometheus::IntGaugeVec,
+    /// Time since the store last confirmed a range, in seconds.
+    pub(super) range_age: GaugeVec,
+    /// Time from the last answer before an outage to the first answer after it, in seconds, by range.
+    pub(super) store_catch_up: HistogramVec,
+    /// Routes from the store that were older than the ones in force, by the call that returned them.
+    pub(super) older_routes: IntCounterVec,
 }
 
 impl RelayCounters {
@@ -74,7 +89,39 @@
             "Records of the list of endpoints that could not be decoded, counted with each read.",
         )?;
         registry.register(Box::new(invalid_records.clone()))?;
+        let failures = Opts::new(
+            "quetzalhill_store_failures_total",
+            "Failed calls to the store by range and end of the call.",
+        );
+        let store_failures = IntCounterVec::new(failures, &["follows", "end"])?;
+        registry.register(Box::new(store_failures.clone()))?;
+        let age = Opts::new(
+            "quetzalhill_store_range_age_seconds",
+            "Time since the store last confirmed the range, in seconds.",
+        );
+        let range_age = GaugeVec::new(age, &["follows"])?;
+        registry.register(Box::new(range_age.clone()))?;
+        let options = HistogramOpts::new(
+            "quetzalhill_store_catch_up_seconds",
+            "Time from the last answer before an outage to the first one after it, in seconds.",
+        );
+        let options = options.buckets(CATCH_UP_BUCKETS.to_vec());
+        let store_catch_up = HistogramVec::new(options, &["follows"])?;
+        registry.register(Box::new(store_catch_up.clone()))?;
         Ok(Self {
+            store_failures,
+            range_age,
+            store_catch_up,
+            range_revision: gauges(
+                "quetzalhill_store_range_revision",
+                "Store revision of the last answer for the range.",
+                "follows",
+            )?,
+            older_routes: counter(
+                "quetzalhill_relay_older_routes_total",
+                "Routes from the store that were older than the ones in force.",
+                "source",
+            )?,
             invalid_records,
             notices: NoticeCounters::new(registry)?,
             packets: counter(
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -377,6 +377,7 @@
                         ("endpoints", &EndpointList(targets)),
                         ("copies", &copies),
                         ("revision", &revision),
+                        ("routes_age_ms", &age_ms(view.routes_confirmed)),
                     ],
                 );
             }
@@ -394,7 +395,6 @@
     /// Logs a packet that was not delivered, with the revision of the routes, the age of the list of endpoints that the
     /// decision used, and the endpoints that were ruled out because they returned a packet of the flow.
     fn log_undelivered(&self, code: EventCode, head: &PacketHead, reason: &str, view: &RelayView) {
-        let age = view.endpoints_read.map(|read| read.elapsed().as_millis());
         let ruled_out = self.state.chain().ruled_out(head.flow);
         emit(
             code,
@@ -402,8 +402,9 @@
                 ("flow", &head.flow),
                 ("reason", &reason),
                 ("revision", &view.routes.revision),
+                ("routes_age_ms", &age_ms(view.routes_confirmed)),
                 ("synced", &view.synced),
-                ("list_age_ms", &age.unwrap_or_default()),
+                ("list_age_ms", &age_ms(view.endpoints_read)),
                 ("ruled_out", &KeyList(ruled_out)),
             ],
         );
@@ -471,3 +472,8 @@
         Ok(())
     }
 }
+
+/// Returns the time since `confirmed` in milliseconds, or 0 if there is no such time.
+fn age_ms(confirmed: Option<Instant>) -> u128 {
+    confirmed.map_or(0, |confirmed| confirmed.elapsed().as_millis())
+}
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -4,8 +4,8 @@
 use ntex::time::{sleep, Millis};
 use quetzalhill_core::retry::backoff;
 use quetzalhill_store::api::{
-    CatalogueStore, CatalogueWatch, KeyRange, KeyValue, StoreError, StoreRevision, WatchBatch,
-    WatchEvent,
+    CallEnd, CatalogueStore, CatalogueWatch, KeyRange, KeyValue, StoreError, StoreRevision,
+    WatchBatch, WatchEvent,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -14,6 +14,31 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep_until, timeout_at};
 
+/// Call from which state or a failure came, in logs and metrics.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FollowSource {
+    /// A read of the whole range by [`follow`].
+    Read,
+    /// A read of the whole range by [`follow`] from a replica, which may miss changes.
+    Replica,
+    /// A poll for changes.
+    Poll,
+    /// A read by [`confirm`].
+    Confirm,
+}
+
+impl FollowSource {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            FollowSource::Read => "read",
+            FollowSource::Replica => "replica",
+            FollowSource::Poll => "poll",
+            FollowSource::Confirm => "confirm",
+        }
+    }
+}
+
 /// An event of a followed range.
 #[derive(Debug)]
 pub enum FollowEvent {
@@ -26,15 +51,22 @@
         /// When the read began; changes made after this point in time may be missing. `None` for a read that may miss
         /// earlier changes too.
         read: Option<Instant>,
+        /// Call that returned the keys.
+        source: FollowSource,
+    },
+    /// Changes since the last event.
+    Changed {
+        /// Changes in the order of their revisions; empty if a poll found none.
+        events: Vec<WatchEvent>,
+        /// Store revision at the time of the answer.
+        revision: StoreRevision,
     },
-    /// Changes since the last event; empty if a poll found none.
-    Changed(Vec<WatchEvent>),
     /// The store did not answer; the state read so far stays valid.
-    Failed,
+    Failed(CallEnd),
     /// A read that was requested from [`confirm`] is about to begin.
     ConfirmStarted,
     /// The store did not answer the read of [`confirm`]; the next request repeats it.
-    ConfirmFailed,
+    ConfirmFailed(CallEnd),
 }
 
 /// How [`follow`] learns of changes.
@@ -73,27 +105,30 @@
     mut sink: impl FnMut(FollowEvent),
 ) {
     let mut failures = FailureLog {
-        name: plan.name.into(),
-        count: 0,
+        name: plan.name,
+        outage: None,
+        revision: 0,
+        confirmed: None,
         loaded: false,
         rng: SmallRng::from_os_rng(),
     };
     loop {
         let mode = *plan.mode.borrow_and_update();
         let read = Instant::now();
-        let result = match mode {
-            FollowMode::Watch => store.range(&plan.range).await,
-            FollowMode::Poll => store.range_stale(&plan.range).await,
+        let (source, result) = match mode {
+            FollowMode::Watch => (FollowSource::Read, store.range(&plan.range).await),
+            FollowMode::Poll => (FollowSource::Replica, store.range_stale(&plan.range).await),
         };
         match result {
             Ok(result) => {
-                failures.record_success();
+                failures.record_success(result.revision, read);
                 failures.loaded = true;
                 let (records, revision) = (result.entries.len(), result.revision);
                 sink(FollowEvent::Loaded {
                     entries: result.entries,
                     revision,
                     read: (mode == FollowMode::Watch).then_some(read),
+                    source,
                 });
                 let from = revision.saturating_add(1);
                 if mode == FollowMode::Watch {
@@ -111,8 +146,8 @@
                 }
             }
             Err(error) => {
-                sink(FollowEvent::Failed);
-                failures.pause(&error).await;
+                sink(FollowEvent::Failed(error.end()));
+                failures.pause(source, read, &error).await;
             }
         }
     }
@@ -152,9 +187,10 @@
                 entries: result.entries,
                 revision: result.revision,
                 read: Some(read),
+                source: FollowSource::Confirm,
             }),
             // `follow` notices and logs the outage of the store. The caller has to request another read.
-            Err(_) => sink(FollowEvent::ConfirmFailed),
+            Err(error) => sink(FollowEvent::ConfirmFailed(error.end())),
         }
         tokio::time::sleep(CONFIRM_PAUSE).await;
     }
@@ -178,20 +214,22 @@
     failures: &mut FailureLog,
     sink: &mut impl FnMut(FollowEvent),
 ) -> WatchEnd {
+    let opened = Instant::now();
     let mut watch = match store.watch(&plan.range, from).await {
         Ok(watch) => watch,
         Err(error) => {
-            sink(FollowEvent::Failed);
-            failures.pause(&error).await;
+            sink(FollowEvent::Failed(error.end()));
+            failures.pause(FollowSource::Poll, opened, &error).await;
             return WatchEnd::Reread;
         }
     };
     loop {
+        let polled = Instant::now();
         match watch.next().await {
-            Ok(WatchBatch::Events { events, .. }) => {
-                failures.record_success();
+            Ok(WatchBatch::Events { events, revision }) => {
+                failures.record_success(revision, Instant::now());
                 let changed = !events.is_empty();
-                sink(FollowEvent::Changed(events));
+                sink(FollowEvent::Changed { events, revision });
                 if *plan.mode.borrow() == FollowMode::Poll {
                     return WatchEnd::ModeChanged;
                 }
@@ -201,51 +239,102 @@
             }
             Ok(WatchBatch::Compacted { .. }) => return WatchEnd::Reread,
             Err(error) => {
-                sink(FollowEvent::Failed);
-                failures.pause(&error).await;
+                sink(FollowEvent::Failed(error.end()));
+                failures.pause(FollowSource::Poll, polled, &error).await;
                 return WatchEnd::Reread;
             }
         }
     }
 }
 
-/// Counts consecutive failures, logs the first of them and the recovery, and waits between attempts.
-struct FailureLog {
-    name: String,
+/// Consecutive failures of the calls of one follower.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// When the first failure was noticed.
+    since: Instant,
+    /// Number of failures.
     count: u32,
+    /// How the last logged call ended.
+    end: CallEnd,
+}
+
+/// Counts consecutive failures, logs the first of them, each change of their kind and the recovery, and waits between
+/// attempts.
+struct FailureLog {
+    name: &'static str,
+    /// Failures since the last answer.
+    outage: Option<Outage>,
+    /// Store revision of the last answer; 0 before the first one.
+    revision: StoreRevision,
+    /// Start of the last read that was answered, or arrival of the last answer to a poll, whichever is later.
+    confirmed: Option<Instant>,
     /// Whether the range has been read once; from then on an outage of the store only delays changes.
     loaded: bool,
     rng: SmallRng,
 }
 
 impl FailureLog {
-    fn record_success(&mut self) {
-        if self.count > 0 {
-            let fields: [(&str, &dyn std::fmt::Display); 2] =
-                [("follows", &self.name), ("failures", &self.count)];
-            emit(EventCode::StoreAvailable, &fields);
+    /// Records an answer, which shows the range as of `confirmed`, and logs the end of an outage.
+    fn record_success(&mut self, revision: StoreRevision, confirmed: Instant) {
+        if let Some(outage) = self.outage.take() {
+            let now = Instant::now();
+            emit(
+                EventCode::StoreAvailable,
+                &[
+                    ("follows", &self.name),
+                    ("failures", &outage.count),
+                    ("outage_ms", &(now - outage.since).as_millis()),
+                    ("age_ms", &self.age_ms(now)),
+                    ("revision", &revision),
+                    ("before", &self.revision),
+                ],
+            );
         }
-        self.count = 0;
+        self.revision = revision;
+        self.confirmed = Some(confirmed);
+    }
+
+    /// Returns the time since the store confirmed the state, in milliseconds; 0 before the first answer.
+    fn age_ms(&self, now: Instant) -> u128 {
+        let age = self.confirmed.map(|confirmed| now - confirmed);
+        age.unwrap_or_default().as_millis()
     }
 
     /// Returns the minimum pause before the next attempt. It is short after the first failures, so that an interrupted
     /// watch is opened again soon.
-    fn pause_min(&self) -> Duration {
-        match self.loaded && self.count > TRANSIENT_FAILURES_MAX {
+    fn pause_min(&self, count: u32) -> Duration {
+        match self.loaded && count > TRANSIENT_FAILURES_MAX {
             true => OUTAGE_PAUSE,
             false => PAUSE_MIN,
         }
     }
 
-    async fn pause(&mut self, error: &StoreError) {
-        self.count = self.count.saturating_add(1);
-        if self.count == 1 {
+    /// Records the failure of a call that began at `began`, and waits before the next attempt.
+    async fn pause(&mut self, call: FollowSource, began: Instant, error: &StoreError) {
+        let now = Instant::now();
+        let end = error.end();
+        let before = self.outage;
+        let count = before.map_or(0, |outage| outage.count).saturating_add(1);
+        self.outage = Some(Outage {
+            since: before.map_or(now, |outage| outage.since),
+            count,
+            end,
+        });
+        if before.is_none_or(|outage| outage.end != end) {
             emit(
                 EventCode::StoreUnavailable,
-                &[("follows", &self.name), ("error", error)],
+                &[
+                    ("follows", &self.name),
+                    ("call", &call.name()),
+                    ("end", &end.name()),
+                    ("waited_ms", &(now - began).as_millis()),
+                    ("revision", &self.revision),
+                    ("age_ms", &self.age_ms(now)),
+                    ("error", error),
+                ],
             );
         }
-        let pause = backoff(self.count, &mut self.rng) + self.pause_min();
+        let pause = backoff(count, &mut self.rng) + self.pause_min(count);
         let millis = u32::try_from(pause.as_millis()).unwrap_or(u32::MAX);
         sleep(Millis(millis)).await;
     }
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -5,8 +5,8 @@
     always_watch, confirm, follow, FollowEvent, FollowMode, FollowPlan,
 };
 use quetzalhill_store::api::{
-    CatalogueStore, CatalogueWatch, KeyRange, LeaseGrant, LeaseId, RangeResult, StoreError,
-    StoreRevision, Transaction, TransactionOutcome, WatchBatch,
+    CallEnd, CatalogueStore, CatalogueWatch, KeyRange, LeaseGrant, LeaseId, RangeResult,
+    StoreError, StoreRevision, Transaction, TransactionOutcome, WatchBatch,
 };
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -29,6 +29,7 @@
 
 fn unavailable() -> StoreError {
     StoreError::NotApplied {
+        end: CallEnd::Unavailable,
         cause: "unavailable".into(),
     }
 }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -3,8 +3,8 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use quetzalhill_store::api::{
-    Compare, KeyRange, KeyValue, LeaseGrant, LeaseId, StoreError, StoreRevision, Transaction,
-    TransactionOutcome, WatchBatch, WatchEvent,
+    CallEnd, Compare, KeyRange, KeyValue, LeaseGrant, LeaseId, StoreError, StoreRevision,
+    Transaction, TransactionOutcome, WatchBatch, WatchEvent,
 };
 use quetzalhill_store::codec::{
     CallMethod, HttpAnswer, HttpCall, RangePage, ReadFreshness, StoreCodec,
@@ -365,6 +365,7 @@
     match answer.status {
         OK => serde_json::from_slice(answer.body).map_err(unreadable),
         UNAVAILABLE => Err(StoreError::NotApplied {
+            end: CallEnd::Unavailable,
             cause: "the store is unavailable".into(),
         }),
         TOO_MANY_REQUESTS => Err(StoreError::Refused {
@@ -375,7 +376,10 @@
             status,
             message: String::from_utf8_lossy(answer.body).into_owned(),
         }),
-        status => Err(unreadable(format!("status {status}"))),
+        status => Err(StoreError::Unknown {
+            end: CallEnd::of_status(status),
+            cause: format!("status {status}"),
+        }),
     }
 }
 
@@ -416,12 +420,14 @@
 
 fn unsupported(what: &str) -> StoreError {
     StoreError::NotApplied {
+        end: CallEnd::NotMade,
         cause: format!("the store's format cannot express {what}"),
     }
 }
 
 fn unreadable(cause: impl ToString) -> StoreError {
     StoreError::Unknown {
+        end: CallEnd::Unreadable,
         cause: cause.to_string(),
     }
 }
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -139,16 +139,78 @@
     },
 }
 
+/// How a call that failed ended, for logs and metrics; decisions use [`StoreError`].
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum CallEnd {
+    /// The call could not be made: it cannot be expressed, or the client could not be set up.
+    NotMade,
+    /// The call was held back because the instance has used up its budget.
+    Budget,
+    /// The store's machine refused the connection.
+    Refused,
+    /// The attempt to connect had no answer within its limit.
+    ConnectTimeout,
+    /// The connection could not be opened for another reason, for example because there is no route.
+    Unreachable,
+    /// The connection was closed before the whole answer had arrived.
+    Cut,
+    /// The kernel closed the connection because the peer did not acknowledge data or answer probes.
+    PeerSilent,
+    /// The connection stayed open, but the answer did not arrive within the limit of the call.
+    Unanswered,
+    /// The store answered with status 503.
+    Unavailable,
+    /// The store answered with status 429.
+    TooMany,
+    /// The store answered with another status that is not a success.
+    OtherStatus,
+    /// The answer could not be decoded or is too large.
+    Unreadable,
+}
+
+impl CallEnd {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CallEnd::NotMade => "not-made",
+            CallEnd::Budget => "budget",
+            CallEnd::Refused => "refused",
+            CallEnd::ConnectTimeout => "connect-timeout",
+            CallEnd::Unreachable => "unreachable",
+            CallEnd::Cut => "cut",
+            CallEnd::PeerSilent => "peer-silent",
+            CallEnd::Unanswered => "unanswered",
+            CallEnd::Unavailable => "status-503",
+            CallEnd::TooMany => "status-429",
+            CallEnd::OtherStatus => "status-other",
+            CallEnd::Unreadable => "unreadable",
+        }
+    }
+
+    /// Returns how a call ended that was answered with `status`, which is not a success.
+    pub fn of_status(status: u16) -> Self {
+        match status {
+            503 => CallEnd::Unavailable,
+            429 => CallEnd::TooMany,
+            _ => CallEnd::OtherStatus,
+        }
+    }
+}
+
 /// Why a call failed, and whether it may have taken effect.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreError {
     /// The call certainly did not take effect: it was not sent, the store was unavailable, or it was a read.
     NotApplied {
+        /// How the call ended.
+        end: CallEnd,
         /// Error of the HTTP client or of the decoder, for messages only.
         cause: String,
     },
     /// The call may have taken effect: the answer did not arrive or could not be decoded.
     Unknown {
+        /// How the call ended.
+        end: CallEnd,
         /// Error of the HTTP client or of the decoder, for messages only.
         cause: String,
     },
@@ -173,15 +235,25 @@
     pub fn may_have_applied(&self) -> bool {
         matches!(self, StoreError::Unknown { .. })
     }
+
+    /// Returns how the call ended.
+    pub fn end(&self) -> CallEnd {
+        match self {
+            StoreError::NotApplied { end, .. } | StoreError::Unknown { end, .. } => *end,
+            StoreError::Refused { status, .. } => CallEnd::of_status(*status),
+            StoreError::LeaseNotFound { .. } => CallEnd::OtherStatus,
+            StoreError::Budget(_) => CallEnd::Budget,
+        }
+    }
 }
 
 impl Display for StoreError {
     fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
         match self {
-            StoreError::NotApplied { cause } => {
+            StoreError::NotApplied { cause, .. } => {
                 write!(f, "the call to the store had no effect: {cause}")
             }
-            StoreError::Unknown { cause } => {
+            StoreError::Unknown { cause, .. } => {
                 write!(
                     f,
                     "no usable answer from the store, the call may have taken effect: {cause}"
--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -6,11 +6,13 @@
 pub use watch::EtcdWatch;
 
 use crate::api::{
-    CatalogueStore, KeyRange, LeaseGrant, LeaseId, RangeResult, StoreError, StoreRevision,
+    CallEnd, CatalogueStore, KeyRange, LeaseGrant, LeaseId, RangeResult, StoreError, StoreRevision,
     Transaction, TransactionOutcome,
 };
 use crate::budget::{BudgetLimits, CallBudget, CallCounts, CallKind};
-use crate::http::{classify_error, millis, not_applied, unknown, unknown_to_not_applied};
+use crate::http::{
+    classify_body_error, classify_error, millis, not_applied, unknown, unknown_to_not_applied,
+};
 use message::{ErrorAnswer, LeaseAnswer, RangeAnswer, StreamLine, TransactionAnswer};
 use ntex::client::{Client, ClientResponse};
 use ntex::time::timeout;
@@ -69,7 +71,10 @@
     /// Returns [`StoreError::NotApplied`] if there is no base URL or the HTTP client cannot be set up.
     pub async fn new(settings: EtcdSettings) -> Result<Self, StoreError> {
         if settings.urls.is_empty() {
-            return Err(not_applied("no address of the store is set"));
+            return Err(not_applied(
+                CallEnd::NotMade,
+                "no address of the store is set",
+            ));
         }
         let client = Client::builder()
             .response_timeout(millis(settings.call_timeout))
@@ -78,7 +83,7 @@
             .response_payload_timeout(millis(settings.call_timeout))
             .build(SharedCfg::default())
             .await
-            .map_err(not_applied)?;
+            .map_err(|error| not_applied(CallEnd::NotMade, error))?;
         let budget = CallBudget::new(settings.limits, Instant::now());
         Ok(Self {
             settings,
@@ -102,7 +107,7 @@
     /// effect, so that no call is executed twice.
     async fn send(&self, path: &str, body: &Value) -> Result<ClientResponse, StoreError> {
         let count = self.settings.urls.len();
-        let mut last_error = not_applied("no address of the store is set");
+        let mut last_error = not_applied(CallEnd::NotMade, "no address of the store is set");
         for step in 0..count {
             let index = (self.preferred.get() + step) % count;
             let url = format!("{}{path}", self.settings.urls[index].trim_end_matches('/'));
@@ -128,16 +133,18 @@
         match timeout(limit, request.send_json(body)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) => Err(classify_error(&error)),
-            Err(()) => Err(unknown("no answer within the timeout")),
+            Err(()) => Err(unknown(CallEnd::Unanswered, "no answer within the timeout")),
         }
     }
 
     async fn call<T: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<T, StoreError> {
         let response = self.send(path, body).await?;
         let status = response.status().as_u16();
-        let bytes = response.body().await.map_err(unknown)?;
+        let bytes = response.body().await;
+        let bytes = bytes.map_err(|error| classify_body_error(&error))?;
         if response.status().is_success() {
-            return serde_json::from_slice(&bytes).map_err(unknown);
+            return serde_json::from_slice(&bytes)
+                .map_err(|error| unknown(CallEnd::Unreadable, error));
         }
         Err(error_from_response(status, &bytes))
     }
@@ -160,7 +167,10 @@
             .map_err(unknown_to_not_applied)?;
         let mut entries = Vec::with_capacity(answer.kvs.len());
         for pair in answer.kvs {
-            entries.push(pair.decode().map_err(not_applied)?);
+            entries.push(
+                pair.decode()
+                    .map_err(|error| not_applied(CallEnd::Unreadable, error))?,
+            );
         }
         Ok(RangeResult {
             revision: answer.header.revision,
@@ -191,7 +201,7 @@
         let body = json!({ "ID": id.to_string() });
         let line: StreamLine<LeaseAnswer> = self.call("/v3/lease/keepalive", &body).await?;
         if let Some(error) = line.error {
-            return Err(unknown(error));
+            return Err(unknown(CallEnd::OtherStatus, error));
         }
         // For a lease that has ended the store answers with a TTL of 0, which the JSON form omits.
         match line.result {
@@ -219,7 +229,8 @@
         if response.status().is_success() {
             return Ok(EtcdWatch::new(response, guard));
         }
-        let bytes = response.body().await.map_err(not_applied)?;
+        let bytes = response.body().await;
+        let bytes = bytes.map_err(|error| unknown_to_not_applied(classify_body_error(&error)))?;
         Err(unknown_to_not_applied(error_from_response(status, &bytes)))
     }
 }
@@ -235,7 +246,10 @@
         Err(_) => String::from_utf8_lossy(body).into_owned(),
     };
     match status >= SERVER_ERROR {
-        true => unknown(format!("status {status}: {message}")),
+        true => unknown(
+            CallEnd::of_status(status),
+            format!("status {status}: {message}"),
+        ),
         false => StoreError::Refused { status, message },
     }
 }
--- a/crates/store/src/etcd/watch.rs
+++ b/crates/store/src/etcd/watch.rs
@@ -2,9 +2,9 @@
 
 use super::message::{StreamLine, WatchAnswer};
 use super::ANSWER_MAX_BYTES;
-use crate::api::{CatalogueWatch, StoreError, WatchBatch};
+use crate::api::{CallEnd, CatalogueWatch, StoreError, WatchBatch};
 use crate::budget::CallBudget;
-use crate::http::not_applied;
+use crate::http::{classify_body_error, not_applied, unknown_to_not_applied};
 use futures_util::StreamExt;
 use ntex::client::ClientResponse;
 use std::cell::RefCell;
@@ -60,24 +60,33 @@
                 return decode_line(&line);
             }
             if self.buffer.len() > ANSWER_MAX_BYTES {
-                return Err(not_applied("a watch message exceeds the size limit"));
+                return Err(not_applied(
+                    CallEnd::Unreadable,
+                    "a watch message exceeds the size limit",
+                ));
             }
             match self.response.next().await {
                 Some(Ok(bytes)) => self.buffer.extend_from_slice(&bytes),
-                Some(Err(error)) => return Err(not_applied(error)),
-                None => return Err(not_applied("the store closed the watch")),
+                Some(Err(error)) => {
+                    return Err(unknown_to_not_applied(classify_body_error(&error)))
+                }
+                None => return Err(not_applied(CallEnd::Cut, "the store closed the watch")),
             }
         }
     }
 }
 
 fn decode_line(line: &[u8]) -> Result<WatchBatch, StoreError> {
-    let line: StreamLine<WatchAnswer> = serde_json::from_slice(line).map_err(not_applied)?;
+    let line: StreamLine<WatchAnswer> = serde_json::from_slice(line).map_err(unreadable)?;
     match (line.result, line.error) {
-        (Some(answer), _) => answer.decode().map_err(not_applied),
-        (None, Some(error)) => Err(not_applied(error)),
-        (None, None) => Err(not_applied(
+        (Some(answer), _) => answer.decode().map_err(unreadable),
+        (None, Some(error)) => Err(not_applied(CallEnd::OtherStatus, error)),
+        (None, None) => Err(unreadable(
             "a watch message has neither a result nor an error",
         )),
     }
 }
+
+fn unreadable(cause: impl ToString) -> StoreError {
+    not_applied(CallEnd::Unreadable, cause)
+}
--- a/crates/store/src/polled.rs
+++ b/crates/store/src/polled.rs
@@ -1,13 +1,15 @@
 //! Client of a store whose watches are long polls over HTTP.
 
 use crate::api::{
-    CatalogueStore, CatalogueWatch, KeyRange, LeaseGrant, LeaseId, RangeResult, StoreError,
-    StoreRevision, Transaction, TransactionOutcome, WatchBatch,
+    CallEnd, CatalogueStore, CatalogueWatch, KeyRange, LeaseGrant, LeaseId, RangeResult,
+    StoreError, StoreRevision, Transaction, TransactionOutcome, WatchBatch,
 };
 use crate::budget::{BudgetLimits, CallBudget, CallCounts, CallKind};
 use crate::codec::{CallMethod, HttpAnswer, HttpCall, ReadFreshness, StoreCodec};
 use crate::connect::ProbedConnector;
-use crate::http::{classify_error, millis, not_applied, unknown, unknown_to_not_applied};
+use crate::http::{
+    classify_body_error, classify_error, millis, not_applied, unknown, unknown_to_not_applied,
+};
 use ntex::client::{Client, ClientRequest, Connector};
 use ntex::http::header::CONTENT_TYPE;
 use ntex::http::Method;
@@ -63,7 +65,7 @@
             .response_payload_timeout(millis(settings.call_timeout))
             .build(SharedCfg::default())
             .await
-            .map_err(not_applied)?;
+            .map_err(|error| not_applied(CallEnd::NotMade, error))?;
         let budget = CallBudget::new(settings.limits, Instant::now());
         Ok(Self {
             settings,
@@ -103,12 +105,13 @@
             };
             let response = sent.map_err(|error| classify_error(&error))?;
             let status = response.status().as_u16();
-            let body = response.body().await.map_err(unknown)?;
+            let body = response.body().await;
+            let body = body.map_err(|error| classify_body_error(&error))?;
             Ok((status, body))
         };
         match timeout(millis(limit), exchange).await {
             Ok(outcome) => outcome,
-            Err(()) => Err(unknown("no answer within the timeout")),
+            Err(()) => Err(unknown(CallEnd::Unanswered, "no answer within the timeout")),
         }
     }
 
@@ -153,7 +156,10 @@
                 return Ok(result);
             }
             if !advances {
-                return Err(not_applied("a page of the range does not advance"));
+                return Err(not_applied(
+                    CallEnd::Unreadable,
+                    "a page of the range does not advance",
+                ));
             }
         }
     }
@@ -205,8 +211,14 @@
         match status {
             200..=299 => Ok(()),
             404 => Err(StoreError::LeaseNotFound { id }),
-            UNAVAILABLE => Err(not_applied("the store is unavailable")),
-            status => Err(unknown(format!("status {status}"))),
+            UNAVAILABLE => Err(not_applied(
+                CallEnd::Unavailable,
+                "the store is unavailable",
+            )),
+            status => Err(unknown(
+                CallEnd::of_status(status),
+                format!("status {status}"),
+            )),
         }
     }
 
