--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -26,7 +26,7 @@
 use quetzalhill_platform::store::PlatformCodec;
 use quetzalhill_store::api::{KeyRange, KeyValue, StoreRevision, WatchEvent};
 use quetzalhill_store::polled::PolledStore;
-use range::{RangeProgress, RangeState};
+use range::{RangeProgress, RangeState, ENDPOINTS_NAME, ROUTES_NAME};
 use std::cell::RefCell;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -55,12 +55,6 @@
 /// that it gets its first flows only a little later.
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(2_000);
 
-/// Name of the routes in the log field and the label `follows`.
-const ROUTES_NAME: &str = "routes";
-
-/// Name of the list of endpoints in the log field and the label `follows`.
-const ENDPOINTS_NAME: &str = "endpoints";
-
 /// Stops and joins a running control thread.
 #[derive(Debug)]
 pub(super) struct ControlHandle {
--- a/crates/entry/src/relay/control/range.rs
+++ b/crates/entry/src/relay/control/range.rs
@@ -4,6 +4,12 @@
 use quetzalhill_store::api::{CallEnd, StoreRevision};
 use std::time::{Duration, Instant};
 
+/// Name of the routes in the log field and the label `follows`.
+pub(super) const ROUTES_NAME: &str = "routes";
+
+/// Name of the list of endpoints in the log field and the label `follows`.
+pub(super) const ENDPOINTS_NAME: &str = "endpoints";
+
 /// How far a range of the store has been read, and whether it is up to date.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct RangeState {
--- a/crates/platform/tests/call_ends.rs
+++ b/crates/platform/tests/call_ends.rs
@@ -8,7 +8,7 @@
 use quetzalhill_store::budget::BudgetLimits;
 use quetzalhill_store::polled::{PolledSettings, PolledStore};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
@@ -34,6 +34,27 @@
     (listener, address)
 }
 
+/// Reads a whole request: a server that closes with unread bytes resets the connection and may lose its answer.
+fn read_request(stream: &mut TcpStream) {
+    let mut request = String::new();
+    let mut part = [0; 2_048];
+    loop {
+        let size = stream.read(&mut part).expect("a request");
+        assert!(size > 0, "the client closed before its request ended");
+        request.push_str(&String::from_utf8_lossy(&part[..size]));
+        let Some((head, body)) = request.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let head = head.to_lowercase();
+        let length = head.split_once("content-length: ");
+        let length = length.and_then(|(_, rest)| rest.lines().next());
+        let length = length.map_or(0, |length| length.parse().expect("a length"));
+        if body.len() >= length {
+            return;
+        }
+    }
+}
+
 /// Serves `answer` to every request; ends with the test process.
 fn serve(answer: ServerAnswer) -> SocketAddrV4 {
     let (listener, address) = bind();
@@ -41,8 +62,7 @@
         for stream in listener.incoming() {
             let mut stream = stream.expect("a connection");
             spawn(move || {
-                let mut request = [0; 2_048];
-                let _ = stream.read(&mut request).expect("a request");
+                read_request(&mut stream);
                 match answer {
                     ServerAnswer::Close(text) => stream.write_all(text.as_bytes()).expect("sent"),
                     ServerAnswer::Silent(text) => {
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -50,6 +50,12 @@
 /// Classifies an error while the body of an answer is read; the call may have taken effect.
 pub(crate) fn classify_body_error(error: &PayloadError) -> StoreError {
     let end = match error {
+        // The client's own limit for the body is an error without a number of the kernel.
+        PayloadError::Incomplete(Some(cause))
+            if cause.kind() == io::ErrorKind::TimedOut && cause.raw_os_error().is_none() =>
+        {
+            CallEnd::Unanswered
+        }
         PayloadError::Incomplete(cause) => cause.as_ref().map_or(CallEnd::Cut, end_of_io),
         PayloadError::Io(cause) => end_of_io(cause),
         _ => CallEnd::Unreadable,
