Entries notice a lost answer of the store within relay.apply_ms

Cause: a long poll waits 25 s, and its answer 1 s more. TCP keep-alive only notices a peer that is gone; a store or proxy that lives and does not answer this poll keeps the connection open. Nothing else reads the routes meanwhile. It is a wait for an event that may never come, without a deadline from the promise.

Change: the timeouts of an entry's calls follow from relay.apply_ms: a poll, its late answer, a pause and the read after it fit into it (1.28 s, 2.78 s and 3.78 s for 3, 5 and 6 s). After a call without an answer the next ones use new connections, since what silenced one may have silenced the idle ones too, and each would cost a whole timeout.

--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -49,7 +49,7 @@
 
 /// Parts of the time for a change of the routes that may pass between two polls for them. The rest is for a poll that
 /// fails, and for the time until the next one.
-const APPLY_PARTS: u64 = 6;
+const APPLY_PARTS: u32 = 6;
 
 /// Pause between two polls for endpoints. It may be longer than for routes: a new endpoint is cold for some seconds, so
 /// that it gets its first flows only a little later.
@@ -133,7 +133,8 @@
     listeners: Vec<TcpListener>,
     mut stopping: watch::Receiver<StopStage>,
 ) -> Result<()> {
-    let store = setup.settings.common().open_store().await?;
+    let apply = Duration::from_millis(setup.settings.relay.apply_ms);
+    let store = setup.settings.common().open_followed_store(apply).await?;
     let now = Instant::now();
     let control = Rc::new(RefCell::new(RelayControl::new(&setup, store.clone(), now)));
     for listener in listeners {
@@ -152,7 +153,7 @@
     let plan = FollowPlan {
         name: ROUTES_NAME,
         range: KeyRange::Key(MANIFEST_KEY.into()),
-        pause: Duration::from_millis(setup.settings.relay.apply_ms / APPLY_PARTS),
+        pause: apply / APPLY_PARTS,
         settle: Duration::ZERO,
         mode: always_watch(),
     };
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -72,8 +72,10 @@
 /// How [`follow`] learns of changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FollowMode {
-    /// Watches the range, and so learns of each change at once.
+    /// Watches the range, and so learns of each change at once, and soon of a lost answer.
     Watch,
+    /// Watches the range with fewer calls, while another entry tells when an answer was lost.
+    LongWatch,
     /// Reads the range seldom, from a replica; changes arrive in another way.
     Poll,
 }
@@ -116,8 +118,10 @@
         let mode = *plan.mode.borrow_and_update();
         let read = Instant::now();
         let (source, result) = match mode {
-            FollowMode::Watch => (FollowSource::Read, store.range(&plan.range).await),
             FollowMode::Poll => (FollowSource::Replica, store.range_stale(&plan.range).await),
+            FollowMode::Watch | FollowMode::LongWatch => {
+                (FollowSource::Read, store.range(&plan.range).await)
+            }
         };
         match result {
             Ok(result) => {
@@ -127,20 +131,16 @@
                 sink(FollowEvent::Loaded {
                     entries: result.entries,
                     revision,
-                    read: (mode == FollowMode::Watch).then_some(read),
+                    read: (mode != FollowMode::Poll).then_some(read),
                     source,
                 });
-                let from = revision.saturating_add(1);
-                if mode == FollowMode::Watch {
+                let mut left = WatchEnd::Reopen(revision.saturating_add(1));
+                if mode != FollowMode::Poll {
                     tokio::time::sleep(plan.settle).await;
                 }
-                let mode = *plan.mode.borrow();
-                let left = match mode {
-                    FollowMode::Watch => {
-                        watch_range(&store, &plan, from, &mut failures, &mut sink).await
-                    }
-                    FollowMode::Poll => WatchEnd::ModeChanged,
-                };
+                while let WatchEnd::Reopen(from) = left {
+                    left = watch_range(&store, &mut plan, from, &mut failures, &mut sink).await;
+                }
                 if left == WatchEnd::ModeChanged {
                     wait_for_poll(&mut plan, records, &mut failures.rng).await;
                 }
@@ -161,7 +161,7 @@
         .max(POLL_INTERVAL_MIN)
         .mul_f64(rng.random_range(0.8..1.2));
     let deadline = tokio::time::Instant::now() + interval;
-    let watched = plan.mode.wait_for(|mode| *mode == FollowMode::Watch);
+    let watched = plan.mode.wait_for(|mode| *mode != FollowMode::Poll);
     // A mode that never changes any more is an error at once; the poll still has to wait.
     if let Ok(Err(_)) = timeout_at(deadline, watched).await {
         sleep_until(deadline).await;
@@ -201,6 +201,8 @@
 enum WatchEnd {
     /// The range has to be read again at once.
     Reread,
+    /// The range has to be watched in another mode, from this revision on.
+    Reopen(StoreRevision),
     /// The range need not be watched any longer.
     ModeChanged,
 }
@@ -209,13 +211,19 @@
 /// the range again, because a read shows sooner than a long poll that the store is back.
 async fn watch_range<S: CatalogueStore>(
     store: &S,
-    plan: &FollowPlan,
-    from: StoreRevision,
+    plan: &mut FollowPlan,
+    mut from: StoreRevision,
     failures: &mut FailureLog,
     sink: &mut impl FnMut(FollowEvent),
 ) -> WatchEnd {
     let opened = Instant::now();
-    let mut watch = match store.watch(&plan.range, from).await {
+    let mode = *plan.mode.borrow_and_update();
+    let watch = match mode {
+        FollowMode::Watch => store.watch(&plan.range, from).await,
+        FollowMode::LongWatch => store.watch_long(&plan.range, from).await,
+        FollowMode::Poll => return WatchEnd::ModeChanged,
+    };
+    let mut watch = match watch {
         Ok(watch) => watch,
         Err(error) => {
             sink(FollowEvent::Failed(error.end()));
@@ -225,17 +233,29 @@
     };
     loop {
         let polled = Instant::now();
-        match watch.next().await {
+        let batch = tokio::select! {
+            batch = watch.next() => batch,
+            // Nobody tells of a lost answer any longer; the poll that waits may have lost its own.
+            Ok(_) = plan.mode.wait_for(|mode| *mode == FollowMode::Watch), if mode == FollowMode::LongWatch => {
+                return WatchEnd::Reopen(from);
+            }
+        };
+        match batch {
             Ok(WatchBatch::Events { events, revision }) => {
                 failures.record_success(revision, Instant::now());
+                from = from.max(revision.saturating_add(1));
                 let changed = !events.is_empty();
                 sink(FollowEvent::Changed { events, revision });
-                if *plan.mode.borrow() == FollowMode::Poll {
+                let wanted = *plan.mode.borrow();
+                if wanted == FollowMode::Poll {
                     return WatchEnd::ModeChanged;
                 }
                 if changed {
                     tokio::time::sleep(plan.pause).await;
                 }
+                if wanted != mode {
+                    return WatchEnd::Reopen(from);
+                }
             }
             Ok(WatchBatch::Compacted { .. }) => return WatchEnd::Reread,
             Err(error) => {
@@ -353,6 +373,9 @@
 /// Shortest pause between two calls to a store that does not answer. The store counts these calls too.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
 
+/// Longest pause after one of the first failures, with the backoff.
+pub(crate) const TRANSIENT_PAUSE_MAX: Duration = Duration::from_millis(110);
+
 /// Maximum number of consecutive failures that do not yet count as an outage of the store.
 const TRANSIENT_FAILURES_MAX: u32 = 2;
 
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -4,6 +4,7 @@
 use quetzalhill_node::relay::follow::{
     always_watch, confirm, follow, FollowEvent, FollowMode, FollowPlan,
 };
+use quetzalhill_node::relay::settings::FollowTimeouts;
 use quetzalhill_store::api::{
     CallEnd, CatalogueStore, CatalogueWatch, KeyRange, LeaseGrant, LeaseId, RangeResult,
     StoreError, StoreRevision, Transaction, TransactionOutcome, WatchBatch,
@@ -20,6 +21,8 @@
     outage: Rc<Cell<bool>>,
     reads: Rc<Cell<u32>>,
     stale_reads: Rc<Cell<u32>>,
+    watches: Rc<Cell<u32>>,
+    long_watches: Rc<Cell<u32>>,
     /// Ends the open watch with an error.
     watch_end: Rc<Notify>,
 }
@@ -61,12 +64,18 @@
     }
 
     async fn watch(&self, _: &KeyRange, _: StoreRevision) -> Result<FakeWatch, StoreError> {
+        self.watches.set(self.watches.get() + 1);
         match self.outage.get() {
             true => Err(unavailable()),
             false => Ok(FakeWatch(self.watch_end.clone())),
         }
     }
 
+    async fn watch_long(&self, _: &KeyRange, _: StoreRevision) -> Result<FakeWatch, StoreError> {
+        self.long_watches.set(self.long_watches.get() + 1);
+        Ok(FakeWatch(self.watch_end.clone()))
+    }
+
     async fn commit(&self, _: &Transaction) -> Result<TransactionOutcome, StoreError> {
         Err(unavailable())
     }
@@ -226,3 +235,49 @@
         assert_eq!(store.reads.get(), 1);
     });
 }
+
+/// Guards against an entry that waits for the end of a long poll, whose answer may be lost, although no other entry tells
+/// it of changes any longer; and against a new read of a range that has been read.
+#[test]
+fn long_watch_is_replaced_once_nobody_else_watches() {
+    run(async {
+        let store = FakeStore::default();
+        let (sender, mode) = watch::channel(FollowMode::LongWatch);
+        let loads = start_in(&store, mode);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!((store.watches.get(), store.long_watches.get()), (0, 1));
+        sender.send_replace(FollowMode::Watch);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!((store.watches.get(), store.long_watches.get()), (1, 1));
+        assert_eq!(loads.borrow().len(), 1);
+    });
+}
+
+/// Guards against a long watch that spins when the mode can no longer change.
+#[test]
+fn long_watch_without_a_sender_of_modes_waits() {
+    run(async {
+        let store = FakeStore::default();
+        let (sender, mode) = watch::channel(FollowMode::LongWatch);
+        drop(sender);
+        start_in(&store, mode);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!((store.watches.get(), store.long_watches.get()), (0, 1));
+    });
+}
+
+/// Guards against timeouts of which a lost answer to a poll and the read after it take longer than a change may.
+#[test]
+fn lost_poll_and_the_read_after_it_fit_into_the_time_for_a_change() {
+    const FIRST_PAUSE: Duration = Duration::from_millis(110);
+    for apply_ms in [600, 1_000, 3_000, 5_000, 6_000, 60_000] {
+        let apply = Duration::from_millis(apply_ms);
+        let timeouts = FollowTimeouts::new(apply);
+        let lost_poll = timeouts.poll + timeouts.call;
+        assert!(
+            lost_poll + FIRST_PAUSE + timeouts.call <= apply,
+            "{apply:?}"
+        );
+        assert!(timeouts.poll >= apply / 5, "{apply:?}");
+    }
+}
--- a/crates/platform/tests/call_ends.rs
+++ b/crates/platform/tests/call_ends.rs
@@ -82,6 +82,7 @@
         address,
         call_timeout: CALL_TIMEOUT,
         poll_timeout: CALL_TIMEOUT,
+        long_poll_timeout: CALL_TIMEOUT,
         limits: BudgetLimits::default(),
     };
     let system = System::build().name("ends").build(DefaultRuntime);
--- a/crates/platform/tests/paging.rs
+++ b/crates/platform/tests/paging.rs
@@ -46,6 +46,7 @@
         address,
         call_timeout: CALL_TIMEOUT,
         poll_timeout: CALL_TIMEOUT,
+        long_poll_timeout: CALL_TIMEOUT,
         limits: BudgetLimits::default(),
     };
     let system = System::build().name("paging").build(DefaultRuntime);
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -356,4 +356,18 @@
     /// Any [`StoreError`] except [`StoreError::Unknown`].
     async fn watch(&self, range: &KeyRange, from: StoreRevision)
         -> Result<Self::Watch, StoreError>;
+
+    /// Opens a watch that costs fewer calls than [`CatalogueStore::watch`] and may notice much later that the store has
+    /// lost an answer. A store whose watches cost no calls while they wait opens the usual one.
+    ///
+    /// # Errors
+    ///
+    /// See [`CatalogueStore::watch`].
+    async fn watch_long(
+        &self,
+        range: &KeyRange,
+        from: StoreRevision,
+    ) -> Result<Self::Watch, StoreError> {
+        self.watch(range, from).await
+    }
 }
--- a/crates/store/src/polled.rs
+++ b/crates/store/src/polled.rs
@@ -17,6 +17,7 @@
 use ntex::util::Bytes;
 use ntex::SharedCfg;
 use std::cell::RefCell;
+use std::fmt::Display;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -34,9 +35,11 @@
     pub address: SocketAddrV4,
     /// Longest wait for the answer to one call; for a long poll it is added to `poll_timeout`.
     pub call_timeout: Duration,
-    /// Time after which the store answers a long poll even without changes. A store that stops answering is noticed
-    /// only after this time plus `call_timeout`.
+    /// Time after which the store answers a long poll even without changes. A lost answer is noticed only after this
+    /// time plus `call_timeout`: the connection may live and still never bring it.
     pub poll_timeout: Duration,
+    /// The same for the polls of [`CatalogueStore::watch_long`].
+    pub long_poll_timeout: Duration,
     /// Rate limits on the calls of this instance.
     pub limits: BudgetLimits,
 }
@@ -46,10 +49,23 @@
 pub struct PolledStore<C> {
     settings: PolledSettings,
     codec: C,
-    client: Client,
+    /// HTTP client with the connections for the next calls; replaced when a call gets no answer.
+    client: Rc<RefCell<Client>>,
     budget: Rc<RefCell<CallBudget>>,
 }
 
+/// Makes an HTTP client without connections.
+async fn open_client(settings: &PolledSettings) -> Result<Client, impl Display> {
+    Client::builder()
+        .connector::<()>(Connector::new().connector(ProbedConnector))
+        .disable_timeout()
+        .disable_redirects()
+        .response_payload_limit(ANSWER_MAX_BYTES)
+        .response_payload_timeout(millis(settings.call_timeout))
+        .build(SharedCfg::default())
+        .await
+}
+
 impl<C: StoreCodec> PolledStore<C> {
     /// Makes a client on the ntex system of the calling thread. Connections are opened by the first calls.
     ///
@@ -57,20 +73,13 @@
     ///
     /// Returns [`StoreError::NotApplied`] if the HTTP client cannot be set up.
     pub async fn new(settings: PolledSettings, codec: C) -> Result<Self, StoreError> {
-        let client = Client::builder()
-            .connector::<()>(Connector::new().connector(ProbedConnector))
-            .disable_timeout()
-            .disable_redirects()
-            .response_payload_limit(ANSWER_MAX_BYTES)
-            .response_payload_timeout(millis(settings.call_timeout))
-            .build(SharedCfg::default())
-            .await
-            .map_err(|error| not_applied(CallEnd::NotMade, error))?;
+        let client = open_client(&settings).await;
+        let client = client.map_err(|error| not_applied(CallEnd::NotMade, error))?;
         let budget = CallBudget::new(settings.limits, Instant::now());
         Ok(Self {
             settings,
             codec,
-            client,
+            client: Rc::new(RefCell::new(client)),
             budget: Rc::new(RefCell::new(budget)),
         })
     }
@@ -89,7 +98,8 @@
         };
         let url = format!("http://{address}{}", call.path);
         // With an explicit address the client skips name resolution.
-        self.client.request(method, url).address(address.into())
+        let client = self.client.borrow();
+        client.request(method, url).address(address.into())
     }
 
     /// Sends a call and returns status and body of the answer; does not charge the budget.
@@ -111,7 +121,36 @@
         };
         match timeout(millis(limit), exchange).await {
             Ok(outcome) => outcome,
-            Err(()) => Err(unknown(CallEnd::Unanswered, "no answer within the timeout")),
+            Err(()) => Err(self.abandon_connections().await),
+        }
+    }
+
+    /// Opens new connections for the calls that follow, and returns the error of the call that had no answer.
+    ///
+    /// What silenced one connection may have silenced the idle ones too, and each of them would cost a later call its
+    /// whole timeout. Calls that wait for their answers keep their connections.
+    async fn abandon_connections(&self) -> StoreError {
+        let cause = match open_client(&self.settings).await {
+            Ok(client) => {
+                self.client.replace(client);
+                String::from("no answer within the timeout")
+            }
+            Err(error) => format!("no answer within the timeout, and no new connections: {error}"),
+        };
+        unknown(CallEnd::Unanswered, cause)
+    }
+
+    fn open_watch(
+        &self,
+        range: &KeyRange,
+        from: StoreRevision,
+        poll_timeout: Duration,
+    ) -> PolledWatch<C> {
+        PolledWatch {
+            store: self.clone(),
+            range: range.clone(),
+            after: from.saturating_sub(1),
+            poll_timeout,
         }
     }
 
@@ -227,11 +266,15 @@
         range: &KeyRange,
         from: StoreRevision,
     ) -> Result<PolledWatch<C>, StoreError> {
-        Ok(PolledWatch {
-            store: self.clone(),
-            range: range.clone(),
-            after: from.saturating_sub(1),
-        })
+        Ok(self.open_watch(range, from, self.settings.poll_timeout))
+    }
+
+    async fn watch_long(
+        &self,
+        range: &KeyRange,
+        from: StoreRevision,
+    ) -> Result<PolledWatch<C>, StoreError> {
+        Ok(self.open_watch(range, from, self.settings.long_poll_timeout))
     }
 }
 
@@ -242,18 +285,19 @@
     range: KeyRange,
     /// Store revision up to which all changes have been received.
     after: StoreRevision,
+    /// Time after which the store answers a poll without changes.
+    poll_timeout: Duration,
 }
 
 impl<C: StoreCodec> CatalogueWatch for PolledWatch<C> {
     async fn next(&mut self) -> Result<WatchBatch, StoreError> {
-        let settings = &self.store.settings;
         let codec = &self.store.codec;
-        let call = codec.encode_watch(&self.range, self.after, settings.poll_timeout);
+        let call = codec.encode_watch(&self.range, self.after, self.poll_timeout);
         self.store
             .budget
             .borrow_mut()
             .charge(CallKind::Read, Instant::now())?;
-        let limit = settings.poll_timeout + settings.call_timeout;
+        let limit = self.poll_timeout + self.store.settings.call_timeout;
         let (status, body) = self
             .store
             .send(call, limit)
