The list of endpoints does not go back to an older version

Cause: FleetController::replace_list replaced the whole list whatever the store revision of the read. A read is answered beside the watch, and other entries pass changes on, so a read that began early and was answered late brought back an endpoint that a later change had removed, or dropped one that it had added, and no event repeated the change. Records that came with a read had list revision 0, so an older change could also undo a read.

Change: a read carries its store revision and the revision of each record (ListRead, ListRecord). RevisionLog keeps the revision of each record and of each removal. A record of a read that is not newer than what was applied changes nothing; an endpoint that a read lacks is removed only if its record is not newer than the read. A removal is kept until a read that is as new, or for 60 s, 4,096 at most; after that an account of a record that is not known is refused if it may be older than what was forgotten. An account that was set aside for a current report is applied by a later read of the same revision, as before. A read of a replica that is older than the changes passed on is no longer dropped as a whole: its newer records count, but it does not make the list current.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -21,6 +21,7 @@
 pub mod place;
 pub mod presence;
 pub mod registration;
+pub mod revisions;
 pub mod routes;
 pub mod subscribe;
 pub mod view;
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -4,20 +4,22 @@
 //! come from its agent directly, so neither an outage of the store nor an expired lease hides an endpoint that still
 //! reports. A flow may be declared ended only if no endpoint is missing from both sources.
 
-pub use crate::relay::list::{ListChange, ListEffect, ListedEndpoint};
+mod records;
 
-use crate::ids::{service_digest, EndpointId, ServiceName, StoreRevision, ZoneName};
+pub use crate::relay::list::{ListChange, ListEffect, ListRead, ListRecord, ListedEndpoint};
+
+use crate::ids::{service_digest, EndpointId, ServiceName, ZoneName};
 use crate::relay::digest::FlowDigest;
 use crate::relay::identity::{merge_accounts, IncarnationChange, IncarnationSource};
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
+use crate::relay::revisions::RevisionLog;
 use crate::relay::routes::FormerServices;
 use crate::relay::subscribe::{sparse_interval, ReportRate};
 use crate::relay::view::{EndpointStatus, ServiceView, ViewEndpoint};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Interval between two reports of an agent to each entry of its availability zone.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(400);
@@ -43,9 +45,6 @@
 /// Keepalive intervals for which a keepalive subscribes the entry to an agent of another zone; two may be lost.
 const FAR_SUBSCRIPTION_INTERVALS: u32 = 3;
 
-/// Seed of the fingerprint of the list.
-const LIST_SEED: u64 = 0x0011_5700;
-
 /// Time within which an endpoint in doubt has to report, before it counts as silent; several times the round trip.
 const DOUBT_TIME: Duration = Duration::from_millis(400);
 
@@ -104,8 +103,8 @@
 struct KnownEndpoint {
     endpoint: ListedEndpoint,
     listed: bool,
-    /// Store revision of the last change of the record that was applied.
-    list_revision: StoreRevision,
+    /// Whether the last account of the list was set aside for a report that was current.
+    set_aside: bool,
     /// Point in time until which an unlisted endpoint without reports is kept.
     retained_until: Instant,
     last: Option<LastReport>,
@@ -132,6 +131,8 @@
 pub struct FleetController {
     zone: ZoneName,
     known: HashMap<EndpointId, KnownEndpoint>,
+    /// Store revisions of the records of the list that were applied.
+    revisions: RevisionLog,
     /// Changes of incarnations since they were taken last.
     incarnation_changes: Vec<IncarnationChange>,
 }
@@ -142,59 +143,11 @@
         Self {
             zone,
             known: HashMap::new(),
+            revisions: RevisionLog::default(),
             incarnation_changes: Vec::new(),
         }
     }
 
-    /// Adds or updates an endpoint from the store's list.
-    pub fn add_listed(&mut self, endpoint: ListedEndpoint, now: Instant) {
-        let Some(known) = self.known.get_mut(&endpoint.id) else {
-            let id = endpoint.id;
-            self.known.insert(id, KnownEndpoint::new(endpoint, now));
-            return;
-        };
-        known.listed = true;
-        // A current report is newer than what the agent wrote to the store before.
-        if known.is_fresh(now) {
-            return;
-        }
-        if known.endpoint.service != endpoint.service {
-            known.last = None;
-        }
-        let change = known.set_endpoint(endpoint, IncarnationSource::List);
-        self.incarnation_changes.extend(change);
-    }
-
-    /// Applies a change of the store's list, unless a later one of the same endpoint was applied: several entries pass
-    /// on the same changes.
-    pub fn apply_change(&mut self, change: ListChange, now: Instant) {
-        let id = match &change.effect {
-            ListEffect::Written(endpoint) => endpoint.id,
-            ListEffect::Removed(id) => *id,
-        };
-        let known = self.known.get(&id);
-        if known.is_some_and(|known| change.revision <= known.list_revision) {
-            return;
-        }
-        match change.effect {
-            ListEffect::Written(endpoint) => self.add_listed(endpoint, now),
-            ListEffect::Removed(id) => self.remove_listed(id, now),
-        }
-        if let Some(known) = self.known.get_mut(&id) {
-            known.list_revision = change.revision;
-        }
-    }
-
-    /// Marks the endpoint as removed from the store's list.
-    pub fn remove_listed(&mut self, id: EndpointId, now: Instant) {
-        let Some(known) = self.known.get_mut(&id) else {
-            return;
-        };
-        known.listed = false;
-        known.retained_until = now + LAPSED_TIME;
-        self.doubt(id, now);
-    }
-
     /// Makes an endpoint that does not report soon count as silent, after a sign that it may have ended. An endpoint
     /// of another zone reports seldom, so its last report would count for a long time.
     pub fn doubt(&mut self, id: EndpointId, now: Instant) {
@@ -213,21 +166,6 @@
         known.next_keepalive = now;
     }
 
-    /// Replaces the whole list, after the history of its changes was lost.
-    pub fn replace_list(&mut self, endpoints: Vec<ListedEndpoint>, now: Instant) {
-        let listed: HashSet<EndpointId> = endpoints.iter().map(|endpoint| endpoint.id).collect();
-        let mut removed: Vec<EndpointId> = self.known.keys().copied().collect();
-        removed.retain(|id| !listed.contains(id));
-        for id in removed {
-            if self.known[&id].listed {
-                self.remove_listed(id, now);
-            }
-        }
-        for endpoint in endpoints {
-            self.add_listed(endpoint, now);
-        }
-    }
-
     /// Applies a report of an agent, unless a later one was applied and has not expired.
     pub fn report(&mut self, report: EndpointReport, now: Instant) -> ReportOutcome {
         let id = report.endpoint.id;
@@ -261,16 +199,9 @@
         std::mem::take(&mut self.incarnation_changes)
     }
 
-    /// Returns a fingerprint of the endpoints that are listed, which is equal for equal lists.
-    pub fn list_fingerprint(&self) -> u64 {
-        let listed = self.known.values().filter(|known| known.listed);
-        listed.fold(0, |sum, known| {
-            sum ^ xxh3_64_with_seed(&known.endpoint.id.to_be_bytes(), LIST_SEED)
-        })
-    }
-
     /// Removes endpoints that are neither listed nor report and whose time to return has passed.
     pub fn tick(&mut self, now: Instant) {
+        self.revisions.tick(now);
         self.known
             .retain(|_, known| known.listed || known.is_fresh(now) || now < known.retained_until);
     }
@@ -398,7 +329,7 @@
         Self {
             endpoint,
             listed: true,
-            list_revision: 0,
+            set_aside: false,
             retained_until: now + LAPSED_TIME,
             last: None,
             reports: 0,
--- a/crates/core/src/relay/list.rs
+++ b/crates/core/src/relay/list.rs
@@ -17,6 +17,24 @@
     pub slots: u32,
 }
 
+/// An endpoint of the list, with the store revision at which its record was written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListRecord {
+    /// Store revision of the last write of the record.
+    pub revision: StoreRevision,
+    /// The endpoint that the record describes.
+    pub endpoint: ListedEndpoint,
+}
+
+/// A read of the whole list, which may have been answered later than changes that were made after it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ListRead {
+    /// Store revision that every page of the read shows at least; a page may be newer.
+    pub revision: StoreRevision,
+    /// The endpoints that were listed.
+    pub records: Vec<ListRecord>,
+}
+
 /// A change of the store's list.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListChange {
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod hold;
 mod identity;
 mod intake;
+mod list;
 mod load;
 mod peers;
 mod place;
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -5,14 +5,14 @@
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, EntryId};
 use quetzalhill_core::relay::confirm::{ConfirmAction, ConfirmClient, ConfirmId, ConfirmOutcome};
 use quetzalhill_core::relay::fleet::{
-    DueKeepalive, ListChange, ListEffect, ListedEndpoint, ReportOutcome,
+    DueKeepalive, ListChange, ListEffect, ListRead, ListRecord, ListedEndpoint, ReportOutcome,
 };
 use quetzalhill_core::relay::peers::ListRole;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::follow::{FollowEvent, FollowMode};
 use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
-use quetzalhill_store::api::{KeyValue, WatchEvent};
+use quetzalhill_store::api::{KeyValue, StoreRevision, WatchEvent};
 use quetzalhill_wire::relay::{
     decode_record, endpoint_of_key, KeepaliveNotice, ListNotice, RelayNotice, LIST_CHANGES_MAX,
 };
@@ -72,13 +72,13 @@
                 revision,
                 read,
             } => {
-                // A replica may be older than the changes that other entries have passed on.
-                if read.is_none() && revision < self.list_revision {
-                    return;
+                self.load_endpoints(&entries, revision, now);
+                // A replica may be older than the changes that other entries have passed on, and may lack other changes
+                // that are older than these.
+                if read.is_some() || revision >= self.list_revision {
+                    self.endpoints_range.record_loaded(read);
                 }
                 self.list_revision = self.list_revision.max(revision);
-                self.endpoints_range.record_loaded(read);
-                self.load_endpoints(&entries, now);
                 self.answer_confirm_requests(read);
             }
             FollowEvent::Changed(events) => {
@@ -144,17 +144,20 @@
         self.state.counters.notices.count(kind, size);
     }
 
-    fn load_endpoints(&mut self, entries: &[KeyValue], now: Instant) {
+    fn load_endpoints(&mut self, entries: &[KeyValue], revision: StoreRevision, now: Instant) {
         self.settle_deadline = self.settle_deadline.or(Some(now + SETTLE_TIME));
-        let mut endpoints = Vec::new();
+        let mut records = Vec::new();
         for entry in entries {
-            endpoints.extend(self.read_record(entry));
+            records.extend(self.read_record(entry).map(|endpoint| ListRecord {
+                revision: entry.mod_revision,
+                endpoint,
+            }));
         }
         emit(
             EventCode::ListLoaded,
-            &[("records", &entries.len()), ("endpoints", &endpoints.len())],
+            &[("records", &entries.len()), ("endpoints", &records.len())],
         );
-        self.fleet.replace_list(endpoints, now);
+        self.fleet.replace_list(ListRead { revision, records }, now);
     }
 
     /// Applies changes from the store, and passes them on to the other entries of the zone.
