Followers learn the state of the list after each answer of a reader

Cause: a follower gets changes of the list of endpoints in datagrams of the readers and otherwise reads a replica every 10 s or more. A lost datagram, or two readers without answers, left it behind for that long, and nothing told it.

Change: after each answered poll or current read of the list a reader sends RelayNotice::ListState (the last variant) to its peers, every 500 ms at most. FreshnessController in core decides: a follower whose records differ for 100 ms reads the list; so does one that no reader has told of an equal state for 2 s + apply_ms / 2 + 1 s, the pause, poll and call of a reader, or up to a quarter longer. A difference that a read does not remove causes one read in that time. The notice carries the revision of the latest change applied, not list_revision: that of a follower rises with its own reads, which show the store's revision, and that of a reader does not rise with an empty poll, so they could not be compared. The fingerprint of ListState covers the revisions of the records; that of confirmations still covers only the endpoints, since a reset needs no more and differences after a power failure would cost reads.

Depends on short polls of the readers: with the present 25 s polls followers read the list every 4.5 to 5.6 s.

Not run with real processes; the price for the large site in docs/coordination.md is calculated.

--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -207,7 +207,8 @@
                 RelayNotice::Report(_)
                 | RelayNotice::ListChange(_)
                 | RelayNotice::ConfirmRequest(_)
-                | RelayNotice::ConfirmAnswer { .. },
+                | RelayNotice::ConfirmAnswer { .. }
+                | RelayNotice::ListState { .. },
             )) => {
                 self.count_malformed("unexpected");
             }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -10,6 +10,7 @@
 pub mod digest;
 pub mod fleet;
 pub mod flows;
+pub mod freshness;
 pub mod health;
 pub mod hold;
 pub mod identity;
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -6,7 +6,9 @@
 
 mod records;
 
-pub use crate::relay::list::{ListChange, ListEffect, ListRead, ListRecord, ListedEndpoint};
+pub use crate::relay::list::{
+    ListChange, ListEffect, ListRead, ListRecord, ListState, ListedEndpoint,
+};
 
 use crate::ids::{service_digest, EndpointId, ServiceName, ZoneName};
 use crate::relay::digest::FlowDigest;
--- a/crates/core/src/relay/fleet/records.rs
+++ b/crates/core/src/relay/fleet/records.rs
@@ -3,7 +3,7 @@
 use super::{FleetController, KnownEndpoint, LAPSED_TIME};
 use crate::ids::EndpointId;
 use crate::relay::identity::IncarnationSource;
-use crate::relay::list::{ListChange, ListEffect, ListRead, ListedEndpoint};
+use crate::relay::list::{ListChange, ListEffect, ListRead, ListState, ListedEndpoint};
 use crate::relay::revisions::RecordAge;
 use std::collections::HashSet;
 use std::time::Instant;
@@ -99,7 +99,14 @@
         self.revisions.record_read(read.revision);
     }
 
-    /// Returns a fingerprint of the endpoints that are listed, which is equal for equal lists.
+    /// Returns the state of the list, by which entries compare their lists record by record.
+    pub fn list_state(&self) -> ListState {
+        self.revisions.state()
+    }
+
+    /// Returns a fingerprint of the endpoints that are listed, which is equal for lists of the same endpoints. It leaves
+    /// out the revisions of their records: a reset needs to know only that no endpoint is missing, and after a power
+    /// failure, when all records are rewritten, each difference would cost a read.
     pub fn list_fingerprint(&self) -> u64 {
         let listed = self.known.values().filter(|known| known.listed);
         listed.fold(0, |sum, known| {
--- /dev/null
+++ b/crates/core/src/relay/freshness.rs
@@ -0,0 +1,123 @@
+//! Decides when an entry that does not watch the store's list of endpoints has to read it.
+//!
+//! Readers pass changes on in datagrams, which may be lost. After each answer of the store they tell their peers the
+//! state of their list, so that a follower reads the list when its own one stays different, and when no reader has told
+//! of an answer for longer than a reader itself would go without one. See docs/coordination.md.
+
+use crate::relay::list::ListState;
+use std::time::{Duration, Instant};
+
+/// Time for which a difference has to last before the list is read, since a change may still be on its way. The next
+/// read of a reader for its zone may follow this soon too.
+const DIFFERENCE_TIME: Duration = Duration::from_millis(100);
+
+/// Shortest time between two notices of a reader to its peers. Reads that confirm the list may follow each other faster.
+const NOTICE_GAP: Duration = Duration::from_millis(500);
+
+/// Largest part of the limit by which an entry may exceed it, so that the followers of a zone do not read at once.
+const SPREAD_PART: f64 = 0.25;
+
+#[derive(Clone, Copy, Debug)]
+struct PendingDifference {
+    state: ListState,
+    read_at: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LastDifference {
+    fingerprint: u64,
+    /// Point in time from which the same difference causes another read.
+    repeats_from: Instant,
+}
+
+/// Tracks how recently a follower's list was known to be that of the store.
+#[derive(Debug)]
+pub struct FreshnessController {
+    limit: Duration,
+    /// Point in time at which the list is read unless it is known to be current again before.
+    read_due: Instant,
+    pending: Option<PendingDifference>,
+    /// Difference that the last read was to remove.
+    last: Option<LastDifference>,
+    /// Point in time from which the own state may be told to the peers again.
+    next_notice: Option<Instant>,
+}
+
+impl FreshnessController {
+    /// Makes a controller for an entry that starts at `now` and reads the list when it has not been known to be current
+    /// for `limit`, or up to a quarter longer. `spread`, from 0 to 1, tells entries apart.
+    pub fn new(limit: Duration, spread: f64, now: Instant) -> Self {
+        let limit = limit.mul_f64(1.0 + SPREAD_PART * spread);
+        Self {
+            limit,
+            read_due: now + limit,
+            pending: None,
+            last: None,
+            next_notice: None,
+        }
+    }
+
+    /// Records that the own list holds what the store held at `read` or later.
+    pub fn record_read(&mut self, read: Instant) {
+        self.read_due = self.read_due.max(read + self.limit);
+    }
+
+    /// Records the state of a reader's list, which a notice told at `now`. `own` is the state of the own list.
+    pub fn record_state(&mut self, state: ListState, own: ListState, now: Instant) {
+        // A reader that knows less than this entry says nothing of the newer changes.
+        if state.revision < own.revision {
+            return;
+        }
+        if state.fingerprint == own.fingerprint {
+            self.pending = None;
+            self.record_read(now);
+            return;
+        }
+        let repeats = self
+            .last
+            .is_some_and(|last| last.fingerprint == state.fingerprint && now < last.repeats_from);
+        if repeats {
+            return;
+        }
+        let pending = self.pending.map(|pending| pending.read_at);
+        self.pending = Some(PendingDifference {
+            state,
+            read_at: pending.unwrap_or(now + DIFFERENCE_TIME),
+        });
+    }
+
+    /// Returns whether the list has to be read now, given the state of the own list. A read that fails is repeated after
+    /// the limit.
+    pub fn take_read(&mut self, own: ListState, now: Instant) -> bool {
+        if let Some(pending) = self.pending {
+            let resolved = pending.state.fingerprint == own.fingerprint
+                || pending.state.revision < own.revision;
+            if resolved {
+                self.pending = None;
+            }
+        }
+        let differs = self.pending.is_some_and(|pending| pending.read_at <= now);
+        if !differs && now < self.read_due {
+            return false;
+        }
+        // One read answers both: a difference that is told again after it is the one that it did not remove.
+        let pending = self.pending.take();
+        let fingerprint = pending.map(|pending| pending.state.fingerprint);
+        let fingerprint = fingerprint.or(self.last.map(|last| last.fingerprint));
+        self.last = fingerprint.map(|fingerprint| LastDifference {
+            fingerprint,
+            repeats_from: now + self.limit,
+        });
+        self.read_due = now + self.limit;
+        true
+    }
+
+    /// Returns whether the peers are to be told the own state after an answer of the store at `now`.
+    pub fn take_notice(&mut self, now: Instant) -> bool {
+        if self.next_notice.is_some_and(|next| now < next) {
+            return false;
+        }
+        self.next_notice = Some(now + NOTICE_GAP);
+        true
+    }
+}
--- a/crates/core/src/relay/list.rs
+++ b/crates/core/src/relay/list.rs
@@ -35,6 +35,15 @@
     pub records: Vec<ListRecord>,
 }
 
+/// State of the list as an entry knows it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ListState {
+    /// Store revision of the latest write or removal of a record that was applied.
+    pub revision: StoreRevision,
+    /// Fingerprint of the listed records and their revisions.
+    pub fingerprint: u64,
+}
+
 /// A change of the store's list.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListChange {
--- a/crates/core/src/relay/revisions.rs
+++ b/crates/core/src/relay/revisions.rs
@@ -6,8 +6,13 @@
 //! not known are refused if they may be older than what is not kept any longer.
 
 use crate::ids::{EndpointId, StoreRevision};
+use crate::relay::list::ListState;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Seed of the fingerprint of the records.
+const RECORDS_SEED: u64 = 0x0011_5701;
 
 /// Time for which the removal of a record is kept; more than twice the 26 s after which an open poll is given up.
 const REMOVAL_TIME: Duration = Duration::from_secs(60);
@@ -41,6 +46,8 @@
     /// Revision up to which a record that is not in `records` has been removed, if it existed: that of the latest read,
     /// or of the latest removal that is no longer kept.
     covered: StoreRevision,
+    /// Highest revision of a record or removal that was recorded.
+    latest: StoreRevision,
 }
 
 impl RevisionLog {
@@ -117,7 +124,26 @@
         self.removals.len()
     }
 
+    /// Returns the state of the list, whose fingerprint is equal for lists of equal records.
+    pub fn state(&self) -> ListState {
+        let mut fingerprint = 0;
+        for (id, record) in &self.records {
+            if record.removed {
+                continue;
+            }
+            let mut bytes = [0; 16];
+            bytes[..8].copy_from_slice(&id.to_be_bytes());
+            bytes[8..].copy_from_slice(&record.revision.to_be_bytes());
+            fingerprint ^= xxh3_64_with_seed(&bytes, RECORDS_SEED);
+        }
+        ListState {
+            revision: self.latest,
+            fingerprint,
+        }
+    }
+
     fn replace(&mut self, id: EndpointId, revision: StoreRevision, removed: bool) {
+        self.latest = self.latest.max(revision);
         let before = self.records.insert(id, RecordState { revision, removed });
         if let Some(before) = before.filter(|before| before.removed) {
             self.removals.remove(&(before.revision, id));
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod confirm;
 mod digest;
 mod fleet;
+mod freshness;
 mod health;
 mod herd;
 mod hold;
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -11,6 +11,7 @@
 use quetzalhill_core::ids::id_of;
 use quetzalhill_core::relay::confirm::{ConfirmController, ConfirmQueue, DigestPacer};
 use quetzalhill_core::relay::fleet::FleetController;
+use quetzalhill_core::relay::freshness::FreshnessController;
 use quetzalhill_core::relay::peers::{PeerController, ROLE_TIME};
 use quetzalhill_core::relay::routes::{RouteController, RouteOutcome};
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
@@ -53,6 +54,9 @@
 /// that it gets its first flows only a little later.
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(2_000);
 
+/// Time that the store may take to answer a call, in the time after which a follower reads the list itself.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
 /// Stops and joins a running control thread.
 #[derive(Debug)]
 pub(super) struct ControlHandle {
@@ -193,6 +197,9 @@
                 Ok(Some(TrafficEvent::ListChange(notice))) => {
                     control.borrow_mut().handle_list_change(notice, Instant::now());
                 }
+                Ok(Some(TrafficEvent::ListState(state))) => {
+                    control.borrow_mut().handle_list_state(state, Instant::now());
+                }
                 Ok(Some(TrafficEvent::Unanswered(id))) => {
                     control.borrow_mut().doubt(id, Instant::now());
                 }
@@ -280,6 +287,7 @@
     /// Highest store revision of the list that is known.
     list_revision: StoreRevision,
     peers: PeerController,
+    freshness: FreshnessController,
     confirm: ConfirmController,
     digest_pacer: DigestPacer,
     /// Requests of other entries to confirm the list.
@@ -303,6 +311,9 @@
 
 impl RelayControl {
     fn new(setup: &ControlSetup, store: PolledStore<PlatformCodec>, now: Instant) -> Self {
+        // A reader has an answer at least this often: a pause after changes, a poll of half the time for a change, a call.
+        let poll = Duration::from_millis(setup.settings.relay.apply_ms / 2);
+        let list_age = ENDPOINTS_PAUSE + poll + ANSWER_TIME;
         Self {
             state: Arc::clone(&setup.state),
             sockets: Arc::clone(&setup.sockets),
@@ -313,6 +324,7 @@
             endpoints_range: RangeState::default(),
             list_revision: 0,
             peers: PeerController::new(id_of(setup.settings.relay.agents), now),
+            freshness: FreshnessController::new(list_age, rand::random(), now),
             confirm: ConfirmController::default(),
             digest_pacer: DigestPacer::default(),
             confirm_clients: ConfirmQueue::default(),
@@ -386,6 +398,7 @@
         self.next_tick = now + TICK_INTERVAL;
         self.fleet.tick(now);
         self.update_role(now);
+        self.check_list_age(now);
         if self.confirm.tick(now) {
             self.confirm_endpoints.notify_one();
         }
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -5,7 +5,8 @@
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, EntryId};
 use quetzalhill_core::relay::confirm::{ConfirmAction, ConfirmClient, ConfirmId, ConfirmOutcome};
 use quetzalhill_core::relay::fleet::{
-    DueKeepalive, ListChange, ListEffect, ListRead, ListRecord, ListedEndpoint, ReportOutcome,
+    DueKeepalive, ListChange, ListEffect, ListRead, ListRecord, ListState, ListedEndpoint,
+    ReportOutcome,
 };
 use quetzalhill_core::relay::peers::ListRole;
 use quetzalhill_node::event::{emit, EventCode};
@@ -80,10 +81,16 @@
                 }
                 self.list_revision = self.list_revision.max(revision);
                 self.answer_confirm_requests(read);
+                if let Some(read) = read {
+                    self.freshness.record_read(read);
+                    self.tell_list_state(now);
+                }
             }
             FollowEvent::Changed(events) => {
                 self.endpoints_range.current = true;
                 self.change_endpoints(events, now);
+                self.freshness.record_read(now);
+                self.tell_list_state(now);
             }
             FollowEvent::Failed => self.endpoints_range.current = false,
             FollowEvent::ConfirmStarted => return self.request_digests(now),
@@ -93,6 +100,38 @@
         self.publish(now);
     }
 
+    /// Tells the other entries of the zone the state of the list after an answer of the store, if this entry watches it.
+    fn tell_list_state(&mut self, now: Instant) {
+        if self.peers.role(now) != ListRole::Reader || !self.freshness.take_notice(now) {
+            return;
+        }
+        let state = self.fleet.list_state();
+        let notice = RelayNotice::ListState {
+            revision: state.revision,
+            fingerprint: state.fingerprint,
+        };
+        for peer in self.peers.peers() {
+            self.send_to_peer(&notice, peer, NoticeKind::ListState);
+        }
+    }
+
+    /// Compares the own list with that of a reader.
+    pub(super) fn handle_list_state(&mut self, state: ListState, now: Instant) {
+        let own = self.fleet.list_state();
+        self.freshness.record_state(state, own, now);
+    }
+
+    /// Reads the list if this entry does not watch it and may have missed a change.
+    pub(super) fn check_list_age(&mut self, now: Instant) {
+        if self.peers.role(now) != ListRole::Follower {
+            return;
+        }
+        let own = self.fleet.list_state();
+        if self.freshness.take_read(own, now) {
+            self.confirm_endpoints.notify_one();
+        }
+    }
+
     /// Has the list confirmed as of now, by another entry of the zone if there is one.
     pub(super) fn confirm_list(&mut self, now: Instant) {
         match self.confirm.request(self.peers.confirmer(), now) {
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -14,6 +14,7 @@
 use quetzalhill_core::relay::confirm::{ConfirmClient, ConfirmId};
 use quetzalhill_core::relay::hold::HoldReason;
 use quetzalhill_core::relay::intake::ReturnReason;
+use quetzalhill_core::relay::list::ListState;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_core::relay::place::{EndpointKey, TriedList};
 use quetzalhill_core::relay::view::RelayView;
@@ -47,6 +48,8 @@
     Report(ArrivedReport),
     /// Another entry passes on changes of the list of endpoints.
     ListChange(ListNotice),
+    /// Another entry has told the state of its list.
+    ListState(ListState),
     /// Another entry requests a read of the list of endpoints.
     ConfirmRequest(ConfirmClient),
     /// Another entry has read the list of endpoints.
@@ -261,6 +264,15 @@
             Ok(RelayDatagram::Notice(RelayNotice::ListChange(notice))) => {
                 self.send_event(TrafficEvent::ListChange(notice));
             }
+            Ok(RelayDatagram::Notice(RelayNotice::ListState {
+                revision,
+                fingerprint,
+            })) => {
+                self.send_event(TrafficEvent::ListState(ListState {
+                    revision,
+                    fingerprint,
+                }));
+            }
             Ok(RelayDatagram::Notice(RelayNotice::ConfirmRequest(id))) => {
                 self.send_event(TrafficEvent::ConfirmRequest(ConfirmClient {
                     entry: id_of(agent),
--- a/crates/node/src/relay/notices.rs
+++ b/crates/node/src/relay/notices.rs
@@ -12,6 +12,8 @@
     Report(ReportRate),
     /// Change of the list of endpoints, between entries of a zone.
     ListChange,
+    /// State of the list of a reader, between entries of a zone.
+    ListState,
     /// Request to confirm the list, or its answer, between entries of a zone.
     Confirm,
 }
@@ -25,6 +27,7 @@
             NoticeKind::Report(ReportRate::Frequent) => "report-near",
             NoticeKind::Report(ReportRate::Sparse) => "report-far",
             NoticeKind::ListChange => "list-change",
+            NoticeKind::ListState => "list-state",
             NoticeKind::Confirm => "confirm",
         }
     }
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -179,6 +179,14 @@
         /// Fingerprint of the list that was read.
         list: u64,
     },
+    /// From an entry that watches the list to another one of its zone, after an answer of the store: the state of the
+    /// sender's list.
+    ListState {
+        /// Store revision of the latest change that the sender has applied.
+        revision: StoreRevision,
+        /// Fingerprint of the records that the sender has.
+        fingerprint: u64,
+    },
 }
 
 /// Changes of the list of endpoints, in the order of the store.
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -194,3 +194,20 @@
         );
     }
 }
+
+/// Guards against a state of the list that is changed between two entries or grows beyond a small datagram, and against a
+/// variant before the others, which would change their encoding.
+#[test]
+fn list_state_round_trip() {
+    for (revision, fingerprint) in [(0, 0), (i64::MAX, u64::MAX)] {
+        let notice = RelayNotice::ListState {
+            revision,
+            fingerprint,
+        };
+        let mut datagram = notice.encode().expect("encodes");
+        assert!(datagram.len() <= 24, "{} bytes", datagram.len());
+        assert_eq!(datagram[2], 5);
+        let decoded = decode_datagram(&mut datagram);
+        assert_eq!(decoded, Ok(RelayDatagram::Notice(notice)));
+    }
+}
