--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -5,14 +5,15 @@
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, EntryId};
 use quetzalhill_core::relay::confirm::{ConfirmAction, ConfirmClient, ConfirmId, ConfirmOutcome};
 use quetzalhill_core::relay::fleet::{
-    DueKeepalive, ListChange, ListEffect, ListedEndpoint, ReportOutcome,
+    DueKeepalive, ListChange, ListEffect, ListRead, ListRecord, ListState, ListedEndpoint,
+    ReportOutcome,
 };
 use quetzalhill_core::relay::peers::ListRole;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::follow::{FollowEvent, FollowMode};
 use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
-use quetzalhill_store::api::{KeyValue, WatchEvent};
+use quetzalhill_store::api::{KeyValue, StoreRevision, WatchEvent};
 use quetzalhill_wire::relay::{
     decode_record, endpoint_of_key, KeepaliveNotice, ListNotice, RelayNotice, LIST_CHANGES_MAX,
 };
@@ -76,32 +77,40 @@
                 read,
                 source,
             } => {
-                // A replica may be older than the changes that other entries have passed on.
-                if read.is_none() && revision < self.list_revision {
-                    return;
+                let endpoints = self.load_endpoints(&entries, revision, now);
+                let confirmed = read.unwrap_or(now);
+                let mut age = self.endpoints_progress.age(now);
+                // A replica may be older than the changes that other entries have passed on, and may lack other changes
+                // that are older than these.
+                if read.is_some() || revision >= self.list_revision {
+                    self.endpoints_range.record_loaded(read);
+                    let progress = &mut self.endpoints_progress;
+                    age = progress.record_answer(revision, confirmed, now, counters);
                 }
                 self.list_revision = self.list_revision.max(revision);
-                self.endpoints_range.record_loaded(read);
-                let confirmed = read.unwrap_or(now);
-                let progress = &mut self.endpoints_progress;
-                let age = progress.record_answer(revision, confirmed, now, counters);
                 emit(
                     EventCode::ListLoaded,
                     &[
                         ("records", &entries.len()),
-                        ("endpoints", &self.load_endpoints(&entries, now)),
+                        ("endpoints", &endpoints),
                         ("store_revision", &revision),
                         ("source", &source.name()),
                         ("age_ms", &age.as_millis()),
                     ],
                 );
                 self.answer_confirm_requests(read);
+                if let Some(read) = read {
+                    self.freshness.record_read(read);
+                    self.tell_list_state(now);
+                }
             }
             FollowEvent::Changed { events, revision } => {
                 let progress = &mut self.endpoints_progress;
                 progress.record_answer(revision, now, now, counters);
                 self.endpoints_range.current = true;
                 self.change_endpoints(events, now);
+                self.freshness.record_read(now);
+                self.tell_list_state(now);
             }
             FollowEvent::Failed(end) => {
                 self.endpoints_progress.record_failure(end, counters);
@@ -116,6 +125,41 @@
         self.publish(now);
     }
 
+    /// Tells the other entries of the zone the state of the list after an answer of the store, if this entry watches it.
+    fn tell_list_state(&mut self, now: Instant) {
+        if self.peers.role(now) != ListRole::Reader || !self.freshness.take_notice(now) {
+            return;
+        }
+        let state = self.fleet.list_state();
+        let notice = RelayNotice::ListState {
+            revision: state.revision,
+            fingerprint: state.fingerprint,
+        };
+        for peer in self.peers.peers() {
+            self.send_to_peer(&notice, peer, NoticeKind::ListState);
+        }
+    }
+
+    /// Compares the own list with that of a reader.
+    pub(super) fn handle_list_state(&mut self, state: ListState, now: Instant) {
+        let own = self.fleet.list_state();
+        self.freshness.record_state(state, own, now);
+        if state == own {
+            self.endpoints_progress.record_confirmed(now);
+        }
+    }
+
+    /// Reads the list if this entry does not watch it and may have missed a change.
+    pub(super) fn check_list_age(&mut self, now: Instant) {
+        if self.peers.role(now) != ListRole::Follower {
+            return;
+        }
+        let own = self.fleet.list_state();
+        if self.freshness.take_read(own, now) {
+            self.confirm_endpoints.notify_one();
+        }
+    }
+
     /// Has the list confirmed as of now, by another entry of the zone if there is one.
     pub(super) fn confirm_list(&mut self, now: Instant) {
         match self.confirm.request(self.peers.confirmer(), now) {
@@ -168,15 +212,23 @@
         self.state.counters.notices.count(kind, size);
     }
 
-    /// Replaces the list, and returns the number of endpoints in it.
-    fn load_endpoints(&mut self, entries: &[KeyValue], now: Instant) -> usize {
+    /// Applies a read of the list, and returns the number of endpoints in it.
+    fn load_endpoints(
+        &mut self,
+        entries: &[KeyValue],
+        revision: StoreRevision,
+        now: Instant,
+    ) -> usize {
         self.settle_deadline = self.settle_deadline.or(Some(now + SETTLE_TIME));
-        let mut endpoints = Vec::new();
+        let mut records = Vec::new();
         for entry in entries {
-            endpoints.extend(self.read_record(entry));
+            records.extend(self.read_record(entry).map(|endpoint| ListRecord {
+                revision: entry.mod_revision,
+                endpoint,
+            }));
         }
-        let count = endpoints.len();
-        self.fleet.replace_list(endpoints, now);
+        let count = records.len();
+        self.fleet.replace_list(ListRead { revision, records }, now);
         count
     }
 
--- a/crates/entry/src/relay/control/range.rs
+++ b/crates/entry/src/relay/control/range.rs
@@ -105,7 +105,7 @@
     }
 
     /// Returns the time since the store last confirmed the range, or zero before the first answer.
-    fn age(&self, now: Instant) -> Duration {
+    pub(super) fn age(&self, now: Instant) -> Duration {
         let age = self.confirmed.map(|confirmed| now - confirmed);
         age.unwrap_or_default()
     }
