Readers of a zone tell the others which routes are in force

Cause: short polls by every entry would cost as many calls as there are entries; with long polls a lost answer leaves an entry behind.

Change: the two readers of a zone poll the routes as often as relay.apply_ms requires and tell their peers the revision after each answer (RoutesState). The others keep the long poll; one whose revision differs for longer than its own pause, or that hears of no answer, reads the routes. An entry that becomes a reader gives its long poll up at once.

--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -208,7 +208,8 @@
                 | RelayNotice::ListChange(_)
                 | RelayNotice::ConfirmRequest(_)
                 | RelayNotice::ConfirmAnswer { .. }
-                | RelayNotice::ListState { .. },
+                | RelayNotice::ListState { .. }
+                | RelayNotice::RoutesState(_),
             )) => {
                 self.count_malformed("unexpected");
             }
--- a/crates/core/src/relay/freshness.rs
+++ b/crates/core/src/relay/freshness.rs
@@ -1,7 +1,8 @@
-//! Decides when an entry that does not watch the store's list of endpoints has to read it.
+//! Decides when an entry that leaves it to others to notice lost answers has to read the list of endpoints or the routes.
 //!
-//! Readers pass changes on in datagrams, which may be lost. After each answer of the store they tell their peers the
-//! state of their list, so that a follower reads the list when its own one stays different, and when no reader has told
+//! Readers pass changes of the list on in datagrams, which may be lost, and the answer to a follower's long poll for the
+//! routes may be lost too. After each answer of the store they tell their peers the
+//! state that they have, so that a follower reads the list or the routes when its own state stays different, and when no reader has told
 //! of an answer for longer than a reader itself would go without one. See docs/coordination.md.
 
 use crate::relay::list::ListState;
@@ -15,7 +16,7 @@
 const NOTICE_GAP: Duration = Duration::from_millis(500);
 
 /// Largest part of the limit by which an entry may exceed it, so that the followers of a zone do not read at once.
-const SPREAD_PART: f64 = 0.25;
+const SPREAD_PART: f64 = 0.1;
 
 #[derive(Clone, Copy, Debug)]
 struct PendingDifference {
@@ -34,6 +35,8 @@
 #[derive(Debug)]
 pub struct FreshnessController {
     limit: Duration,
+    /// Time for which a difference has to last before a read.
+    difference_time: Duration,
     /// Point in time at which the list is read unless it is known to be current again before.
     read_due: Instant,
     pending: Option<PendingDifference>,
@@ -45,11 +48,12 @@
 
 impl FreshnessController {
     /// Makes a controller for an entry that starts at `now` and reads the list when it has not been known to be current
-    /// for `limit`, or up to a quarter longer. `spread`, from 0 to 1, tells entries apart.
+    /// for `limit`, or up to a tenth longer. `spread`, from 0 to 1, tells entries apart.
     pub fn new(limit: Duration, spread: f64, now: Instant) -> Self {
         let limit = limit.mul_f64(1.0 + SPREAD_PART * spread);
         Self {
             limit,
+            difference_time: DIFFERENCE_TIME,
             read_due: now + limit,
             pending: None,
             last: None,
@@ -57,6 +61,12 @@
         }
     }
 
+    /// Makes a difference wait for `pause` more, for an entry that polls itself and pauses that long after a change.
+    pub fn with_pause(mut self, pause: Duration) -> Self {
+        self.difference_time += pause;
+        self
+    }
+
     /// Records that the own list holds what the store held at `read` or later.
     pub fn record_read(&mut self, read: Instant) {
         self.read_due = self.read_due.max(read + self.limit);
@@ -82,7 +92,7 @@
         let pending = self.pending.map(|pending| pending.read_at);
         self.pending = Some(PendingDifference {
             state,
-            read_at: pending.unwrap_or(now + DIFFERENCE_TIME),
+            read_at: pending.unwrap_or(now + self.difference_time),
         });
     }
 
--- a/crates/core/tests/relay/freshness.rs
+++ b/crates/core/tests/relay/freshness.rs
@@ -121,13 +121,25 @@
     assert!(freshness.take_read(own, now + TICK));
 }
 
+/// Guards against a read for a change that the entry's own poll is about to bring, because it pauses after the last one.
+#[test]
+fn difference_lasts_longer_than_the_pause_of_the_own_poll() {
+    let now = Instant::now();
+    let pause = Duration::from_millis(500);
+    let mut freshness = controller(now).with_pause(pause);
+    let own = state(10, 10);
+    freshness.record_state(state(11, 11), own, now);
+    assert!(!freshness.take_read(own, now + pause));
+    assert!(freshness.take_read(own, now + pause + TICK));
+}
+
 /// Guards against followers of a zone that all read at the same moment, and against one that waits far longer than the
 /// limit.
 #[test]
 fn reads_of_followers_are_spread() {
     let start = Instant::now();
     let own = state(10, 1);
-    for (spread, due_ms) in [(0.0, 4_500), (0.5, 5_062), (1.0, 5_625)] {
+    for (spread, due_ms) in [(0.0, 4_500), (0.5, 4_725), (1.0, 4_950)] {
         let mut freshness = FreshnessController::new(LIMIT, spread, start);
         let due = start + Duration::from_millis(due_ms);
         assert!(!freshness.take_read(own, due - TICK));
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -2,6 +2,7 @@
 
 mod endpoints;
 mod range;
+mod routes;
 
 use super::counters::set;
 use super::settings::RelaySettings;
@@ -14,18 +15,16 @@
 use quetzalhill_core::relay::fleet::FleetController;
 use quetzalhill_core::relay::freshness::FreshnessController;
 use quetzalhill_core::relay::peers::{PeerController, ROLE_TIME};
-use quetzalhill_core::relay::routes::{RouteController, RouteOutcome};
+use quetzalhill_core::relay::routes::RouteController;
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::relay::follow::{
-    always_watch, confirm, follow, FollowEvent, FollowMode, FollowPlan, FollowSource,
-};
-use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
-use quetzalhill_platform::manifest::{self, MANIFEST_KEY};
+use quetzalhill_node::relay::follow::{confirm, follow, FollowEvent, FollowMode, FollowPlan};
+use quetzalhill_node::relay::settings::{FollowTimeouts, ENDPOINT_PREFIX};
+use quetzalhill_platform::manifest::MANIFEST_KEY;
 use quetzalhill_platform::server::{self, ServerCall};
 use quetzalhill_platform::store::PlatformCodec;
-use quetzalhill_store::api::{KeyRange, KeyValue, StoreRevision, WatchEvent};
+use quetzalhill_store::api::{KeyRange, StoreRevision};
 use quetzalhill_store::polled::PolledStore;
 use range::{RangeProgress, RangeState, ENDPOINTS_NAME, ROUTES_NAME};
 use std::cell::RefCell;
@@ -48,16 +47,16 @@
 /// that it is ready.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
-/// Parts of the time for a change of the routes that may pass between two polls for them. The rest is for a poll that
-/// fails, and for the time until the next one.
-const APPLY_PARTS: u32 = 6;
+/// Divisor of the time for a change that gives the pause of the polls for routes after a change. The rest is for a poll
+/// that fails, and for the time until the next one.
+const ROUTES_PARTS: u32 = 6;
 
-/// Pause between two polls for endpoints. It may be longer than for routes: a new endpoint is cold for some seconds, so
+/// The same for the list of endpoints. The pause may be longer than for routes: a new endpoint is cold for some seconds, so
 /// that it gets its first flows only a little later.
-const ENDPOINTS_PAUSE: Duration = Duration::from_millis(2_000);
+const ENDPOINTS_PARTS: u32 = 4;
 
-/// Time that the store may take to answer a call, in the time after which a follower reads the list itself.
-const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Longest pause of the polls for the list of endpoints after a change.
+const ENDPOINTS_PAUSE_MAX: Duration = Duration::from_secs(2);
 
 /// Stops and joins a running control thread.
 #[derive(Debug)]
@@ -146,20 +145,21 @@
         let handler = Rc::new(move |call| answer(&control, &registry, &call));
         ntex::rt::spawn(calls::serve(listener, handler)).detach();
     }
-    let (confirm_routes, confirm_endpoints, list_mode) = {
+    let (confirm_routes, confirm_endpoints, routes_mode, list_mode) = {
         let control = control.borrow();
         (
             control.confirm_routes.clone(),
             control.confirm_endpoints.clone(),
+            control.routes_mode.subscribe(),
             control.list_mode.subscribe(),
         )
     };
     let plan = FollowPlan {
         name: ROUTES_NAME,
         range: KeyRange::Key(MANIFEST_KEY.into()),
-        pause: apply / APPLY_PARTS,
+        pause: routes_pause(apply),
         settle: Duration::ZERO,
-        mode: always_watch(),
+        mode: routes_mode,
     };
     follow_range(
         &control,
@@ -171,7 +171,7 @@
     let plan = FollowPlan {
         name: ENDPOINTS_NAME,
         range: KeyRange::Prefix(ENDPOINT_PREFIX.into()),
-        pause: ENDPOINTS_PAUSE,
+        pause: endpoints_pause(apply),
         settle: ROLE_TIME + TICK_INTERVAL,
         mode: list_mode,
     };
@@ -203,6 +203,9 @@
                 Ok(Some(TrafficEvent::ListState(state))) => {
                     control.borrow_mut().handle_list_state(state, Instant::now());
                 }
+                Ok(Some(TrafficEvent::RoutesState(revision))) => {
+                    control.borrow_mut().handle_routes_state(revision, Instant::now());
+                }
                 Ok(Some(TrafficEvent::Unanswered(id))) => {
                     control.borrow_mut().doubt(id, Instant::now());
                 }
@@ -225,6 +228,24 @@
     }
 }
 
+/// Returns the pause of the polls for routes after a change, so that one call returns several changes.
+fn routes_pause(apply: Duration) -> Duration {
+    apply / ROUTES_PARTS
+}
+
+/// Returns the pause of the polls for the list of endpoints after a change.
+fn endpoints_pause(apply: Duration) -> Duration {
+    ENDPOINTS_PAUSE_MAX.min(apply / ENDPOINTS_PARTS)
+}
+
+/// Makes the controller that notices that no entry of the zone has told of an answer for longer than a reader takes that
+/// polls after `pause`, with a store that takes half of the time that a call may take.
+fn new_freshness(apply: Duration, pause: Duration, now: Instant) -> FreshnessController {
+    let timeouts = FollowTimeouts::new(apply);
+    let limit = pause + timeouts.poll + timeouts.call / 2;
+    FreshnessController::new(limit, rand::random(), now)
+}
+
 /// Follows a range of the store, and reads it again whenever `confirm_requests` is notified.
 fn follow_range(
     control: &Rc<RefCell<RelayControl>>,
@@ -274,11 +295,14 @@
     /// Highest store revision of the list that is known.
     list_revision: StoreRevision,
     peers: PeerController,
-    freshness: FreshnessController,
+    routes_freshness: FreshnessController,
+    list_freshness: FreshnessController,
     confirm: ConfirmController,
     digest_pacer: DigestPacer,
     /// Requests of other entries to confirm the list.
     confirm_clients: ConfirmQueue,
+    /// How the routes are followed, by the role of this entry.
+    routes_mode: watch::Sender<FollowMode>,
     /// How the list is followed, by the role of this entry.
     list_mode: watch::Sender<FollowMode>,
     /// End of the wait for first reports; unset before the first list of endpoints.
@@ -298,9 +322,8 @@
 
 impl RelayControl {
     fn new(setup: &ControlSetup, store: PolledStore<PlatformCodec>, now: Instant) -> Self {
-        // A reader has an answer at least this often: a pause after changes, a poll of half the time for a change, a call.
-        let poll = Duration::from_millis(setup.settings.relay.apply_ms / 2);
-        let list_age = ENDPOINTS_PAUSE + poll + ANSWER_TIME;
+        let apply = Duration::from_millis(setup.settings.relay.apply_ms);
+        let routes_pause = routes_pause(apply);
         Self {
             state: Arc::clone(&setup.state),
             sockets: Arc::clone(&setup.sockets),
@@ -313,10 +336,12 @@
             endpoints_progress: RangeProgress::new(ENDPOINTS_NAME),
             list_revision: 0,
             peers: PeerController::new(id_of(setup.settings.relay.agents), now),
-            freshness: FreshnessController::new(list_age, rand::random(), now),
+            routes_freshness: new_freshness(apply, routes_pause, now).with_pause(routes_pause),
+            list_freshness: new_freshness(apply, endpoints_pause(apply), now),
             confirm: ConfirmController::default(),
             digest_pacer: DigestPacer::default(),
             confirm_clients: ConfirmQueue::default(),
+            routes_mode: watch::Sender::new(FollowMode::Watch),
             list_mode: watch::Sender::new(FollowMode::Watch),
             settle_deadline: None,
             confirm_endpoints: Rc::default(),
@@ -330,88 +355,12 @@
         }
     }
 
-    fn handle_routes_event(&mut self, event: FollowEvent, now: Instant) {
-        let before = self.routes_range;
-        let state = Arc::clone(&self.state);
-        let counters = &state.counters;
-        match event {
-            FollowEvent::Loaded {
-                entries,
-                revision,
-                read,
-                source,
-            } => {
-                let confirmed = read.unwrap_or(now);
-                let progress = &mut self.routes_progress;
-                let age = progress.record_answer(revision, confirmed, now, counters);
-                self.routes_range.record_loaded(read);
-                for entry in entries {
-                    self.apply_routes(&entry, source, age);
-                }
-            }
-            FollowEvent::Changed { events, revision } => {
-                let progress = &mut self.routes_progress;
-                let age = progress.record_answer(revision, now, now, counters);
-                self.routes_range.current = true;
-                for event in events {
-                    // The key of the routes is only ever replaced, never deleted.
-                    if let WatchEvent::Put(entry) = event {
-                        self.apply_routes(&entry, FollowSource::Poll, age);
-                    }
-                }
-            }
-            FollowEvent::Failed(end) => {
-                self.routes_progress.record_failure(end, counters);
-                self.routes_range.current = false;
-            }
-            FollowEvent::ConfirmStarted => {}
-            FollowEvent::ConfirmFailed(end) => self.routes_progress.count_failure(end, counters),
-        }
-        if before != self.routes_range {
-            self.publish(now);
-        }
-    }
-
-    /// Puts routes in force if they are newer. `age` is the age of the state before the answer that brought them.
-    fn apply_routes(&mut self, entry: &KeyValue, source: FollowSource, age: Duration) {
-        let routes = match manifest::decode(&entry.value) {
-            Ok(routes) => routes,
-            Err(error) => {
-                emit(
-                    EventCode::RoutesInvalid,
-                    &[("error", &error), ("store_revision", &entry.mod_revision)],
-                );
-                return;
-            }
-        };
-        let (revision, count) = (routes.revision, routes.by_address.len());
-        let older = revision < self.routes.current().revision;
-        if self.routes.adopt(routes) == RouteOutcome::Stale {
-            if older {
-                let counter = &self.state.counters.older_routes;
-                counter.with_label_values(&[source.name()]).inc();
-            }
-            return;
-        }
-        emit(
-            EventCode::RoutesInForce,
-            &[
-                ("revision", &revision),
-                ("routes", &count),
-                ("store_revision", &entry.mod_revision),
-                ("source", &source.name()),
-                ("age_ms", &age.as_millis()),
-            ],
-        );
-        set(&self.state.counters.revision, revision);
-        self.publish(Instant::now());
-    }
-
     fn tick(&mut self, now: Instant) {
         self.next_tick = now + TICK_INTERVAL;
         self.fleet.tick(now);
         self.update_role(now);
         self.check_list_age(now);
+        self.check_routes_age(now);
         if self.confirm.tick(now) {
             self.confirm_endpoints.notify_one();
         }
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -21,15 +21,15 @@
 use std::time::Instant;
 
 impl RelayControl {
-    /// Follows the list in the way of this entry's role among the entries of its zone.
+    /// Follows the list and the routes in the way of this entry's role among the entries of its zone.
     pub(super) fn update_role(&mut self, now: Instant) {
         self.peers.tick(now);
         let role = self.peers.role(now);
-        let mode = match role {
-            ListRole::Reader => FollowMode::Watch,
-            ListRole::Follower => FollowMode::Poll,
+        let (list_mode, routes_mode) = match role {
+            ListRole::Reader => (FollowMode::Watch, FollowMode::Watch),
+            ListRole::Follower => (FollowMode::Poll, FollowMode::LongWatch),
         };
-        if *self.list_mode.borrow() == mode {
+        if *self.list_mode.borrow() == list_mode {
             return;
         }
         let peers = self.peers.peers().count();
@@ -37,7 +37,8 @@
             EventCode::ListRole,
             &[("role", &role.name()), ("peers", &peers)],
         );
-        self.list_mode.send_replace(mode);
+        self.list_mode.send_replace(list_mode);
+        self.routes_mode.send_replace(routes_mode);
     }
 
     /// Sends the keepalives that are due. Agents answer them with reports.
@@ -100,7 +101,7 @@
                 );
                 self.answer_confirm_requests(read);
                 if let Some(read) = read {
-                    self.freshness.record_read(read);
+                    self.list_freshness.record_read(read);
                     self.tell_list_state(now);
                 }
             }
@@ -109,7 +110,7 @@
                 progress.record_answer(revision, now, now, counters);
                 self.endpoints_range.current = true;
                 self.change_endpoints(events, now);
-                self.freshness.record_read(now);
+                self.list_freshness.record_read(now);
                 self.tell_list_state(now);
             }
             FollowEvent::Failed(end) => {
@@ -127,7 +128,7 @@
 
     /// Tells the other entries of the zone the state of the list after an answer of the store, if this entry watches it.
     fn tell_list_state(&mut self, now: Instant) {
-        if self.peers.role(now) != ListRole::Reader || !self.freshness.take_notice(now) {
+        if self.peers.role(now) != ListRole::Reader || !self.list_freshness.take_notice(now) {
             return;
         }
         let state = self.fleet.list_state();
@@ -143,7 +144,7 @@
     /// Compares the own list with that of a reader.
     pub(super) fn handle_list_state(&mut self, state: ListState, now: Instant) {
         let own = self.fleet.list_state();
-        self.freshness.record_state(state, own, now);
+        self.list_freshness.record_state(state, own, now);
         if state == own {
             self.endpoints_progress.record_confirmed(now);
         }
@@ -155,7 +156,7 @@
             return;
         }
         let own = self.fleet.list_state();
-        if self.freshness.take_read(own, now) {
+        if self.list_freshness.take_read(own, now) {
             self.confirm_endpoints.notify_one();
         }
     }
@@ -207,7 +208,7 @@
         }
     }
 
-    fn send_to_peer(&self, notice: &RelayNotice, peer: EntryId, kind: NoticeKind) {
+    pub(super) fn send_to_peer(&self, notice: &RelayNotice, peer: EntryId, kind: NoticeKind) {
         let size = self.sockets.send_notice(notice, address_of(peer));
         self.state.counters.notices.count(kind, size);
     }
--- /dev/null
+++ b/crates/entry/src/relay/control/routes.rs
@@ -0,0 +1,145 @@
+//! How the control thread follows the routes, and learns from other entries of its zone that it has missed a change.
+
+use super::RelayControl;
+use crate::relay::counters::set;
+use quetzalhill_core::ids::{RevisionNumber, StoreRevision};
+use quetzalhill_core::relay::list::ListState;
+use quetzalhill_core::relay::peers::ListRole;
+use quetzalhill_core::relay::routes::RouteOutcome;
+use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::relay::follow::{FollowEvent, FollowSource};
+use quetzalhill_node::relay::notices::NoticeKind;
+use quetzalhill_platform::manifest;
+use quetzalhill_store::api::{KeyValue, WatchEvent};
+use quetzalhill_wire::relay::RelayNotice;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+impl RelayControl {
+    /// Applies an event of the routes.
+    pub(super) fn handle_routes_event(&mut self, event: FollowEvent, now: Instant) {
+        let before = self.routes_range;
+        let state = Arc::clone(&self.state);
+        let counters = &state.counters;
+        match event {
+            FollowEvent::Loaded {
+                entries,
+                revision,
+                read,
+                source,
+            } => {
+                let confirmed = read.unwrap_or(now);
+                let progress = &mut self.routes_progress;
+                let age = progress.record_answer(revision, confirmed, now, counters);
+                self.routes_range.record_loaded(read);
+                let before = self.routes.current().revision;
+                for entry in entries {
+                    self.apply_routes(&entry, source, age);
+                }
+                self.routes_freshness.record_read(confirmed);
+                self.tell_routes_state(before, now);
+            }
+            FollowEvent::Changed { events, revision } => {
+                let progress = &mut self.routes_progress;
+                let age = progress.record_answer(revision, now, now, counters);
+                self.routes_range.current = true;
+                let before = self.routes.current().revision;
+                for event in events {
+                    // The key of the routes is only ever replaced, never deleted.
+                    if let WatchEvent::Put(entry) = event {
+                        self.apply_routes(&entry, FollowSource::Poll, age);
+                    }
+                }
+                self.routes_freshness.record_read(now);
+                self.tell_routes_state(before, now);
+            }
+            FollowEvent::Failed(end) => {
+                self.routes_progress.record_failure(end, counters);
+                self.routes_range.current = false;
+            }
+            FollowEvent::ConfirmStarted => {}
+            FollowEvent::ConfirmFailed(end) => self.routes_progress.count_failure(end, counters),
+        }
+        if before != self.routes_range {
+            self.publish(now);
+        }
+    }
+
+    /// Puts routes in force if they are newer. `age` is the age of the state before the answer that brought them.
+    fn apply_routes(&mut self, entry: &KeyValue, source: FollowSource, age: Duration) {
+        let routes = match manifest::decode(&entry.value) {
+            Ok(routes) => routes,
+            Err(error) => {
+                emit(
+                    EventCode::RoutesInvalid,
+                    &[("error", &error), ("store_revision", &entry.mod_revision)],
+                );
+                return;
+            }
+        };
+        let (revision, count) = (routes.revision, routes.by_address.len());
+        let older = revision < self.routes.current().revision;
+        if self.routes.adopt(routes) == RouteOutcome::Stale {
+            if older {
+                let counter = &self.state.counters.older_routes;
+                counter.with_label_values(&[source.name()]).inc();
+            }
+            return;
+        }
+        emit(
+            EventCode::RoutesInForce,
+            &[
+                ("revision", &revision),
+                ("routes", &count),
+                ("store_revision", &entry.mod_revision),
+                ("source", &source.name()),
+                ("age_ms", &age.as_millis()),
+            ],
+        );
+        set(&self.state.counters.revision, revision);
+        self.publish(Instant::now());
+    }
+
+    /// Tells the other entries of the zone which routes are in force after an answer of the store, if this entry reads for
+    /// them. `before` is the revision before the answer.
+    fn tell_routes_state(&mut self, before: RevisionNumber, now: Instant) {
+        let revision = self.routes.current().revision;
+        let due = self.routes_freshness.take_notice(now) || revision != before;
+        if self.peers.role(now) != ListRole::Reader || !due {
+            return;
+        }
+        for peer in self.peers.peers() {
+            let notice = RelayNotice::RoutesState(revision);
+            self.send_to_peer(&notice, peer, NoticeKind::RoutesState);
+        }
+    }
+
+    /// Compares the own routes with those of an entry that reads for the zone.
+    pub(super) fn handle_routes_state(&mut self, revision: RevisionNumber, now: Instant) {
+        let own = self.routes.current().revision;
+        let freshness = &mut self.routes_freshness;
+        freshness.record_state(routes_state(revision), routes_state(own), now);
+        if revision == own {
+            self.routes_progress.record_confirmed(now);
+        }
+    }
+
+    /// Reads the routes if this entry polls for them seldom and may have missed a change.
+    pub(super) fn check_routes_age(&mut self, now: Instant) {
+        if self.peers.role(now) != ListRole::Follower {
+            return;
+        }
+        let own = routes_state(self.routes.current().revision);
+        if self.routes_freshness.take_read(own, now) {
+            self.confirm_routes.notify_one();
+        }
+    }
+}
+
+/// Returns the state of routes that have this revision, which alone tells them apart.
+fn routes_state(revision: RevisionNumber) -> ListState {
+    ListState {
+        revision: StoreRevision::try_from(revision).unwrap_or(StoreRevision::MAX),
+        fingerprint: revision,
+    }
+}
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -7,7 +7,7 @@
 use super::shared::RelayState;
 use crate::traffic::{bind, expect_v4, is_idle, ERROR_PAUSE};
 use anyhow::Result;
-use quetzalhill_core::ids::{address_of, id_of, EndpointId};
+use quetzalhill_core::ids::{address_of, id_of, EndpointId, RevisionNumber};
 use quetzalhill_core::relay::chain::{
     DeliverReason, DeliverTarget, DroppedHolder, RelayDrop, RelayVerdict,
 };
@@ -50,6 +50,8 @@
     ListChange(ListNotice),
     /// Another entry has told the state of its list.
     ListState(ListState),
+    /// Another entry has told which revision of the routes it has in force.
+    RoutesState(RevisionNumber),
     /// Another entry requests a read of the list of endpoints.
     ConfirmRequest(ConfirmClient),
     /// Another entry has read the list of endpoints.
@@ -273,6 +275,9 @@
                     fingerprint,
                 }));
             }
+            Ok(RelayDatagram::Notice(RelayNotice::RoutesState(revision))) => {
+                self.send_event(TrafficEvent::RoutesState(revision));
+            }
             Ok(RelayDatagram::Notice(RelayNotice::ConfirmRequest(id))) => {
                 self.send_event(TrafficEvent::ConfirmRequest(ConfirmClient {
                     entry: id_of(agent),
--- a/crates/node/src/relay/notices.rs
+++ b/crates/node/src/relay/notices.rs
@@ -14,6 +14,8 @@
     ListChange,
     /// State of the list of a reader, between entries of a zone.
     ListState,
+    /// Revision of the routes at an entry that reads for its zone, to the other entries.
+    RoutesState,
     /// Request to confirm the list, or its answer, between entries of a zone.
     Confirm,
 }
@@ -27,6 +29,7 @@
             NoticeKind::Report(ReportRate::Frequent) => "report-near",
             NoticeKind::Report(ReportRate::Sparse) => "report-far",
             NoticeKind::ListChange => "list-change",
+            NoticeKind::RoutesState => "routes-state",
             NoticeKind::ListState => "list-state",
             NoticeKind::Confirm => "confirm",
         }
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -11,8 +11,8 @@
 use self::record::StoredEndpoint;
 use crate::packet::WIRE_VERSION;
 use quetzalhill_core::ids::{
-    address_of, id_of, EndpointId, EntryId, IncarnationNumber, ServiceDigest, ServiceName,
-    StoreRevision, ZoneName,
+    address_of, id_of, EndpointId, EntryId, IncarnationNumber, RevisionNumber, ServiceDigest,
+    ServiceName, StoreRevision, ZoneName,
 };
 use quetzalhill_core::relay::confirm::ConfirmId;
 use quetzalhill_core::relay::digest::FlowDigest;
@@ -179,14 +179,15 @@
         /// Fingerprint of the list that was read.
         list: u64,
     },
-    /// From an entry that watches the list to another one of its zone, after an answer of the store: the state of the
-    /// sender's list.
+    /// From an entry that watches the list to another one of its zone: the state of the sender's list.
     ListState {
         /// Store revision of the latest change that the sender has applied.
         revision: StoreRevision,
         /// Fingerprint of the records that the sender has.
         fingerprint: u64,
     },
+    /// The same for the routes: the revision that is in force at the sender.
+    RoutesState(RevisionNumber),
 }
 
 /// Changes of the list of endpoints, in the order of the store.
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -211,3 +211,17 @@
         assert_eq!(decoded, Ok(RelayDatagram::Notice(notice)));
     }
 }
+
+/// Guards against a revision of the routes that is changed between two entries, and against another encoding of the
+/// variants before it.
+#[test]
+fn routes_state_round_trip() {
+    for revision in [0, u64::MAX] {
+        let notice = RelayNotice::RoutesState(revision);
+        let mut datagram = notice.encode().expect("encodes");
+        assert!(datagram.len() <= 14, "{} bytes", datagram.len());
+        assert_eq!(datagram[2], 6);
+        let decoded = decode_datagram(&mut datagram);
+        assert_eq!(decoded, Ok(RelayDatagram::Notice(notice)));
+    }
+}
