Soak: rounds of lost answers of the store, and checks of refusals and of entries that go back

The soak never lost the answer of a waiting poll: its silent store ends polls at once. The new mix 'store' brings faults about in each machine's link, so that one entry, several machines or all lose answers, while operators change routes. The ledger also reports first packets that are refused although their route is in force, and entries that go back to older routes.

--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -31,7 +31,7 @@
     /// seeds that run at the same time (default 2)
     #[argh(option, default = "2")]
     jobs: u8,
-    /// kinds of faults: all or restarts (default all)
+    /// kinds of faults: all, restarts or store (default all)
     #[argh(option, default = "FaultMix::All", from_str_fn(parse_mix))]
     mix: FaultMix,
     /// seconds during which faults start (default 12)
@@ -55,7 +55,10 @@
     match text {
         "all" => Ok(FaultMix::All),
         "restarts" => Ok(FaultMix::Restarts),
-        other => Err(format!("unknown mix {other:?}; known are all and restarts")),
+        "store" => Ok(FaultMix::Store),
+        other => Err(format!(
+            "unknown mix {other:?}; known are all, restarts and store"
+        )),
     }
 }
 
--- a/crates/standins/src/flows/caller.rs
+++ b/crates/standins/src/flows/caller.rs
@@ -175,7 +175,10 @@
             let kind = PacketKind::Opening {
                 copies: u32::try_from(copies).unwrap_or_default(),
             };
-            self.send(flow, kind, sequence, 0, &[]);
+            if let Some(entry) = self.send(flow, kind, sequence, 0, &[]) {
+                let mut ledger = self.ledger.borrow_mut();
+                ledger.record_opening(flow, entry, start);
+            }
             let until = start
                 + RETRANSMIT_TIMES
                     .get(copies)
@@ -192,7 +195,13 @@
                         self.acknowledge(&open);
                         return Some(open);
                     }
-                    PacketKind::Reset => return None,
+                    PacketKind::Reset => {
+                        if packet.from_relay {
+                            let mut ledger = self.ledger.borrow_mut();
+                            ledger.check_refusal(flow, Instant::now());
+                        }
+                        return None;
+                    }
                     _ => {}
                 }
             }
@@ -329,6 +338,7 @@
         );
     }
 
+    /// Sends a packet, and returns the index of the entry that gets it, or `None` if it is lost.
     fn send(
         &self,
         flow: FlowAddresses,
@@ -336,7 +346,7 @@
         sequence: u32,
         acknowledged: u32,
         data: &[u8],
-    ) {
+    ) -> Option<usize> {
         let packet = OutgoingPacket {
             sender: PacketSender::Caller,
             flow,
@@ -345,7 +355,7 @@
             acknowledged,
             data,
         };
-        self.fabric.send(flow, &encode(&packet, checksum));
+        self.fabric.send(flow, &encode(&packet, checksum))
     }
 
     /// Returns the next packet of the flow that arrives before `until`. Late packets of earlier flows are ignored.
--- a/crates/standins/src/flows/fabric.rs
+++ b/crates/standins/src/flows/fabric.rs
@@ -72,29 +72,29 @@
         }))
     }
 
-    /// Sends a packet of a caller to the entry that the flow's hash selects among those in rotation now.
-    pub fn send(&self, flow: FlowAddresses, packet: &[u8]) {
+    /// Sends a packet of a caller to the entry that the flow's hash selects among those in rotation now, and returns the
+    /// index of that entry, or `None` if the packet is lost.
+    pub fn send(&self, flow: FlowAddresses, packet: &[u8]) -> Option<usize> {
         debug_assert!(packet.len() < BUFFER_BYTES);
         if self.rng.borrow_mut().random_bool(LOSS_RATE) {
-            return;
+            return None;
         }
         let entries = self.entries.borrow();
-        let mut ready: Vec<&RotationEntry> = Vec::new();
-        for entry in entries.iter() {
+        let mut ready: Vec<usize> = Vec::new();
+        for (index, entry) in entries.iter().enumerate() {
             if entry.failed_probes < FAILED_PROBES_MAX {
-                ready.push(entry);
+                ready.push(index);
             }
         }
         // If fewer than half of the entries are in rotation, all are used.
         if ready.len() * 2 < entries.len() {
-            ready = entries.iter().collect();
+            ready = (0..entries.len()).collect();
         }
-        let index = xxh3_64(&flow.to_bytes()) % u64::try_from(ready.len()).unwrap_or(1);
-        let index = usize::try_from(index).unwrap_or_default();
+        let choice = xxh3_64(&flow.to_bytes()) % u64::try_from(ready.len()).unwrap_or(1);
+        let index = ready[usize::try_from(choice).unwrap_or_default()];
+        let address = entries[index].entry.packet_address;
         // A packet that cannot be sent is lost, as in a network.
-        let _ = self
-            .socket
-            .send_to(packet, ready[index].entry.packet_address);
+        self.socket.send_to(packet, address).ok().map(|_| index)
     }
 
     fn record_probe(&self, index: usize, ready: bool) {
--- a/crates/standins/src/flows/ledger.rs
+++ b/crates/standins/src/flows/ledger.rs
@@ -23,6 +23,9 @@
 /// Time after an acknowledged announcement of draining from which an upstream gets no new flows (the platform's bound).
 const DRAIN_LIMIT: Duration = Duration::from_millis(3_000);
 
+/// Time after an entry has shown a version of the routes from which it shows no older one (the platform's bound).
+const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
+
 /// Number of violations that are kept. The first ones are kept, since later ones are often their consequences.
 const VIOLATIONS_MAX: usize = 20;
 
@@ -55,6 +58,23 @@
     routes: RouteSet,
 }
 
+/// First transmission of a first packet.
+#[derive(Debug)]
+struct FlowOpening {
+    /// Index of the entry that got all transmissions so far; `None` if several entries got them.
+    entry: Option<usize>,
+    sent: Instant,
+}
+
+/// What the placements of an entry have shown about its routes since its process was started.
+#[derive(Debug)]
+struct ShownRoutes {
+    started: Instant,
+    /// Index of the oldest published routes that the entry may have had at `since`.
+    oldest: usize,
+    since: Instant,
+}
+
 /// Actual state of flows and requests, and the violations so far.
 #[derive(Debug)]
 pub struct FlowLedger {
@@ -62,6 +82,9 @@
     routes: Vec<PublishedRoutes>,
     /// End of the last fault; `None` while one is active.
     fault_free_since: Option<Instant>,
+    openings: HashMap<FlowAddresses, FlowOpening>,
+    /// Per index of an entry.
+    shown: HashMap<usize, ShownRoutes>,
     holders: HashMap<FlowAddresses, FlowHolder>,
     /// When the last packet of each open flow reached its holder.
     arrivals: HashMap<FlowAddresses, Instant>,
@@ -79,6 +102,8 @@
             started: now,
             routes: Vec::new(),
             fault_free_since: Some(now),
+            openings: HashMap::new(),
+            shown: HashMap::new(),
             holders: HashMap::new(),
             arrivals: HashMap::new(),
             runs: HashMap::new(),
@@ -144,20 +169,119 @@
                 format!("{flow} was opened at {service}, which no published routes allow");
             return self.record_violation("ROUTE", details, now);
         }
-        let settled = self
-            .fault_free_since
-            .is_some_and(|since| since + SETTLE_TIME <= sent);
-        let mut oldest_in_force = 0;
+        let in_force = &self.routes[self.oldest_in_force(sent)..];
+        if self.has_settled(sent) && !in_force.iter().any(allows_service) {
+            let details = format!(
+                "{flow} was opened at {service} through {}, which only outdated routes allow",
+                self.entry_text(flow)
+            );
+            self.record_violation("CONFIG", details, now);
+        }
+    }
+
+    /// Returns whether all bounds hold for a packet that was sent at `sent`.
+    fn has_settled(&self, sent: Instant) -> bool {
+        self.fault_free_since
+            .is_some_and(|since| since + SETTLE_TIME <= sent)
+    }
+
+    /// Returns the index of the oldest published routes that a packet which was sent at `sent` may be handled with.
+    fn oldest_in_force(&self, sent: Instant) -> usize {
+        let mut oldest = 0;
         for (index, published) in self.routes.iter().enumerate() {
             if published.since + ROUTES_LIMIT <= sent {
-                oldest_in_force = index;
+                oldest = index;
             }
         }
-        if settled && !self.routes[oldest_in_force..].iter().any(allows_service) {
-            let details =
-                format!("{flow} was opened at {service}, which only outdated routes allow");
-            self.record_violation("CONFIG", details, now);
+        oldest
+    }
+
+    /// Returns the entry that got the first packet of `flow`, for the text of a violation.
+    fn entry_text(&self, flow: FlowAddresses) -> String {
+        match self.openings.get(&flow).map(|opening| opening.entry) {
+            Some(Some(entry)) => format!("entry-{entry}"),
+            Some(None) => "several entries".into(),
+            None => "an unknown entry".into(),
+        }
+    }
+
+    /// Records that a transmission of the first packet of `flow` went to the entry with this index; its first
+    /// transmission was sent at `sent`.
+    pub fn record_opening(&mut self, flow: FlowAddresses, entry: usize, sent: Instant) {
+        let opening = self.openings.entry(flow).or_insert(FlowOpening {
+            entry: Some(entry),
+            sent,
+        });
+        if opening.entry != Some(entry) {
+            opening.entry = None;
+        }
+    }
+
+    /// Records that a process of the entry with this index was started, which may begin with any routes.
+    pub fn record_entry_start(&mut self, entry: usize, now: Instant) {
+        let shown = ShownRoutes {
+            started: now,
+            oldest: 0,
+            since: now,
+        };
+        self.shown.insert(entry, shown);
+    }
+
+    /// Checks that an entry which let an upstream of `service` receive the first packet of `flow` has not gone back to
+    /// routes that are older than those it has shown. Flows whose first packet went to several entries are not judged.
+    pub fn check_order(&mut self, flow: FlowAddresses, service: &ServiceName, now: Instant) {
+        let Some(FlowOpening {
+            entry: Some(entry),
+            sent,
+        }) = self.openings.get(&flow)
+        else {
+            return;
+        };
+        let Some(shown) = self.shown.get_mut(entry) else {
+            return;
+        };
+        // An earlier process of the entry may have placed the flow.
+        if *sent < shown.started {
+            return;
         }
+        let allows_service = |published: &PublishedRoutes| {
+            let targets = published.routes.targets(flow.service);
+            targets.is_some_and(|targets| targets.iter().any(|target| target.service == *service))
+        };
+        match self.routes[shown.oldest..].iter().position(allows_service) {
+            Some(0) => {}
+            Some(newer) => {
+                shown.oldest += newer;
+                shown.since = now;
+            }
+            None if shown.since + ROLLBACK_SLACK < *sent => {
+                let details = format!(
+                    "{flow} was opened at {service} through entry-{entry}, which had newer routes before"
+                );
+                self.record_violation("CONFIG", details, now);
+            }
+            None => {}
+        }
+    }
+
+    /// Checks that the relay has a reason to reset the first packet of `flow`: a published version that may be in force
+    /// has no route for it, or the site has not settled.
+    pub fn check_refusal(&mut self, flow: FlowAddresses, now: Instant) {
+        let Some(opening) = self.openings.get(&flow) else {
+            return;
+        };
+        let sent = opening.sent;
+        let in_force = &self.routes[self.oldest_in_force(sent)..];
+        let has_route =
+            |published: &PublishedRoutes| published.routes.targets(flow.service).is_some();
+        if !self.has_settled(sent) || in_force.is_empty() || !in_force.iter().all(has_route) {
+            return;
+        }
+        let details = format!(
+            "{flow} was refused through {}, although all routes in force have its route",
+            self.entry_text(flow)
+        );
+        self.record_violation("CONFIG", details, now);
     }
 
     /// Checks the send time of a first packet that reached an upstream which has been draining since `draining_since`.
--- a/crates/standins/src/flows/upstream.rs
+++ b/crates/standins/src/flows/upstream.rs
@@ -238,6 +238,7 @@
         let sent = now - millis_since(packet.sequence, now);
         let mut ledger = self.ledger.borrow_mut();
         ledger.check_opening(flow, &self.plan.service, sent, now);
+        ledger.check_order(flow, &self.plan.service, now);
         if let Some(draining_since) = state.draining_since {
             ledger.check_draining(flow, draining_since, sent, now);
         }
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -39,6 +39,8 @@
     /// Rounds of agents that are killed and restarted, some with an entry, their upstream, their lease or the store,
     /// each followed by [`QUIET_TIME`]. Flows are idle for seconds, so that they are used before, during and after it.
     Restarts,
+    /// Rounds in which machines lose answers of the store while operators change the routes; see [`super::outage`].
+    Store,
 }
 
 /// A fault of an entry or agent process.
@@ -275,7 +277,7 @@
     }
 }
 
-fn draw_route_change(rng: &mut SmallRng) -> RouteChange {
+pub(super) fn draw_route_change(rng: &mut SmallRng) -> RouteChange {
     match rng.random_range(0..6) {
         0 | 1 => RouteChange::Retarget(rng.random_range(0..2)),
         2 | 3 => RouteChange::Add,
--- a/crates/standins/src/soak/run.rs
+++ b/crates/standins/src/soak/run.rs
@@ -1,5 +1,6 @@
 //! Injects the faults of a seed into a site and reports the violations.
 
+use super::outage::draw_outages;
 use super::plan::{
     draw_faults, draw_restarts, FaultMix, PlannedFault, ProcessFault, RouteChange, SoakFault,
     StoreFault, UpstreamFault, QUIET_TIME,
@@ -146,9 +147,10 @@
 async fn run(seed: u64, block: u8, folder: PathBuf, plan: SoakPlan) -> Result<SoakReport> {
     let (size, mix) = (plan.size, plan.mix);
     let pace = match mix {
-        FaultMix::All => CallerPace::Busy,
+        FaultMix::All | FaultMix::Store => CallerPace::Busy,
         FaultMix::Restarts => CallerPace::Idle,
     };
+    let started = Instant::now();
     let site = SoakSite::start(block, &folder, size, seed, pace).await?;
     let mut run = SoakRun {
         pending_undos: Vec::new(),
@@ -161,8 +163,14 @@
     let draw = match mix {
         FaultMix::All => draw_faults,
         FaultMix::Restarts => draw_restarts,
+        FaultMix::Store => draw_outages,
     };
     let plan = draw(seed, size.entries, size.agents, plan.fault_time);
+    let mut lines = format!("times from {:.3} s\n", started.elapsed().as_secs_f64());
+    for planned in &plan {
+        lines.push_str(&format!("{planned:?}\n"));
+    }
+    fs::write(folder.join("faults.txt"), lines)?;
     let start = Instant::now();
     for planned in &plan {
         while Instant::now() < start + planned.at {
@@ -175,7 +183,7 @@
         sleep(TICK_INTERVAL).await;
         run.undo_due(Instant::now()).await?;
     }
-    if mix == FaultMix::Restarts {
+    if mix != FaultMix::All {
         sleep(QUIET_TIME).await;
     }
     run.check_recovery().await;
@@ -348,7 +356,7 @@
     async fn undo(&mut self, action: UndoAction, now: Instant) -> Result<()> {
         match action {
             UndoAction::Restart(index) => {
-                self.site.processes[index].restart()?;
+                self.site.restart_process(index, now)?;
                 self.disrupted[index] = false;
             }
             UndoAction::AwaitExit(index, deadline) => self.await_exit(index, deadline, now)?,
@@ -390,7 +398,7 @@
                 ledger.record_violation("STOP", details, now);
             }
         }
-        process.restart()?;
+        self.site.restart_process(index, now)?;
         self.disrupted[index] = false;
         Ok(())
     }
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -132,6 +132,7 @@
                 STORE_DELAY,
             )?);
             site.start_process(index, folder)?;
+            site.record_start(index, now);
         }
         for index in 0..size.agents {
             site.upstreams.push(None);
@@ -160,6 +161,23 @@
         Ok(())
     }
 
+    /// Restarts a process, whether it still runs or not.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be started.
+    pub fn restart_process(&mut self, index: usize, now: Instant) -> Result<()> {
+        self.processes[index].restart()?;
+        self.record_start(index, now);
+        Ok(())
+    }
+
+    fn record_start(&self, index: usize, now: Instant) {
+        if index < self.size.entries {
+            self.ledger.borrow_mut().record_entry_start(index, now);
+        }
+    }
+
     fn start_callers(&self, seed: u64, pace: CallerPace) -> Result<()> {
         let mut entries = Vec::new();
         for index in 0..self.size.entries {
--- a/crates/standins/tests/flow_ledger.rs
+++ b/crates/standins/tests/flow_ledger.rs
@@ -3,6 +3,7 @@
 use quetzalhill_core::relay::packet::FlowAddresses;
 use quetzalhill_core::relay::routes::RouteSet;
 use quetzalhill_standins::flows::ledger::{FlowHolder, FlowLedger, RequestOutcome};
+use quetzalhill_standins::soak::outage::draw_outages;
 use quetzalhill_standins::soak::plan::{draw_faults, draw_restarts};
 use quetzalhill_standins::soak::site::{route_address, set_target, SERVICES};
 use std::net::SocketAddrV4;
@@ -131,6 +132,65 @@
     assert!(seen(Some(5_000)).is_empty());
 }
 
+/// Guards against a soak that misses a refusal of a flow whose route is in force, or reports one whose route is new, was
+/// removed a moment ago, or comes soon after a fault.
+#[test]
+fn refusal_of_a_route_that_is_there_is_seen() {
+    let refused = |sent_ms: u64, record: &dyn Fn(&mut FlowLedger, Instant)| {
+        violated_checks(|ledger, now| {
+            let sent = now + Duration::from_millis(sent_ms);
+            record(ledger, now);
+            ledger.record_opening(flow(), 0, sent);
+            ledger.check_refusal(flow(), sent + Duration::from_millis(10));
+        })
+    };
+    assert_eq!(refused(4_100, &|_, _| {}), ["CONFIG"]);
+    assert!(refused(3_900, &|_, _| {}).is_empty());
+    let removed = |ledger: &mut FlowLedger, at| ledger.record_routes(RouteSet::default(), at);
+    let absent = refused(8_000, &|ledger, now| removed(ledger, now));
+    assert!(absent.is_empty());
+    let added_after = |ms: u64| {
+        refused(8_000, &|ledger, now| {
+            removed(ledger, now);
+            ledger.record_routes(routes(3, SERVICES[0]), now + Duration::from_millis(ms));
+        })
+    };
+    assert_eq!(added_after(4_900), ["CONFIG"]);
+    assert!(added_after(5_100).is_empty());
+    let during_a_fault = refused(8_000, &|ledger, now| ledger.set_fault_free(false, now));
+    assert!(during_a_fault.is_empty());
+}
+
+/// Guards against a soak that misses an entry which goes back to older routes, or reports one that was restarted, that
+/// shows them within 250 ms, or that another entry's placement makes look so.
+#[test]
+fn entry_that_goes_back_is_seen() {
+    let placed = |second_entry: usize, sent_ms: u64, restarted: bool| {
+        violated_checks(|ledger, now| {
+            for entry in 0..2 {
+                ledger.record_entry_start(entry, now);
+            }
+            ledger.record_routes(routes(2, SERVICES[1]), now);
+            let other = FlowAddresses {
+                caller: SocketAddrV4::new([127, 0, 3, 2].into(), 1_025),
+                ..flow()
+            };
+            ledger.record_opening(other, 0, now);
+            ledger.check_order(other, &SERVICES[1].into(), now);
+            if restarted {
+                ledger.record_entry_start(0, now);
+            }
+            let sent = now + Duration::from_millis(sent_ms);
+            ledger.record_opening(flow(), second_entry, sent);
+            ledger.check_order(flow(), &SERVICES[0].into(), sent);
+        })
+    };
+    assert_eq!(placed(0, 300, false), ["CONFIG"]);
+    assert!(placed(0, 200, false).is_empty());
+    assert!(placed(1, 300, false).is_empty());
+    assert!(placed(0, 300, true).is_empty());
+}
+
 /// Guards against a soak that misses requests that run twice, that no caller sent, or that run but are answered as not
 /// run.
 #[test]
@@ -168,4 +228,7 @@
     let restarts = |seed| format!("{:?}", draw_restarts(seed, 4, 8, fault_time));
     assert_eq!(restarts(7), restarts(7));
     assert_ne!(restarts(7), restarts(8));
+    let outages = |seed| format!("{:?}", draw_outages(seed, 4, 8, fault_time));
+    assert_eq!(outages(7), outages(7));
+    assert_ne!(outages(7), outages(8));
 }
