--- a/crates/standins/src/link.rs
+++ b/crates/standins/src/link.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 
 const DATAGRAM_MAX_BYTES: usize = 65_536;
 const CHUNK_BYTES: usize = 16_384;
@@ -310,15 +310,23 @@
     let (to_server, server_due) = mpsc::unbounded_channel();
     let (to_client, client_due) = mpsc::unbounded_channel();
     let answers = to_client.downgrade();
+    let client_closed = Notify::new();
     let copy = async {
         tokio::join!(
             async {
                 let fate = || connection.fate_to_target();
                 read_delayed(client_read, to_server, answers, &connection, fate).await;
+                client_closed.notify_one();
             },
             async {
                 let (answers, fate) = (to_client.downgrade(), || connection.fate_from_target());
-                read_delayed(server_read, to_client, answers, &connection, fate).await;
+                let to = to_client.clone();
+                read_delayed(server_read, to, answers, &connection, fate).await;
+                // The target closes idle connections, of which a client of a dead connection must learn nothing.
+                if connection.dead.load(Ordering::Relaxed) {
+                    client_closed.notified().await;
+                }
+                drop(to_client);
             },
             write_due(server_write, server_due),
             write_due(client_write, client_due),
