--- a/crates/standins/tests/soak.rs
+++ b/crates/standins/tests/soak.rs
@@ -19,6 +19,9 @@
 /// Seeds that run with agents that restart; review/2 lost flows then.
 const RESTART_SEEDS: [u64; 3] = [1, 2, 3];
 
+/// Seeds that run with lost answers of the store; in issue 28, entries kept older routes then.
+const STORE_SEEDS: [u64; 2] = [3, 4];
+
 /// Time of a run during which faults start.
 const FAULT_TIME: Duration = Duration::from_secs(10);
 
@@ -48,7 +51,13 @@
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-restarts"),
         ..plan.clone()
     };
+    let store = SoakPlan {
+        mix: FaultMix::Store,
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-store"),
+        ..plan.clone()
+    };
     let mut runs = Vec::new();
+    runs.extend(STORE_SEEDS.map(|seed| (&store, seed)));
     runs.extend(RESTART_SEEDS.map(|seed| (&restarts, seed)));
     runs.extend(load_seeds().into_iter().map(|seed| (&plan, seed)));
     let next = AtomicUsize::new(0);
