--- a/crates/core/tests/relay/freshness.rs
+++ b/crates/core/tests/relay/freshness.rs
@@ -222,3 +222,68 @@
     assert_eq!(follower.list_state().fingerprint, states[3]);
     assert!(follower.list_state().revision <= reader.list_state().revision);
 }
+
+/// Guards against a late notice of one reader that takes back what the other one has told: the follower would keep older
+/// state for as long as one reader is behind.
+#[test]
+fn reader_that_is_behind_does_not_hide_a_difference() {
+    let start = Instant::now();
+    let mut freshness = controller(start);
+    let own = state(10, 1);
+    let (newer, older) = (state(11, 2), state(10, 1));
+    let mut read = None;
+    // Each reader tells its state every 500 ms, the one that is behind 50 ms after the other.
+    for step in 0..400 {
+        let now = start + Duration::from_millis(50) * step;
+        match step % 10 {
+            0 => freshness.record_state(newer, own, now),
+            1 => freshness.record_state(older, own, now),
+            _ => {}
+        }
+        if step % 4 == 3 && freshness.take_read(own, now) {
+            read = read.or(Some(now));
+        }
+    }
+    let read = read.expect("a read within 20 s");
+    assert!(
+        read <= start + LIMIT + TICK,
+        "read after {:?}",
+        read - start
+    );
+}
+
+/// Guards against followers that read an unchanged list once per limit for good, because a reader that started after the
+/// latest change, a removal, tells a lower revision than they have.
+#[test]
+fn reader_that_started_after_a_removal_confirms_an_equal_list() {
+    let start = Instant::now();
+    let changes = [
+        (10, ListEffect::Written(listed(1, 5))),
+        (11, ListEffect::Written(listed(2, 5))),
+        (12, ListEffect::Removed(id(2))),
+    ];
+    let mut follower = FleetController::new("a".into());
+    for (revision, effect) in changes {
+        follower.apply_change(ListChange { revision, effect }, start);
+    }
+    let record = ListRecord {
+        revision: 10,
+        endpoint: listed(1, 5),
+    };
+    let read = ListRead {
+        revision: 20,
+        records: vec![record],
+    };
+    let mut reader = FleetController::new("a".into());
+    reader.replace_list(read, start);
+    let (told, own) = (reader.list_state(), follower.list_state());
+    assert_eq!(told.fingerprint, own.fingerprint);
+    let mut freshness = controller(start);
+    let mut reads = 0;
+    for tick in 1..=150 {
+        let now = start + TICK * tick;
+        freshness.record_state(told, own, now);
+        reads += u32::from(freshness.take_read(own, now));
+    }
+    assert_eq!(reads, 0, "reads in 30 s of an unchanged list");
+}
