--- a/crates/standins/tests/store_answers.rs
+++ b/crates/standins/tests/store_answers.rs
@@ -78,7 +78,7 @@
     }
 }
 
-async fn start_follower(store_address: SocketAddrV4) -> SeenValues {
+async fn start_follower(store_address: SocketAddrV4, apply: Duration) -> SeenValues {
     let common = RelayCommon {
         node: RelayNode {
             name: "entry".into(),
@@ -91,11 +91,11 @@
             poll_ms: 25_000,
         },
     };
-    let store = common.open_followed_store(APPLY).await.expect("a client");
+    let store = common.open_followed_store(apply).await.expect("a client");
     let plan = FollowPlan {
         name: "test",
         range: KeyRange::Key(KEY.into()),
-        pause: APPLY / 6,
+        pause: apply / 6,
         settle: Duration::ZERO,
         mode: always_watch(),
     };
@@ -133,7 +133,7 @@
     System::new("answers", DefaultRuntime).block_on(async move {
         let site = FaultySite::start(SocketAddrV4::new(Ipv4Addr::new(127, 60, 0, host), 7_100));
         site.store.put(KEY, b"before");
-        let seen = start_follower(site.link.address()).await;
+        let seen = start_follower(site.link.address(), APPLY).await;
         sleep(START_TIME).await;
         assert_eq!(*seen.borrow(), [b"before".to_vec()]);
         site.begin(loss);
@@ -153,3 +153,44 @@
         );
     });
 }
+
+/// Shortest `relay.apply_ms` that the settings allow.
+const SHORTEST_APPLY: Duration = Duration::from_millis(600);
+
+/// Guards against pauses after failures that are longer than the time within which a change has to be in force once the
+/// store is back. The fault lasts long enough that the follower takes it for an outage, and its end is drawn out over the
+/// time between two attempts.
+#[parameterized(
+    silence = { AnswerLoss::Silence, APPLY, 11 },
+    cut = { AnswerLoss::Cut, APPLY, 12 },
+    silent_store = { AnswerLoss::SilentStore, APPLY, 13 },
+    unavailable = { AnswerLoss::Unavailable, APPLY, 14 },
+    cut_with_the_shortest_bound = { AnswerLoss::Cut, SHORTEST_APPLY, 15 },
+    unavailable_with_the_shortest_bound = { AnswerLoss::Unavailable, SHORTEST_APPLY, 16 },
+)]
+fn change_during_an_outage_is_seen_within_the_bound(loss: AnswerLoss, apply: Duration, host: u8) {
+    System::new("outages", DefaultRuntime).block_on(async move {
+        for round in 0..4_u8 {
+            let address = SocketAddrV4::new(Ipv4Addr::new(127, 60, round + 1, host), 7_100);
+            let site = FaultySite::start(address);
+            site.store.put(KEY, b"before");
+            let seen = start_follower(address, apply).await;
+            sleep(START_TIME).await;
+            assert_eq!(*seen.borrow(), [b"before".to_vec()]);
+            site.begin(loss);
+            site.store.put(KEY, b"after");
+            sleep(Duration::from_millis(4_000 + 350 * u64::from(round))).await;
+            site.end();
+            let ended = Instant::now();
+            let deadline = ended + apply;
+            while Instant::now() < deadline && !seen.borrow().contains(&b"after".to_vec()) {
+                sleep(Duration::from_millis(10)).await;
+            }
+            println!("round {round}: {:?} after the end", ended.elapsed());
+            assert!(
+                seen.borrow().contains(&b"after".to_vec()),
+                "not seen {apply:?} after {loss:?}, round {round}"
+            );
+        }
+    });
+}
