--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -132,6 +132,12 @@
     let mut events = setup.events;
     loop {
         let tick = control.borrow().next_tick;
+        let now = Instant::now();
+        if tick <= now {
+            // Events that never pause must not keep the tick from its work.
+            control.borrow_mut().tick(now);
+            continue;
+        }
         tokio::select! {
             _ = stopping.changed() => {
                 control.borrow_mut().stop(Instant::now());
--- a/crates/core/src/relay/freshness.rs
+++ b/crates/core/src/relay/freshness.rs
@@ -12,6 +12,9 @@
 /// read of a reader for its zone may follow this soon too.
 const DIFFERENCE_TIME: Duration = Duration::from_millis(100);
 
+/// Time after which a failed read is repeated, also during an outage, whose calls the store counts too.
+const RETRY_TIME: Duration = Duration::from_millis(500);
+
 /// Shortest time between two notices of a reader to its peers. Reads that confirm the list may follow each other faster.
 const NOTICE_GAP: Duration = Duration::from_millis(500);
 
@@ -74,15 +77,22 @@
 
     /// Records the state of a reader's list, which a notice told at `now`. `own` is the state of the own list.
     pub fn record_state(&mut self, state: ListState, own: ListState, now: Instant) {
-        // A reader that knows less than this entry says nothing of the newer changes.
-        if state.revision < own.revision {
-            return;
-        }
         if state.fingerprint == own.fingerprint {
+            // A reader that is behind another one does not contradict what that one has told.
+            if self
+                .pending
+                .is_some_and(|pending| state.revision < pending.state.revision)
+            {
+                return;
+            }
             self.pending = None;
             self.record_read(now);
             return;
         }
+        // A reader that knows less than this entry says nothing of the newer changes.
+        if state.revision < own.revision {
+            return;
+        }
         let repeats = self
             .last
             .is_some_and(|last| last.fingerprint == state.fingerprint && now < last.repeats_from);
@@ -96,8 +106,14 @@
         });
     }
 
-    /// Returns whether the list has to be read now, given the state of the own list. A read that fails is repeated after
-    /// the limit.
+    /// Records at `now` that a read has failed, which has to be repeated soon: the entry may have missed a change.
+    pub fn record_failed_read(&mut self, now: Instant) {
+        self.last = None;
+        self.read_due = self.read_due.min(now + RETRY_TIME);
+    }
+
+    /// Returns whether the list has to be read now, given the state of the own list. A read without an answer is repeated
+    /// after the limit, unless [`FreshnessController::record_failed_read`] tells of its failure.
     pub fn take_read(&mut self, own: ListState, now: Instant) -> bool {
         if let Some(pending) = self.pending {
             let resolved = pending.state.fingerprint == own.fingerprint
--- a/crates/core/tests/relay/freshness.rs
+++ b/crates/core/tests/relay/freshness.rs
@@ -86,7 +86,8 @@
     assert!(!freshness.take_read(state(13, 4), soon + TICK));
 }
 
-/// Guards against a reader that is behind: it neither causes reads nor makes the list of a follower count as current.
+/// Guards against a reader that is behind: it neither causes reads nor makes the list of a follower count as current. Its
+/// fingerprint differs, since it covers the revision of each record.
 #[test]
 fn older_state_of_a_reader_says_nothing() {
     let start = Instant::now();
@@ -96,7 +97,7 @@
     for tick in 1..=25 {
         let now = start + TICK * tick;
         freshness.record_state(state(19, 2), own, now);
-        freshness.record_state(state(19, 1), own, now);
+        freshness.record_state(state(18, 3), own, now);
         reads += u32::from(freshness.take_read(own, now));
     }
     assert_eq!(reads, 1);
@@ -287,3 +288,17 @@
     }
     assert_eq!(reads, 0, "reads in 30 s of an unchanged list");
 }
+
+/// Guards against a follower that has missed a change, whose read has no answer, and that repeats it only after the limit.
+#[test]
+fn failed_read_is_repeated_soon() {
+    let start = Instant::now();
+    let mut freshness = controller(start);
+    let own = state(10, 1);
+    freshness.record_state(state(11, 2), own, start);
+    assert!(freshness.take_read(own, start + TICK));
+    let failed = start + TICK * 5;
+    freshness.record_failed_read(failed);
+    assert!(!freshness.take_read(own, failed + TICK));
+    assert!(freshness.take_read(own, failed + TICK * 3));
+}
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -157,6 +157,7 @@
     let plan = FollowPlan {
         name: ROUTES_NAME,
         range: KeyRange::Key(MANIFEST_KEY.into()),
+        apply,
         pause: routes_pause(apply),
         settle: Duration::ZERO,
         mode: routes_mode,
@@ -171,6 +172,7 @@
     let plan = FollowPlan {
         name: ENDPOINTS_NAME,
         range: KeyRange::Prefix(ENDPOINT_PREFIX.into()),
+        apply,
         pause: endpoints_pause(apply),
         settle: ROLE_TIME + TICK_INTERVAL,
         mode: list_mode,
@@ -185,6 +187,12 @@
     let mut events = setup.events;
     loop {
         let tick = control.borrow().next_tick;
+        let now = Instant::now();
+        if tick <= now {
+            // Events that never pause must not keep the tick from its work.
+            control.borrow_mut().tick(now);
+            continue;
+        }
         tokio::select! {
             changed = stopping.changed() => {
                 let stage = *stopping.borrow_and_update();
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -25,20 +25,30 @@
     pub(super) fn update_role(&mut self, now: Instant) {
         self.peers.tick(now);
         let role = self.peers.role(now);
-        let (list_mode, routes_mode) = match role {
-            ListRole::Reader => (FollowMode::Watch, FollowMode::Watch),
-            ListRole::Follower => (FollowMode::Poll, FollowMode::LongWatch),
+        // The entry with the lowest address polls shortly for the zone; the others hear of its answers.
+        let watch = match self.peers.confirmer() {
+            None => FollowMode::Watch,
+            Some(_) => FollowMode::LongWatch,
         };
+        let list_mode = match role {
+            ListRole::Reader => watch,
+            ListRole::Follower => FollowMode::Poll,
+        };
+        self.routes_mode
+            .send_if_modified(|mode| std::mem::replace(mode, watch) != watch);
         if *self.list_mode.borrow() == list_mode {
             return;
         }
         let peers = self.peers.peers().count();
         emit(
             EventCode::ListRole,
-            &[("role", &role.name()), ("peers", &peers)],
+            &[
+                ("role", &role.name()),
+                ("peers", &peers),
+                ("mode", &list_mode.name()),
+            ],
         );
         self.list_mode.send_replace(list_mode);
-        self.routes_mode.send_replace(routes_mode);
     }
 
     /// Sends the keepalives that are due. Agents answer them with reports.
@@ -119,6 +129,7 @@
             }
             FollowEvent::ConfirmStarted => return self.request_digests(now),
             FollowEvent::ConfirmFailed(end) => {
+                self.list_freshness.record_failed_read(now);
                 return self.endpoints_progress.count_failure(end, counters);
             }
         }
@@ -150,9 +161,9 @@
         }
     }
 
-    /// Reads the list if this entry does not watch it and may have missed a change.
+    /// Reads the list if another entry polls shortly for the zone and this one may have missed a change.
     pub(super) fn check_list_age(&mut self, now: Instant) {
-        if self.peers.role(now) != ListRole::Follower {
+        if self.peers.confirmer().is_none() {
             return;
         }
         let own = self.fleet.list_state();
--- a/crates/entry/src/relay/control/routes.rs
+++ b/crates/entry/src/relay/control/routes.rs
@@ -58,7 +58,10 @@
                 self.routes_range.current = false;
             }
             FollowEvent::ConfirmStarted => {}
-            FollowEvent::ConfirmFailed(end) => self.routes_progress.count_failure(end, counters),
+            FollowEvent::ConfirmFailed(end) => {
+                self.routes_progress.count_failure(end, counters);
+                self.routes_freshness.record_failed_read(now);
+            }
         }
         if before != self.routes_range {
             self.publish(now);
@@ -126,7 +129,7 @@
 
     /// Reads the routes if this entry polls for them seldom and may have missed a change.
     pub(super) fn check_routes_age(&mut self, now: Instant) {
-        if self.peers.role(now) != ListRole::Follower {
+        if self.peers.confirmer().is_none() {
             return;
         }
         let own = routes_state(self.routes.current().revision);
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -80,6 +80,17 @@
     Poll,
 }
 
+impl FollowMode {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            FollowMode::Watch => "watch",
+            FollowMode::LongWatch => "long-watch",
+            FollowMode::Poll => "poll",
+        }
+    }
+}
+
 /// Range and polling of [`follow`].
 #[derive(Debug)]
 pub struct FollowPlan {
@@ -87,6 +98,8 @@
     pub name: &'static str,
     /// Keys to follow.
     pub range: KeyRange,
+    /// Time within which a change has to be applied after an outage; the pauses during one follow from it.
+    pub apply: Duration,
     /// Pause after a watch has returned changes, so that the next call returns several changes at once.
     pub pause: Duration,
     /// Pause between a read of the range and the watch, which finds the changes made meanwhile.
@@ -112,6 +125,8 @@
         revision: 0,
         confirmed: None,
         loaded: false,
+        outage_pause: OUTAGE_PAUSE_MAX.min(plan.apply.mul_f64(OUTAGE_PAUSE_PART)),
+        backoff_max: plan.apply / BACKOFF_PARTS,
         rng: SmallRng::from_os_rng(),
     };
     loop {
@@ -290,6 +305,10 @@
     confirmed: Option<Instant>,
     /// Whether the range has been read once; from then on an outage of the store only delays changes.
     loaded: bool,
+    /// Shortest pause during an outage once the range has been read.
+    outage_pause: Duration,
+    /// Longest backoff in addition to the shortest pause.
+    backoff_max: Duration,
     rng: SmallRng,
 }
 
@@ -324,7 +343,7 @@
     /// watch is opened again soon.
     fn pause_min(&self, count: u32) -> Duration {
         match self.loaded && count > TRANSIENT_FAILURES_MAX {
-            true => OUTAGE_PAUSE,
+            true => self.outage_pause,
             false => PAUSE_MIN,
         }
     }
@@ -354,7 +373,7 @@
                 ],
             );
         }
-        let pause = backoff(count, &mut self.rng) + self.pause_min(count);
+        let pause = backoff(count, &mut self.rng).min(self.backoff_max) + self.pause_min(count);
         let millis = u32::try_from(pause.as_millis()).unwrap_or(u32::MAX);
         sleep(Millis(millis)).await;
     }
@@ -379,6 +398,12 @@
 /// Maximum number of consecutive failures that do not yet count as an outage of the store.
 const TRANSIENT_FAILURES_MAX: u32 = 2;
 
-/// Shortest pause during an outage once the range has been read. A change must reach all instances within three seconds,
-/// counted from four seconds after the end of the outage.
-const OUTAGE_PAUSE: Duration = Duration::from_millis(900);
+/// Largest value of the shortest pause during an outage once the range has been read.
+const OUTAGE_PAUSE_MAX: Duration = Duration::from_millis(900);
+
+/// Part of the time for a change that the shortest pause during an outage takes. A call that hangs when the outage ends,
+/// the pause with its backoff and a read have to fit into that time.
+const OUTAGE_PAUSE_PART: f64 = 0.3;
+
+/// Divisor of the time for a change that gives the longest backoff.
+const BACKOFF_PARTS: u32 = 6;
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -108,6 +108,7 @@
     let plan = FollowPlan {
         name: "test",
         range: KeyRange::Prefix("a/".into()),
+        apply: Duration::from_secs(3),
         pause: Duration::from_millis(300),
         settle: Duration::ZERO,
         mode,
--- a/crates/node/tests/follow_lines.rs
+++ b/crates/node/tests/follow_lines.rs
@@ -119,6 +119,7 @@
     let plan = FollowPlan {
         name: "routes",
         range: KeyRange::Key("k".into()),
+        apply: Duration::from_secs(3),
         pause: Duration::ZERO,
         settle: Duration::ZERO,
         mode: always_watch(),
--- a/crates/standins/tests/store_answers.rs
+++ b/crates/standins/tests/store_answers.rs
@@ -95,6 +95,7 @@
     let plan = FollowPlan {
         name: "test",
         range: KeyRange::Key(KEY.into()),
+        apply,
         pause: apply / 6,
         settle: Duration::ZERO,
         mode: always_watch(),
