Entries call a store that is away about once a second

Cause: the entries that do not poll shortly repeated a failed read after 0.5 s each time, for routes and list, besides the follower's own reads of the routes. Refused calls are counted too.

Change: after the first retry one a second, and no read for the age of the routes while the follower itself repeats a failed call.

A trial count of calls during an outage was not made.

--- a/crates/core/src/relay/freshness.rs
+++ b/crates/core/src/relay/freshness.rs
@@ -1,9 +1,9 @@
 //! Decides when an entry that leaves it to others to notice lost answers has to read the list of endpoints or the routes.
 //!
-//! Readers pass changes of the list on in datagrams, which may be lost, and the answer to a follower's long poll for the
-//! routes may be lost too. After each answer of the store they tell their peers the
-//! state that they have, so that a follower reads the list or the routes when its own state stays different, and when no reader has told
-//! of an answer for longer than a reader itself would go without one. See docs/coordination.md.
+//! Readers pass changes of the list on in datagrams, which may be lost, and the answer to a long poll for the routes may be
+//! lost too. After each answer of the store they tell their peers the state that they have. An entry reads the list or
+//! the routes when its own state stays different, and when no reader has told of an answer for longer than a reader itself
+//! would go without one. What is said here of the list holds for the routes too. See docs/coordination.md.
 
 use crate::relay::list::ListState;
 use std::time::{Duration, Instant};
@@ -12,8 +12,11 @@
 /// read of a reader for its zone may follow this soon too.
 const DIFFERENCE_TIME: Duration = Duration::from_millis(100);
 
-/// Time after which a failed read is repeated, also during an outage, whose calls the store counts too.
-const RETRY_TIME: Duration = Duration::from_millis(500);
+/// Time after which the first failed read is repeated.
+const FIRST_RETRY_TIME: Duration = Duration::from_millis(500);
+
+/// Time after which later failed reads are repeated, since the store counts calls during an outage too.
+const RETRY_TIME: Duration = Duration::from_millis(1_000);
 
 /// Shortest time between two notices of a reader to its peers. Reads that confirm the list may follow each other faster.
 const NOTICE_GAP: Duration = Duration::from_millis(500);
@@ -42,6 +45,8 @@
     difference_time: Duration,
     /// Point in time at which the list is read unless it is known to be current again before.
     read_due: Instant,
+    /// Whether the last read has failed.
+    failed: bool,
     pending: Option<PendingDifference>,
     /// Difference that the last read was to remove.
     last: Option<LastDifference>,
@@ -58,6 +63,7 @@
             limit,
             difference_time: DIFFERENCE_TIME,
             read_due: now + limit,
+            failed: false,
             pending: None,
             last: None,
             next_notice: None,
@@ -72,6 +78,7 @@
 
     /// Records that the own list holds what the store held at `read` or later.
     pub fn record_read(&mut self, read: Instant) {
+        self.failed = false;
         self.read_due = self.read_due.max(read + self.limit);
     }
 
@@ -108,8 +115,12 @@
 
     /// Records at `now` that a read has failed, which has to be repeated soon: the entry may have missed a change.
     pub fn record_failed_read(&mut self, now: Instant) {
+        let retry_time = match std::mem::replace(&mut self.failed, true) {
+            true => RETRY_TIME,
+            false => FIRST_RETRY_TIME,
+        };
         self.last = None;
-        self.read_due = self.read_due.min(now + RETRY_TIME);
+        self.read_due = self.read_due.min(now + retry_time);
     }
 
     /// Returns whether the list has to be read now, given the state of the own list. A read without an answer is repeated
--- a/crates/core/tests/relay/freshness.rs
+++ b/crates/core/tests/relay/freshness.rs
@@ -302,3 +302,23 @@
     assert!(!freshness.take_read(own, failed + TICK));
     assert!(freshness.take_read(own, failed + TICK * 3));
 }
+
+/// Guards against followers that call a store which is away several times a second; the store counts these calls.
+#[test]
+fn failed_reads_are_repeated_once_a_second_during_an_outage() {
+    let start = Instant::now();
+    let mut freshness = controller(start);
+    let own = state(10, 1);
+    let mut reads = 0;
+    for tick in 1..=125 {
+        let now = start + TICK * tick;
+        if freshness.take_read(own, now) {
+            reads += 1;
+            freshness.record_failed_read(now);
+        }
+    }
+    assert!(
+        (15..=22).contains(&reads),
+        "{reads} reads in 20 s after the limit"
+    );
+}
--- a/crates/entry/src/relay/control/routes.rs
+++ b/crates/entry/src/relay/control/routes.rs
@@ -127,9 +127,10 @@
         }
     }
 
-    /// Reads the routes if this entry polls for them seldom and may have missed a change.
+    /// Reads the routes if this entry polls for them seldom and may have missed a change. After a failed poll the follower
+    /// reads them anyway.
     pub(super) fn check_routes_age(&mut self, now: Instant) {
-        if self.peers.confirmer().is_none() {
+        if self.peers.confirmer().is_none() || !self.routes_range.current {
             return;
         }
         let own = routes_state(self.routes.current().revision);
