Wire, manifest and settings for decisions under load

Cause: the parts of docs/load.md share messages, settings and fields of the view, and would conflict if each added its own. Change: terms of a route in the header of delivered packets, reports with the pace of an upstream, notices for evacuated zones and the era of the store, cold rates and terms decoded from the manifest, settings and templates. Nothing acts on them yet.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -461,6 +461,7 @@
             cold_until: upstream.and_then(|record| record.announcement.cold_until),
             digest: digest.map(Arc::new),
             keepalive_sent: None,
+            pace: None,
             expires: now,
         };
         let peers = self.subscribers.next_peers();
--- a/crates/agent/src/relay/settings.rs
+++ b/crates/agent/src/relay/settings.rs
@@ -26,6 +26,15 @@
     pub entry_port: u16,
     /// Interval between two announcements of the upstream, in milliseconds; 1 to 60000.
     pub announce_ms: u64,
+    /// Whether the pace of the upstream is measured and reported; docs/load.md describes it and the next keys.
+    #[serde(default)]
+    pub pace: bool,
+    /// Whether new flows are limited by a window after a start or recovery of the upstream.
+    #[serde(default)]
+    pub slow_start: bool,
+    /// Whether requests beyond the upstream's slots are held and ordered by the terms of their routes.
+    #[serde(default)]
+    pub schedule: bool,
 }
 
 /// Maximum of `relay.announce_ms`, in milliseconds.
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -189,7 +189,12 @@
 
     fn handle_datagram(&self, buffer: &mut [u8], entry: SocketAddrV4) {
         match decode_datagram(&mut buffer[RELAY_HEADER_MAX..]) {
-            Ok(RelayDatagram::Flow(RelayHeader::Deliver { service, forced }, packet)) => {
+            Ok(RelayDatagram::Flow(
+                RelayHeader::Deliver {
+                    service, forced, ..
+                },
+                packet,
+            )) => {
                 let length = packet.len();
                 // Drops the header that was received and leaves `RELAY_HEADER_MAX` bytes in front of the packet,
                 // for the header of a packet that is returned.
@@ -209,7 +214,10 @@
                 | RelayNotice::ConfirmRequest(_)
                 | RelayNotice::ConfirmAnswer { .. }
                 | RelayNotice::ListState { .. }
-                | RelayNotice::RoutesState(_),
+                | RelayNotice::RoutesState(_)
+                | RelayNotice::PacedReport(..)
+                | RelayNotice::OperatorState { .. }
+                | RelayNotice::StoreEra(_),
             )) => {
                 self.count_malformed("unexpected");
             }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -51,6 +51,9 @@
 /// Revision of the store, which rises with each write to any key. The catalogue counts its own revisions.
 pub type StoreRevision = i64;
 
+/// Number that the store raises each time that it is restored from an older copy; 0 if it is not known.
+pub type StoreEra = u64;
+
 /// Identity of one request, unique across all agents and kept when the request is handed over to another agent.
 pub type RequestId = u128;
 
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -271,7 +271,10 @@
         let requests = match reason {
             ReturnReason::Busy { requests } => Some(requests),
             ReturnReason::Failing => Some(u32::MAX),
-            ReturnReason::NotHeld | ReturnReason::NotReady | ReturnReason::WrongService => None,
+            ReturnReason::NotHeld
+            | ReturnReason::NotReady
+            | ReturnReason::Cold { .. }
+            | ReturnReason::WrongService => None,
         };
         if let Some(requests) = requests {
             if record.busy.iter().all(|(key, _)| *key != known) {
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -15,6 +15,7 @@
 use crate::relay::identity::{merge_accounts, IncarnationChange, IncarnationSource};
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
+use crate::relay::pace::EndpointPace;
 use crate::relay::revisions::RevisionLog;
 use crate::relay::routes::FormerServices;
 use crate::relay::subscribe::{sparse_interval, ReportRate};
@@ -78,6 +79,8 @@
     pub digest: Option<Arc<FlowDigest>>,
     /// When the entry sent the last keepalive that the agent received before it sent the report.
     pub keepalive_sent: Option<Instant>,
+    /// Pace of the upstream, if the agent measures it.
+    pub pace: Option<EndpointPace>,
     /// Point in time at which the endpoint counts as silent unless it reports again.
     pub expires: Instant,
 }
@@ -428,6 +431,8 @@
             cold_until: report.and_then(|report| report.cold_until),
             digest: current.and_then(|report| report.digest.clone()),
             keepalive_sent: current.and_then(|report| report.keepalive_sent),
+            pace_factor: 1.0,
+            evacuated: false,
         }
     }
 }
--- a/crates/core/src/relay/intake.rs
+++ b/crates/core/src/relay/intake.rs
@@ -53,6 +53,11 @@
     },
     /// The upstream is ejected because it resets its requests.
     Failing,
+    /// The upstream is cold and has taken as many new flows as it bears.
+    Cold {
+        /// Time until it takes a further one, in milliseconds.
+        wait_ms: u32,
+    },
     /// The packet is for another service than the agent's.
     WrongService,
 }
@@ -65,6 +70,7 @@
             ReturnReason::NotReady => "not-ready",
             ReturnReason::Busy { .. } => "busy",
             ReturnReason::Failing => "failing",
+            ReturnReason::Cold { .. } => "cold",
             ReturnReason::WrongService => "wrong-service",
         }
     }
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{RevisionNumber, ServiceName};
 use crate::relay::packet::FlowAddresses;
+use crate::relay::terms::FlowTerms;
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -33,6 +34,10 @@
     pub revision: RevisionNumber,
     /// Targets by the address that callers use.
     pub by_address: HashMap<SocketAddrV4, TargetList>,
+    /// Requirements on requests by the address that callers use.
+    pub terms: HashMap<SocketAddrV4, FlowTerms>,
+    /// Requests a second that a cold upstream of a service bears. A service without such a limit is absent.
+    pub cold_rates: HashMap<ServiceName, f64>,
     /// Idle time after which a flow may be removed from the flow table.
     pub idle_timeout: Duration,
 }
@@ -42,6 +47,11 @@
     pub fn targets(&self, address: SocketAddrV4) -> Option<&TargetList> {
         self.by_address.get(&address)
     }
+
+    /// Returns the requirements on requests to `address`.
+    pub fn terms(&self, address: SocketAddrV4) -> FlowTerms {
+        self.terms.get(&address).copied().unwrap_or_default()
+    }
 }
 
 /// Returns the target that takes a new flow, or `None` if all weights are 0.
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -48,6 +48,10 @@
     pub digest: Option<Arc<FlowDigest>>,
     /// When the entry sent the keepalive that the last report answers; the report is not older than this.
     pub keepalive_sent: Option<Instant>,
+    /// Service time of the upstream over the median of its service; 1 if it is like the others or not measured.
+    pub pace_factor: f64,
+    /// Whether operators have evacuated the endpoint's availability zone, so that it takes no new flows.
+    pub evacuated: bool,
 }
 
 /// The endpoints of one service.
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -39,6 +39,7 @@
         cold_until: None,
         digest: None,
         keepalive_sent: None,
+        pace: None,
         expires: now + SILENT_AFTER,
     }
 }
--- a/crates/core/tests/relay/herd.rs
+++ b/crates/core/tests/relay/herd.rs
@@ -349,6 +349,7 @@
                 cold_until: None,
                 digest: None,
                 keepalive_sent: None,
+                pace: None,
                 expires: due.expires,
             };
             fleet.report(report, now);
--- a/crates/core/tests/relay/list.rs
+++ b/crates/core/tests/relay/list.rs
@@ -227,6 +227,7 @@
         cold_until: None,
         digest: None,
         keepalive_sent: None,
+        pace: None,
         expires: now + SILENT_AFTER,
     };
     fleet.report(report, now);
--- a/crates/core/tests/relay/site.rs
+++ b/crates/core/tests/relay/site.rs
@@ -119,6 +119,7 @@
             cold_until: None,
             digest: None,
             keepalive_sent: Some(self.now),
+            pace: None,
             expires: self.now + SILENT_AFTER,
         };
         self.fleet.report(report, self.now);
--- a/crates/core/tests/relay/support.rs
+++ b/crates/core/tests/relay/support.rs
@@ -71,6 +71,8 @@
         cold_until: None,
         digest: None,
         keepalive_sent: None,
+        pace_factor: 1.0,
+        evacuated: false,
     }
 }
 
@@ -95,6 +97,7 @@
         revision,
         by_address: [(service_address(), targets(shares))].into(),
         idle_timeout: Duration::from_secs(15),
+        ..RouteSet::default()
     }
 }
 
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -15,7 +15,8 @@
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
 use quetzalhill_store::api::{KeyValue, StoreRevision, WatchEvent};
 use quetzalhill_wire::relay::{
-    decode_record, endpoint_of_key, KeepaliveNotice, ListNotice, RelayNotice, LIST_CHANGES_MAX,
+    decode_record, endpoint_of_key, KeepaliveNotice, ListNotice, PaceNotice, RelayNotice,
+    LIST_CHANGES_MAX,
 };
 use std::sync::Arc;
 use std::time::Instant;
@@ -339,7 +340,8 @@
     pub(super) fn handle_report(&mut self, arrived: ArrivedReport, now: Instant) {
         let id = id_of(arrived.agent);
         self.peers.record_named(&arrived.notice.peers, now);
-        let report = arrived.notice.into_report(id, self.epoch, now);
+        let mut report = arrived.notice.into_report(id, self.epoch, now);
+        report.pace = arrived.pace.map(PaceNotice::into_pace);
         let (state, incarnation) = (report.state, report.endpoint.incarnation);
         let (order, stopping) = (report.order, report.stopping);
         match self.fleet.report(report, now) {
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -23,6 +23,20 @@
     /// Milliseconds within which a change of the routes has to be in force at every entry.
     #[serde(default = "default_apply_ms")]
     pub apply_ms: u64,
+    /// Whether placement uses the pace of upstreams that agents report; docs/load.md describes it and the next keys.
+    #[serde(default)]
+    pub pace: bool,
+    /// Whether the terms of a route are sent to agents with each packet, by which they order requests.
+    #[serde(default)]
+    pub schedule: bool,
+    /// Whether evacuations of availability zones are followed.
+    #[serde(default)]
+    pub evacuations: bool,
+    /// Factor on the rate that a service states for its cold upstreams; without it, cold upstreams have no limit.
+    pub cold_overrun: Option<f64>,
+    /// First packets a second that a cold upstream may take beyond that rate.
+    #[serde(default)]
+    pub cold_slack: f64,
 }
 
 fn default_linger_ms() -> u64 {
@@ -36,6 +50,12 @@
 /// Range of `apply_ms`, in milliseconds; a shorter time would need more calls to the store than an entry may make.
 const APPLY_RANGE_MS: RangeInclusive<u64> = 600..=60_000;
 
+/// Range of `cold_overrun`; below 1 an upstream would get less than it bears.
+const COLD_OVERRUN_RANGE: RangeInclusive<f64> = 1.0..=100.0;
+
+/// Range of `cold_slack`; the header of a packet holds limits up to 255.
+const COLD_SLACK_RANGE: RangeInclusive<f64> = 0.0..=255.0;
+
 /// Upper limit of `linger_ms`, in milliseconds.
 const LINGER_MAX_MS: u64 = 60_000;
 
@@ -82,5 +102,14 @@
         let allowed = "600 to 60000 milliseconds";
         return Err(SettingError::new("relay.apply_ms", apply_ms, allowed));
     }
+    if let Some(overrun) = settings.relay.cold_overrun {
+        if !COLD_OVERRUN_RANGE.contains(&overrun) {
+            return Err(SettingError::new("relay.cold_overrun", overrun, "1 to 100"));
+        }
+    }
+    let slack = settings.relay.cold_slack;
+    if !COLD_SLACK_RANGE.contains(&slack) {
+        return Err(SettingError::new("relay.cold_slack", slack, "0 to 255"));
+    }
     Ok(())
 }
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -23,7 +23,7 @@
 use quetzalhill_platform::packet::{self, PacketSender};
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use quetzalhill_wire::relay::{
-    decode_datagram, ListNotice, RelayDatagram, RelayHeader, RelayNotice, ReportNotice,
+    decode_datagram, ListNotice, PaceNotice, RelayDatagram, RelayHeader, RelayNotice, ReportNotice,
     RELAY_HEADER_MAX,
 };
 use std::fmt::{Display, Formatter, Result as FormatResult};
@@ -39,6 +39,8 @@
 pub(super) struct ArrivedReport {
     pub(super) agent: SocketAddrV4,
     pub(super) notice: ReportNotice,
+    /// Pace of the upstream, if the agent measures it.
+    pub(super) pace: Option<PaceNotice>,
 }
 
 /// An event that a traffic thread sends to the control thread.
@@ -261,7 +263,18 @@
                 self.handle_returned(&mut buffer[..RELAY_HEADER_MAX + length], endpoint, reason);
             }
             Ok(RelayDatagram::Notice(RelayNotice::Report(notice))) => {
-                self.send_event(TrafficEvent::Report(ArrivedReport { agent, notice }));
+                self.send_event(TrafficEvent::Report(ArrivedReport {
+                    agent,
+                    notice,
+                    pace: None,
+                }));
+            }
+            Ok(RelayDatagram::Notice(RelayNotice::PacedReport(notice, pace))) => {
+                self.send_event(TrafficEvent::Report(ArrivedReport {
+                    agent,
+                    notice,
+                    pace: Some(pace),
+                }));
             }
             Ok(RelayDatagram::Notice(RelayNotice::ListChange(notice))) => {
                 self.send_event(TrafficEvent::ListChange(notice));
@@ -289,9 +302,11 @@
                 self.send_event(TrafficEvent::ConfirmAnswer { id, list });
             }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
-            | Ok(RelayDatagram::Notice(RelayNotice::Keepalive(_))) => {
-                self.count_malformed("unexpected")
-            }
+            | Ok(RelayDatagram::Notice(
+                RelayNotice::Keepalive(_)
+                | RelayNotice::OperatorState { .. }
+                | RelayNotice::StoreEra(_),
+            )) => self.count_malformed("unexpected"),
             Err(error) => self.count_malformed(&format!("{error:?}")),
         }
     }
@@ -361,6 +376,8 @@
         let header = RelayHeader::Deliver {
             service: target.service,
             forced: target.forced,
+            terms: None,
+            cold_limit: None,
         };
         let Ok(start) = header.prepend_to(buffer) else {
             return self.count_malformed("seal");
--- a/crates/platform/src/manifest.rs
+++ b/crates/platform/src/manifest.rs
@@ -1,6 +1,7 @@
 //! Decoding of the manifest, in which the platform's operators define routes and limits.
 
 use quetzalhill_core::relay::routes::{RouteSet, RouteTarget, TargetList};
+use quetzalhill_core::relay::terms::FlowTerms;
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::error::Error;
@@ -18,6 +19,8 @@
 struct ManifestBody {
     version: u64,
     routes: Vec<RouteBody>,
+    #[serde(default)]
+    services: Vec<ServiceBody>,
     limits: LimitsBody,
 }
 
@@ -32,6 +35,21 @@
     service: Option<String>,
     /// Services of a split route, used if `service` is absent.
     weighted_services: Option<Vec<TargetBody>>,
+    /// Urgency of the requests; 0 is the highest.
+    priority: Option<u64>,
+    /// Time within which a request should be answered, in milliseconds.
+    target_latency_ms: Option<u64>,
+    /// Time after which a caller gives a request up, in milliseconds.
+    timeout_ms: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceBody {
+    name: String,
+    /// Requests a second that an upstream bears while it is cold; 0 or absent if there is no limit.
+    #[serde(default)]
+    cold_per_s: f64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -86,15 +104,19 @@
 pub fn decode(value: &[u8]) -> Result<RouteSet, ManifestError> {
     let body: ManifestBody = serde_json::from_slice(value).map_err(ManifestError::Body)?;
     let mut by_address = HashMap::with_capacity(body.routes.len());
+    let mut terms = HashMap::with_capacity(body.routes.len());
     for route in body.routes {
         let Some(address) = address_of(&route) else {
             return Err(ManifestError::Address { route: route.name });
         };
+        terms.insert(address, terms_of(&route));
         by_address.insert(address, targets_of(route)?);
     }
     Ok(RouteSet {
         revision: body.version,
         by_address,
+        terms,
+        cold_rates: cold_rates_of(body.services),
         idle_timeout: Duration::from_millis(body.limits.idle_timeout_ms),
     })
 }
@@ -105,6 +127,33 @@
     Some(SocketAddrV4::new(ip, port))
 }
 
+/// Returns the requirements of a route; what it does not state keeps its default.
+fn terms_of(route: &RouteBody) -> FlowTerms {
+    let stated = FlowTerms::default();
+    let priority = route.priority.unwrap_or(u64::MAX);
+    FlowTerms {
+        priority: u8::try_from(priority)
+            .unwrap_or(u8::MAX)
+            .min(FlowTerms::LOWEST_PRIORITY),
+        target: route
+            .target_latency_ms
+            .map_or(stated.target, Duration::from_millis),
+        timeout: route
+            .timeout_ms
+            .map_or(stated.timeout, Duration::from_millis),
+    }
+}
+
+fn cold_rates_of(services: Vec<ServiceBody>) -> HashMap<String, f64> {
+    let mut rates = HashMap::new();
+    for service in services {
+        if service.cold_per_s > 0.0 {
+            rates.insert(service.name, service.cold_per_s);
+        }
+    }
+    rates
+}
+
 fn targets_of(route: RouteBody) -> Result<TargetList, ManifestError> {
     let mut targets = TargetList::new();
     if let Some(service) = route.service {
--- a/crates/platform/tests/standin.rs
+++ b/crates/platform/tests/standin.rs
@@ -220,6 +220,7 @@
         revision: 6,
         by_address: [(address, targets.into_iter().collect())].into(),
         idle_timeout: Duration::from_secs(15),
+        ..RouteSet::default()
     };
     let read = manifest::decode(&call::manifest(&routes)).expect("a manifest");
     assert_eq!(read.revision, 6);
--- a/crates/platform/tests/templates.rs
+++ b/crates/platform/tests/templates.rs
@@ -11,6 +11,8 @@
         toml::from_str(&agent).expect("agent");
     quetzalhill_agent::relay::settings::check(&agent).expect("agent");
     assert_eq!(agent.relay.entry_port, entry.relay.agents.port());
+    assert!(entry.relay.evacuations && entry.relay.schedule && agent.relay.schedule);
+    assert_eq!(entry.relay.cold_overrun, Some(1.5));
 }
 
 /// Replaces the placeholders of a template as the platform does, with loopback addresses.
@@ -33,6 +35,14 @@
         ("#bounds.configApplyMs", ""),
         ("bounds.configApplyMs", "3000"),
         ("/bounds.configApplyMs", ""),
+        ("#bounds.evacuateMs", ""),
+        ("/bounds.evacuateMs", ""),
+        ("#bounds.coldOverrun", ""),
+        ("bounds.coldOverrun", "1.5"),
+        ("/bounds.coldOverrun", ""),
+        ("#bounds.coldSlack", ""),
+        ("bounds.coldSlack", "5"),
+        ("/bounds.coldSlack", ""),
     ] {
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -256,6 +256,11 @@
                 ready: SocketAddrV4::new(*packets.ip(), READY_PORT),
                 linger_ms: 1_500,
                 apply_ms: 3_000,
+                pace: false,
+                schedule: false,
+                evacuations: false,
+                cold_overrun: None,
+                cold_slack: 0.0,
             },
         }
     }
@@ -276,6 +281,9 @@
                 ready: with_port(READY_PORT),
                 entry_port: REPORT_PORT,
                 announce_ms: ANNOUNCE_MS,
+                pace: false,
+                slow_start: false,
+                schedule: false,
             },
         }
     }
--- a/crates/standins/tests/settings_page.rs
+++ b/crates/standins/tests/settings_page.rs
@@ -105,6 +105,11 @@
             ready: ADDRESS,
             linger_ms: 1,
             apply_ms: 1,
+            pace: false,
+            schedule: false,
+            evacuations: false,
+            cold_overrun: Some(1.5),
+            cold_slack: 0.0,
         },
     }
 }
@@ -123,6 +128,9 @@
             ready: ADDRESS,
             entry_port: 1,
             announce_ms: 1,
+            pace: false,
+            slow_start: false,
+            schedule: false,
         },
     }
 }
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -4,15 +4,19 @@
 //! datagrams carry no authentication tag: the platform gives the processes no shared secret, and the packets
 //! themselves are protected end to end. See docs/relay.md.
 
+mod pace;
 mod record;
+mod terms;
 
+pub use pace::PaceNotice;
 pub use record::{decode_endpoint, decode_record, encode_endpoint, endpoint_of_key, record_key};
 
 use self::record::StoredEndpoint;
+use self::terms::{decode_terms, encode_terms};
 use crate::packet::WIRE_VERSION;
 use quetzalhill_core::ids::{
     address_of, id_of, EndpointId, EntryId, IncarnationNumber, RevisionNumber, ServiceDigest,
-    ServiceName, StoreRevision, ZoneName,
+    ServiceName, StoreEra, StoreRevision, ZoneName,
 };
 use quetzalhill_core::relay::confirm::ConfirmId;
 use quetzalhill_core::relay::digest::FlowDigest;
@@ -22,6 +26,7 @@
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
 use quetzalhill_core::relay::load::LoadCounts;
 use quetzalhill_core::relay::subscribe::{DueReport, EntryKeepalive, ReportRate};
+use quetzalhill_core::relay::terms::FlowTerms;
 use serde::de::{Error as _, SeqAccess, Visitor};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -53,6 +58,10 @@
         service: ServiceDigest,
         /// Whether the endpoint must accept a new flow even if it is busy, because the other endpoints are busy too.
         forced: bool,
+        /// Requirements of the route on the requests of the flow, if the entry passes them on.
+        terms: Option<FlowTerms>,
+        /// First packets a second that the endpoint may take while it is cold, if its service has a limit.
+        cold_limit: Option<u8>,
     },
     /// From an agent to an entry: the endpoint does not accept the packet.
     Return {
@@ -80,13 +89,30 @@
 const TAG_WRONG_SERVICE: u8 = 3;
 const TAG_BUSY: u8 = 4;
 const TAG_FAILING: u8 = 5;
+const TAG_DELIVER_TERMS: u8 = 6;
+const TAG_COLD: u8 = 7;
 
 // Serialization is implemented by hand, because every packet has this header and derived code would encode two nested
 // enums.
 impl Serialize for RelayHeader {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let (tag, value, detail) = match *self {
-            RelayHeader::Deliver { service, forced } => (TAG_DELIVER, service, u32::from(forced)),
+            RelayHeader::Deliver {
+                service,
+                forced,
+                terms: None,
+                cold_limit: None,
+            } => (TAG_DELIVER, service, u32::from(forced)),
+            RelayHeader::Deliver {
+                service,
+                forced,
+                terms,
+                cold_limit,
+            } => (
+                TAG_DELIVER_TERMS,
+                service,
+                encode_terms(forced, terms, cold_limit),
+            ),
             RelayHeader::Return {
                 incarnation,
                 reason,
@@ -107,12 +133,14 @@
         ReturnReason::WrongService => TAG_WRONG_SERVICE,
         ReturnReason::Busy { .. } => TAG_BUSY,
         ReturnReason::Failing => TAG_FAILING,
+        ReturnReason::Cold { .. } => TAG_COLD,
     }
 }
 
 fn reason_detail(reason: ReturnReason) -> u32 {
     match reason {
         ReturnReason::Busy { requests } => requests,
+        ReturnReason::Cold { wait_ms } => wait_ms,
         ReturnReason::NotHeld
         | ReturnReason::NotReady
         | ReturnReason::Failing
@@ -139,13 +167,17 @@
                 return Ok(RelayHeader::Deliver {
                     service: value,
                     forced: detail != 0,
+                    terms: None,
+                    cold_limit: None,
                 })
             }
+            TAG_DELIVER_TERMS => return Ok(decode_terms(value, detail)),
             TAG_NOT_HELD => ReturnReason::NotHeld,
             TAG_NOT_READY => ReturnReason::NotReady,
             TAG_WRONG_SERVICE => ReturnReason::WrongService,
             TAG_BUSY => ReturnReason::Busy { requests: detail },
             TAG_FAILING => ReturnReason::Failing,
+            TAG_COLD => ReturnReason::Cold { wait_ms: detail },
             _ => return Err(A::Error::custom("an unknown kind of relay header")),
         };
         Ok(RelayHeader::Return {
@@ -188,6 +220,18 @@
     },
     /// The same for the routes: the revision that is in force at the sender.
     RoutesState(RevisionNumber),
+    /// A [`RelayNotice::Report`] with the pace of the upstream, from an agent that measures it.
+    PacedReport(ReportNotice, PaceNotice),
+    /// From an entry that watches what operators wrote to another one of its zone: the state that is in force at the
+    /// sender. Takes the place of [`RelayNotice::RoutesState`] where evacuations of zones are followed.
+    OperatorState {
+        /// Revision of the routes.
+        routes: RevisionNumber,
+        /// Fingerprint of the evacuated zones.
+        evacuations: u64,
+    },
+    /// From an entry to another one of its zone: the highest era of the store that the sender has seen.
+    StoreEra(StoreEra),
 }
 
 /// Changes of the list of endpoints, in the order of the store.
@@ -478,6 +522,7 @@
                 .as_deref()
                 .map(decode_digest)
                 .map(Arc::new),
+            pace: None,
             keepalive_sent: epoch.checked_add(Duration::from_millis(self.keepalive_ms.into())),
             expires: now + Duration::from_millis(self.lifetime_ms.into()),
         }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -1,5 +1,6 @@
 //! Encoding of relay datagrams and of the endpoint records in the store.
 
+use proptest::option;
 use proptest::prelude::*;
 use quetzalhill_core::ids::{id_of, service_digest};
 use quetzalhill_core::relay::digest::FlowDigest;
@@ -9,6 +10,7 @@
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
 use quetzalhill_core::relay::load::LoadCounts;
 use quetzalhill_core::relay::subscribe::{DueReport, ReportRate};
+use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_wire::relay::{
     decode_datagram, decode_endpoint, decode_record, encode_endpoint, endpoint_of_key, record_key,
     KeepaliveNotice, ListNotice, RelayDatagram, RelayError, RelayHeader, RelayNotice, ReportNotice,
@@ -35,10 +37,30 @@
         Just(ReturnReason::WrongService),
         Just(ReturnReason::Failing),
         any::<u32>().prop_map(|requests| ReturnReason::Busy { requests }),
+        any::<u32>().prop_map(|wait_ms| ReturnReason::Cold { wait_ms }),
     ];
+    // Times are multiples of their units on the wire, 8 ms and 64 ms.
+    let terms =
+        (0_u8..7, 0_u64..=1_023, 0_u64..=1_023).prop_map(|(priority, target, timeout)| FlowTerms {
+            priority,
+            target: Duration::from_millis(target * 8),
+            timeout: Duration::from_millis(timeout * 64),
+        });
     prop_oneof![
-        (any::<u64>(), any::<bool>())
-            .prop_map(|(service, forced)| RelayHeader::Deliver { service, forced }),
+        (
+            any::<u64>(),
+            any::<bool>(),
+            option::of(terms),
+            option::of(1_u8..),
+        )
+            .prop_map(
+                |(service, forced, terms, cold_limit)| RelayHeader::Deliver {
+                    service,
+                    forced,
+                    terms,
+                    cold_limit,
+                }
+            ),
         (any::<u64>(), reason).prop_map(|(incarnation, reason)| RelayHeader::Return {
             incarnation,
             reason
@@ -87,6 +109,7 @@
         cold_until: Some(now + Duration::from_millis(500)),
         digest: Some(Arc::new(FlowDigest::new(vec![9, 65_535, 256]))),
         keepalive_sent: Some(now + Duration::from_millis(70_000)),
+        pace: None,
         expires: now + Duration::from_millis(5_000),
     };
     let due = DueReport {
