Publish the view as soon as awaited reports arrive

Change: reports that change only the load are published within 100 ms also if none follows, within 10 ms while packets wait; the control thread wakes the agents thread with an empty datagram; digests are requested every 80 to 150 ms, 750 agents a second; keepalives every 50 ms until the view is loaded. Tests of core's relay and of node pass; the bound on rounds of requests is tested by number of agents.

--- a/crates/core/src/relay/confirm.rs
+++ b/crates/core/src/relay/confirm.rs
@@ -16,8 +16,15 @@
 /// Shortest time between two requests; one covers all flows that became unresolved before it.
 const ASK_GAP: Duration = Duration::from_millis(40);
 
-/// Shortest time between two requests for digests; a held packet waits for 350 ms at most.
-const DIGEST_GAP: Duration = Duration::from_millis(150);
+/// Requests for digests per second to all agents together. The answers, of some hundred bytes each, take a sixth of the
+/// link and a twentieth of the processor of the smallest instances.
+const DIGEST_REQUESTS_PER_S: f64 = 750.0;
+
+/// Shortest time between two rounds of requests for digests. The list, which has to be read too, is read every 100 ms.
+const DIGEST_GAP_MIN: Duration = Duration::from_millis(80);
+
+/// Longest time between two rounds; a held packet waits for 350 ms at most.
+const DIGEST_GAP_MAX: Duration = Duration::from_millis(150);
 
 /// Limit of requests that wait for a read.
 const CLIENTS_MAX: usize = 1_024;
@@ -130,7 +137,8 @@
 }
 
 /// Spaces out the requests for fresh digests, which go to every agent that has one: after a power failure these are all
-/// agents, and a request with each confirmation would fill the link of a small instance.
+/// agents, and a request with each confirmation would fill the link of a small instance. Callers whose flows have ended
+/// wait for the next round, so rounds follow each other the sooner the fewer agents there are.
 #[derive(Debug, Default)]
 pub struct DigestPacer {
     next: Option<Instant>,
@@ -138,13 +146,16 @@
 }
 
 impl DigestPacer {
-    /// Returns whether digests are to be requested at `now`. If not, the request is due at [`DigestPacer::due`].
-    pub fn request(&mut self, now: Instant) -> bool {
+    /// Returns whether digests are to be requested at `now` from `agents` agents. If not, the request is due at
+    /// [`DigestPacer::due`].
+    pub fn request(&mut self, agents: usize, now: Instant) -> bool {
         if self.next.is_some_and(|next| now < next) {
             self.wanted = true;
             return false;
         }
-        self.next = Some(now + DIGEST_GAP);
+        let agents = u32::try_from(agents).unwrap_or(u32::MAX);
+        let gap = Duration::from_secs_f64(f64::from(agents) / DIGEST_REQUESTS_PER_S);
+        self.next = Some(now + gap.clamp(DIGEST_GAP_MIN, DIGEST_GAP_MAX));
         self.wanted = false;
         true
     }
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -255,6 +255,16 @@
         requests
     }
 
+    /// Returns the number of known endpoints.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Returns whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// Returns the interval between two keepalives to an endpoint of another zone.
     fn far_interval(&self) -> Duration {
         let is_far = |known: &&KnownEndpoint| known.endpoint.zone != self.zone;
--- a/crates/core/tests/relay/confirm.rs
+++ b/crates/core/tests/relay/confirm.rs
@@ -4,6 +4,7 @@
     ConfirmAction, ConfirmClient, ConfirmController, ConfirmOutcome, ConfirmQueue, DigestPacer,
 };
 use std::time::{Duration, Instant};
+use yare::parameterized;
 
 fn asked(action: ConfirmAction) -> u32 {
     match action {
@@ -82,22 +83,28 @@
     assert_eq!(queue.take_answered(read), [client(2, 1, 10)]);
 }
 
-/// Load: all callers return after a power failure, and flows become unresolved every few milliseconds. Guards against
-/// digests of all agents that are requested with each confirmation, and against a flow whose request is put off for ever.
-#[test]
-fn digests_are_requested_seldom_and_after_the_last_flow() {
+/// Load: after a loss of power every entry looks for hundreds of flows that have ended. Guards against requests for
+/// digests that fill the link of a small instance, and against callers that wait for the next round for longer than the
+/// number of agents requires.
+#[parameterized(
+    few = { 10, 13 },
+    medium_site = { 59, 13 },
+    large_site = { 136, 7 },
+    huge = { 10_000, 7 },
+)]
+fn digests_are_requested_seldom_and_after_the_last_flow(agents: usize, rounds: usize) {
     let start = Instant::now();
     let mut pacer = DigestPacer::default();
     let mut requests = Vec::new();
     for ms in (0..1_000).step_by(10) {
         let now = start + Duration::from_millis(ms);
-        if pacer.request(now) {
+        if pacer.request(agents, now) {
             requests.push(now);
         }
     }
-    assert_eq!(requests.len(), 7);
+    assert_eq!(requests.len(), rounds);
     let due = pacer.due().expect("the last flow waits");
     assert!(due <= start + Duration::from_millis(1_140));
-    assert!(pacer.request(due));
+    assert!(pacer.request(agents, due));
     assert_eq!(pacer.due(), None);
 }
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -43,6 +43,14 @@
 /// publishes the view at once; one that changes only the load does so when the published load is this old.
 const LOAD_AGE: Duration = Duration::from_millis(100);
 
+/// The same while packets wait for a newer view: callers whose flows have ended wait until all agents have reported their
+/// flows once more, and the answers to one request arrive within some milliseconds.
+const AWAITED_AGE: Duration = Duration::from_millis(10);
+
+/// Time between two checks while the view is not loaded. Agents start at the same time as the entry after a loss of power,
+/// and miss keepalives until then.
+const LOADING_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time for which an entry waits for the reports of its endpoints, from the first list of endpoints on, before it reports
 /// that it is ready.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
@@ -186,11 +194,11 @@
     );
     let mut events = setup.events;
     loop {
-        let tick = control.borrow().next_tick;
+        let wake = control.borrow().next_wake();
         let now = Instant::now();
-        if tick <= now {
+        if wake <= now {
             // Events that never pause must not keep the tick from its work.
-            control.borrow_mut().tick(now);
+            control.borrow_mut().wake(now);
             continue;
         }
         tokio::select! {
@@ -201,7 +209,7 @@
                 }
                 control.borrow_mut().begin_stop();
             }
-            received = timeout_at(tick.into(), events.recv()) => match received {
+            received = timeout_at(wake.into(), events.recv()) => match received {
                 Ok(Some(TrafficEvent::Report(report))) => {
                     control.borrow_mut().handle_report(report, Instant::now());
                 }
@@ -230,7 +238,7 @@
                     control.borrow().confirm_routes.notify_one();
                 }
                 Ok(None) => return Ok(()),
-                Err(_) => control.borrow_mut().tick(Instant::now()),
+                Err(_) => control.borrow_mut().wake(Instant::now()),
             },
         }
     }
@@ -322,6 +330,8 @@
     /// Start of the clock in keepalives.
     epoch: Instant,
     next_tick: Instant,
+    /// When the view has to be published because of reports that it does not contain.
+    publish_due: Option<Instant>,
     last_published: Instant,
     stopping: bool,
     loaded: bool,
@@ -356,6 +366,7 @@
             confirm_routes: Rc::default(),
             epoch: now,
             next_tick: now + TICK_INTERVAL,
+            publish_due: None,
             last_published: now,
             stopping: false,
             loaded: false,
@@ -363,8 +374,28 @@
         }
     }
 
+    /// Returns when [`RelayControl::wake`] has to be called at the latest.
+    fn next_wake(&self) -> Instant {
+        self.publish_due
+            .map_or(self.next_tick, |due| due.min(self.next_tick))
+    }
+
+    /// Does the work that is due.
+    fn wake(&mut self, now: Instant) {
+        if self.next_tick <= now {
+            return self.tick(now);
+        }
+        if self.publish_due.is_some_and(|due| due <= now) {
+            self.publish(now);
+        }
+    }
+
     fn tick(&mut self, now: Instant) {
-        self.next_tick = now + TICK_INTERVAL;
+        self.next_tick = now
+            + match self.loaded {
+                true => TICK_INTERVAL,
+                false => LOADING_INTERVAL,
+            };
         self.fleet.tick(now);
         self.update_role(now);
         self.check_list_age(now);
@@ -385,8 +416,21 @@
         self.update_metrics(now);
     }
 
+    /// Publishes the view once it is old enough, so that one view contains the reports of many agents.
+    fn publish_soon(&mut self, now: Instant) {
+        let age = match self.state.hold().is_empty() {
+            true => LOAD_AGE,
+            false => AWAITED_AGE,
+        };
+        match self.last_published + age {
+            due if due <= now => self.publish(now),
+            due => self.publish_due = Some(due),
+        }
+    }
+
     fn publish(&mut self, now: Instant) {
         self.last_published = now;
+        self.publish_due = None;
         self.log_incarnations();
         let mut former = self.routes.former().clone();
         self.fleet.add_holders(&mut former);
@@ -403,6 +447,9 @@
             loaded: self.is_loaded(now),
         };
         self.state.view.store(Arc::new(view));
+        if !self.state.hold().is_empty() {
+            self.sockets.wake_agents_thread();
+        }
     }
 
     /// Returns whether flows can be placed: routes and endpoints are loaded, and all endpoints have reported or the wait for
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -1,6 +1,6 @@
 //! How the control thread keeps in touch with agents and with the other entries of its zone, and follows the list of endpoints.
 
-use super::{RelayControl, LOAD_AGE, SETTLE_TIME};
+use super::{RelayControl, SETTLE_TIME};
 use crate::relay::traffic::ArrivedReport;
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, EntryId};
 use quetzalhill_core::relay::confirm::{ConfirmAction, ConfirmClient, ConfirmId, ConfirmOutcome};
@@ -61,7 +61,7 @@
 
     /// Requests a fresh report from each agent that reports a digest of its flows, soon if not at once.
     pub(super) fn request_digests(&mut self, now: Instant) {
-        if !self.digest_pacer.request(now) {
+        if !self.digest_pacer.request(self.fleet.len(), now) {
             let due = self.digest_pacer.due().unwrap_or(now);
             self.next_tick = self.next_tick.min(due);
             return;
@@ -335,8 +335,8 @@
         }
     }
 
-    /// Applies the report of an agent, and publishes the view if an endpoint's state changed or the published load is older
-    /// than [`LOAD_AGE`].
+    /// Applies the report of an agent, and publishes the view at once if an endpoint's state changed, or soon if only its
+    /// load did.
     pub(super) fn handle_report(&mut self, arrived: ArrivedReport, now: Instant) {
         let id = id_of(arrived.agent);
         self.peers.record_named(&arrived.notice.peers, now);
@@ -358,8 +358,8 @@
                 );
                 self.publish(now);
             }
-            ReportOutcome::Load if now >= self.last_published + LOAD_AGE => self.publish(now),
-            ReportOutcome::Load | ReportOutcome::Stale => {}
+            ReportOutcome::Load => self.publish_soon(now),
+            ReportOutcome::Stale => {}
         }
     }
 }
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -76,6 +76,8 @@
 pub(super) struct RelaySockets {
     callers: UdpSocket,
     agents: UdpSocket,
+    /// Address of `agents`.
+    agents_address: SocketAddrV4,
     /// Port on which callers receive packets; the same as the port on which the entry receives theirs.
     reply_port: u16,
 }
@@ -90,6 +92,7 @@
         Ok(Arc::new(Self {
             callers: bind(packets)?,
             agents: bind(agents)?,
+            agents_address: agents,
             reply_port: packets.port(),
         }))
     }
@@ -104,6 +107,12 @@
         let _ = self.agents.send_to(&datagram, receiver);
         datagram.len()
     }
+
+    /// Makes the thread that receives from agents look for held packets that a new view releases, by an empty datagram.
+    pub(super) fn wake_agents_thread(&self) {
+        // If the datagram is lost, the next one of an agent or the read timeout has the same effect.
+        let _ = self.agents.send_to(&[], self.agents_address);
+    }
 }
 
 /// Starts the traffic threads.
@@ -184,7 +193,9 @@
             let Ok(agent) = expect_v4(from) else {
                 continue;
             };
-            self.handle_datagram(&mut buffer[..RELAY_HEADER_MAX + length], agent);
+            if length > 0 {
+                self.handle_datagram(&mut buffer[..RELAY_HEADER_MAX + length], agent);
+            }
             self.release_held(&mut buffer);
         }
     }
