Reset flows whose requests must not be repeated when their upstream has restarted

Change: entries remember such flows with their holder, name them to the entry that reads for the zone, which keeps a record in the store, and reset them once a later incarnation of the holder is known. On with relay.reset_ended.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -17,6 +17,7 @@
 pub mod intake;
 pub mod list;
 pub mod load;
+pub mod open_flows;
 pub mod pace;
 pub mod packet;
 pub mod peers;
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -10,9 +10,11 @@
     ListChange, ListEffect, ListRead, ListRecord, ListState, ListedEndpoint,
 };
 
-use crate::ids::{service_digest, EndpointId, ServiceName, ZoneName};
+use crate::ids::{service_digest, EndpointId, IncarnationNumber, ServiceName, ZoneName};
 use crate::relay::digest::FlowDigest;
-use crate::relay::identity::{merge_accounts, IncarnationChange, IncarnationSource};
+use crate::relay::identity::{
+    merge_accounts, IncarnationChange, IncarnationSource, UNKNOWN_INCARNATION,
+};
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
 use crate::relay::pace::EndpointPace;
@@ -255,6 +257,12 @@
         requests
     }
 
+    /// Returns the incarnation of an endpoint's upstream, or `None` if the endpoint or its incarnation is not known.
+    pub fn incarnation(&self, id: EndpointId) -> Option<IncarnationNumber> {
+        let incarnation = self.known.get(&id)?.endpoint.incarnation;
+        (incarnation != UNKNOWN_INCARNATION).then_some(incarnation)
+    }
+
     /// Returns the number of known endpoints.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -4,7 +4,7 @@
 use crate::relay::packet::FlowAddresses;
 use crate::relay::terms::FlowTerms;
 use smallvec::SmallVec;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -38,6 +38,8 @@
     pub terms: HashMap<SocketAddrV4, FlowTerms>,
     /// Requests a second that a cold upstream of a service bears. A service without such a limit is absent.
     pub cold_rates: HashMap<ServiceName, f64>,
+    /// Addresses whose requests must not be sent again once they may have run.
+    pub unrepeatable: HashSet<SocketAddrV4>,
     /// Idle time after which a flow may be removed from the flow table.
     pub idle_timeout: Duration,
 }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod intake;
 mod list;
 mod load;
+mod open_flows;
 mod peers;
 mod place;
 mod presence;
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry of the relay: follows routes and endpoints, publishes the view, answers readiness probes.
 
 mod endpoints;
+mod open_flows;
 mod range;
 mod routes;
 
@@ -9,11 +10,13 @@
 use super::shared::RelayState;
 use super::traffic::{RelaySockets, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
+use open_flows::keep_flow_record;
 use prometheus::Registry;
 use quetzalhill_core::ids::id_of;
 use quetzalhill_core::relay::confirm::{ConfirmController, ConfirmQueue, DigestPacer};
 use quetzalhill_core::relay::fleet::FleetController;
 use quetzalhill_core::relay::freshness::FreshnessController;
+use quetzalhill_core::relay::open_flows::{RecordedFlows, ZoneFlows};
 use quetzalhill_core::relay::peers::{PeerController, ROLE_TIME};
 use quetzalhill_core::relay::routes::RouteController;
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
@@ -192,6 +195,10 @@
         confirm_endpoints,
         RelayControl::handle_endpoints_event,
     );
+    if setup.settings.relay.reset_ended {
+        let zone = setup.settings.node.zone.clone();
+        ntex::rt::spawn(keep_flow_record(control.clone(), store.clone(), zone)).detach();
+    }
     let mut events = setup.events;
     loop {
         let wake = control.borrow().next_wake();
@@ -234,6 +241,9 @@
                 Ok(Some(TrafficEvent::ConfirmEndpoints)) => {
                     control.borrow_mut().confirm_list(Instant::now());
                 }
+                Ok(Some(TrafficEvent::OpenFlows(flows))) => {
+                    control.borrow_mut().handle_open_flows(flows, Instant::now());
+                }
                 Ok(Some(TrafficEvent::ConfirmRoutes)) => {
                     control.borrow().confirm_routes.notify_one();
                 }
@@ -317,6 +327,12 @@
     digest_pacer: DigestPacer,
     /// Requests of other entries to confirm the list.
     confirm_clients: ConfirmQueue,
+    /// Whether flows are reset as soon as their upstream is known to have restarted.
+    reset_ended: bool,
+    zone_flows: ZoneFlows,
+    recorded_flows: RecordedFlows,
+    /// When the open flows are named to the entry that reads for the zone.
+    next_naming: Instant,
     /// How the routes are followed, by the role of this entry.
     routes_mode: watch::Sender<FollowMode>,
     /// How the list is followed, by the role of this entry.
@@ -359,6 +375,10 @@
             confirm: ConfirmController::default(),
             digest_pacer: DigestPacer::default(),
             confirm_clients: ConfirmQueue::default(),
+            reset_ended: setup.settings.relay.reset_ended,
+            zone_flows: ZoneFlows::default(),
+            recorded_flows: RecordedFlows::new(now),
+            next_naming: now,
             routes_mode: watch::Sender::new(FollowMode::Watch),
             list_mode: watch::Sender::new(FollowMode::Watch),
             settle_deadline: None,
@@ -412,6 +432,8 @@
             None => {}
         }
         self.send_keepalives(now);
+        self.reset_recorded_flows(now);
+        self.name_open_flows(now);
         self.publish(now);
         self.update_metrics(now);
     }
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -308,6 +308,7 @@
             let source = change.source.name();
             let counter = &self.state.counters.incarnations;
             counter.with_label_values(&[source]).inc();
+            self.reset_flows_of(&change, Instant::now());
             emit(
                 EventCode::IncarnationChanged,
                 &[
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -34,6 +34,8 @@
     pub(super) incarnations: IntCounterVec,
     /// Flows whose holder was dropped from the flow table, by what the view says of it.
     pub(super) dropped_holders: IntCounterVec,
+    /// Open flows that were reset because their upstream had restarted, by where they were known from.
+    pub(super) ended_flows: IntCounterVec,
     /// Time from the arrival of a packet to the end of its handling, in seconds.
     pub(super) decision: Histogram,
     /// Flows in the flow table.
@@ -149,6 +151,11 @@
                 "Flows whose holder was dropped from the flow table.",
                 "state",
             )?,
+            ended_flows: counter(
+                "quetzalhill_relay_ended_flows_total",
+                "Open flows that were reset because their upstream had restarted",
+                "source",
+            )?,
             decision,
             flows: gauge(
                 "quetzalhill_relay_flows",
--- a/crates/entry/src/relay/run.rs
+++ b/crates/entry/src/relay/run.rs
@@ -37,7 +37,7 @@
     let relay = &settings.relay;
     let sockets = RelaySockets::bind(relay.packets, relay.agents)?;
     let (sender, events) = mpsc::channel(EVENTS_MAX);
-    let traffic = traffic::start(&sockets, &state, &sender)?;
+    let traffic = traffic::start(&sockets, &state, &sender, settings.relay.reset_ended)?;
     let control = control::start(ControlSetup {
         settings: settings.clone(),
         state: Arc::clone(&state),
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -32,6 +32,10 @@
     /// Whether evacuations of availability zones are followed.
     #[serde(default)]
     pub evacuations: bool,
+    /// Whether open flows of routes whose requests must not be repeated are reset as soon as their upstream is known to
+    /// have restarted. The entry that reads for its zone keeps them in the store.
+    #[serde(default)]
+    pub reset_ended: bool,
     /// Factor on the rate that a service states for its cold upstreams; without it, cold upstreams have no limit.
     pub cold_overrun: Option<f64>,
     /// First packets a second that a cold upstream may take beyond that rate.
--- a/crates/entry/src/relay/shared.rs
+++ b/crates/entry/src/relay/shared.rs
@@ -4,6 +4,7 @@
 use arc_swap::ArcSwap;
 use quetzalhill_core::relay::chain::RelayChain;
 use quetzalhill_core::relay::hold::HoldQueue;
+use quetzalhill_core::relay::open_flows::OpenFlows;
 use quetzalhill_core::relay::view::RelayView;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,6 +17,7 @@
     pub(super) view: ArcSwap<RelayView>,
     chain: Mutex<RelayChain>,
     hold: Mutex<HoldQueue>,
+    open_flows: Mutex<OpenFlows>,
     /// Metrics, updated by all threads.
     pub(super) counters: RelayCounters,
     /// Set to end the traffic threads.
@@ -29,6 +31,7 @@
             view: ArcSwap::default(),
             chain: Mutex::new(RelayChain::new(now)),
             hold: Mutex::default(),
+            open_flows: Mutex::default(),
             counters,
             stop: Arc::default(),
         })
@@ -40,6 +43,14 @@
         self.hold.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the open flows whose requests must not be repeated.
+    pub(super) fn open_flows(&self) -> MutexGuard<'_, OpenFlows> {
+        // A flow that another thread did not record because it panicked is only reset later.
+        self.open_flows
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the chain, for the decision on one packet.
     pub(super) fn chain(&self) -> MutexGuard<'_, RelayChain> {
         // The flow table of the chain is only a cache that saves lookups, so its state after a panic is still usable.
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -9,12 +9,13 @@
 use anyhow::Result;
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, RevisionNumber};
 use quetzalhill_core::relay::chain::{
-    DeliverReason, DeliverTarget, DroppedHolder, RelayDrop, RelayVerdict,
+    DeliverList, DeliverReason, DeliverTarget, DroppedHolder, RelayDrop, RelayVerdict,
 };
 use quetzalhill_core::relay::confirm::{ConfirmClient, ConfirmId};
 use quetzalhill_core::relay::hold::HoldReason;
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::list::ListState;
+use quetzalhill_core::relay::open_flows::OpenFlow;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_core::relay::place::{EndpointKey, TriedList};
 use quetzalhill_core::relay::view::RelayView;
@@ -23,8 +24,8 @@
 use quetzalhill_platform::packet::{self, PacketSender};
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use quetzalhill_wire::relay::{
-    decode_datagram, ListNotice, PaceNotice, RelayDatagram, RelayHeader, RelayNotice, ReportNotice,
-    RELAY_HEADER_MAX,
+    decode_datagram, ListNotice, OpenFlowNotice, PaceNotice, RelayDatagram, RelayHeader,
+    RelayNotice, ReportNotice, RELAY_HEADER_MAX,
 };
 use std::fmt::{Display, Formatter, Result as FormatResult};
 use std::net::{SocketAddrV4, UdpSocket};
@@ -67,6 +68,8 @@
     Unanswered(EndpointId),
     /// No known endpoint holds a flow. The control thread reads the list of endpoints again, as it may be out of date.
     ConfirmEndpoints,
+    /// Another entry of the zone named open flows that pass through it.
+    OpenFlows(Vec<OpenFlow>),
     /// No route covers the address of an open flow. The control thread reads the routes again, as they may be out of date.
     ConfirmRoutes,
 }
@@ -108,6 +111,14 @@
         datagram.len()
     }
 
+    /// Resets a flow that has ended at its upstream, which the caller does not know yet.
+    pub(super) fn reset_flow(&self, open: &OpenFlow) {
+        let reset = packet::encode_flow_reset(open.flow, open.acknowledged);
+        let caller = SocketAddrV4::new(*open.flow.caller.ip(), self.reply_port);
+        // If the reset is lost, the caller learns of the end with its next packet.
+        let _ = self.callers.send_to(&reset, caller);
+    }
+
     /// Makes the thread that receives from agents look for held packets that a new view releases, by an empty datagram.
     pub(super) fn wake_agents_thread(&self) {
         // If the datagram is lost, the next one of an agent or the read timeout has the same effect.
@@ -124,11 +135,12 @@
     sockets: &Arc<RelaySockets>,
     state: &Arc<RelayState>,
     events: &mpsc::Sender<TrafficEvent>,
+    reset_ended: bool,
 ) -> Result<TrafficThreads> {
     let mut threads = TrafficThreads::new(Arc::clone(&state.stop));
-    let relay = PacketRelay::new(sockets, state, events);
+    let relay = PacketRelay::new(sockets, state, events, reset_ended);
     threads.spawn("callers", move || relay.run_callers())?;
-    let relay = PacketRelay::new(sockets, state, events);
+    let relay = PacketRelay::new(sockets, state, events, reset_ended);
     threads.spawn("agents", move || relay.run_agents())?;
     Ok(threads)
 }
@@ -138,6 +150,8 @@
     sockets: Arc<RelaySockets>,
     state: Arc<RelayState>,
     events: mpsc::Sender<TrafficEvent>,
+    /// Whether flows are remembered so that they can be reset when their upstream restarts.
+    reset_ended: bool,
 }
 
 impl PacketRelay {
@@ -145,11 +159,13 @@
         sockets: &Arc<RelaySockets>,
         state: &Arc<RelayState>,
         events: &mpsc::Sender<TrafficEvent>,
+        reset_ended: bool,
     ) -> Self {
         Self {
             sockets: Arc::clone(sockets),
             state: Arc::clone(state),
             events: events.clone(),
+            reset_ended,
         }
     }
 
@@ -312,6 +328,10 @@
             Ok(RelayDatagram::Notice(RelayNotice::ConfirmAnswer { id, list })) => {
                 self.send_event(TrafficEvent::ConfirmAnswer { id, list });
             }
+            Ok(RelayDatagram::Notice(RelayNotice::OpenFlows(flows))) => {
+                let flows = flows.into_iter().map(OpenFlowNotice::into_open_flow);
+                self.send_event(TrafficEvent::OpenFlows(flows.collect()));
+            }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
             | Ok(RelayDatagram::Notice(
                 RelayNotice::Keepalive(_)
@@ -338,6 +358,9 @@
                 ("reason", &reason.name()),
             ],
         );
+        if self.reset_ended {
+            self.state.open_flows().remove(head.flow);
+        }
         let view = self.state.view.load();
         let now = Instant::now();
         let (verdict, dropped) = {
@@ -358,6 +381,9 @@
         self.log_verdict(head, verdict, name);
         match verdict {
             RelayVerdict::Deliver { targets, .. } => {
+                if self.reset_ended {
+                    self.record_open_flow(head, targets);
+                }
                 for target in targets {
                     self.deliver(target, buffer);
                 }
@@ -383,6 +409,19 @@
         }
     }
 
+    /// Remembers which endpoint holds a flow whose requests must not be repeated.
+    fn record_open_flow(&self, head: &PacketHead, targets: &DeliverList) {
+        let view = self.state.view.load();
+        if !view.routes.unrepeatable.contains(&head.flow.service) {
+            return;
+        }
+        let mut open_flows = self.state.open_flows();
+        match targets.as_slice() {
+            [target] => open_flows.record_delivered(head, target.endpoint, Instant::now()),
+            _ => open_flows.remove(head.flow),
+        }
+    }
+
     fn deliver(&self, target: &DeliverTarget, buffer: &mut [u8]) {
         let header = RelayHeader::Deliver {
             service: target.service,
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -56,6 +56,8 @@
     FlowHeld = 1015, Info, "flow-held";
     /// An entry no longer sends the packets of a flow to the endpoint that its flow table holds.
     HolderDropped = 1016, Info, "holder-dropped";
+    /// Open flows of an upstream that has restarted were reset.
+    FlowsEnded = 1017, Info, "flows-ended";
     /// An agent started and accepts flows.
     AgentStarted = 2001, Info, "agent-started";
     /// An agent began to drain.
--- a/crates/node/src/relay/notices.rs
+++ b/crates/node/src/relay/notices.rs
@@ -18,6 +18,8 @@
     RoutesState,
     /// Request to confirm the list, or its answer, between entries of a zone.
     Confirm,
+    /// Open flows of an entry, to the entry that reads for its zone.
+    OpenFlows,
 }
 
 impl NoticeKind {
@@ -32,6 +34,7 @@
             NoticeKind::RoutesState => "routes-state",
             NoticeKind::ListState => "list-state",
             NoticeKind::Confirm => "confirm",
+            NoticeKind::OpenFlows => "open-flows",
         }
     }
 }
--- a/crates/node/src/relay/settings.rs
+++ b/crates/node/src/relay/settings.rs
@@ -14,6 +14,9 @@
 /// Prefix of the store keys of the list of endpoints; each agent writes one record.
 pub const ENDPOINT_PREFIX: &str = "quetzalhill/endpoint/";
 
+/// Prefix of the store keys of the open flows of a zone; the entry that reads for the zone writes one record.
+pub const FLOW_RECORD_PREFIX: &str = "quetzalhill/flows/";
+
 /// Longest wait for an answer of the store. It usually takes 4 ms, and on a slow day 60 times as long.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
--- a/crates/platform/src/manifest.rs
+++ b/crates/platform/src/manifest.rs
@@ -3,7 +3,7 @@
 use quetzalhill_core::relay::routes::{RouteSet, RouteTarget, TargetList};
 use quetzalhill_core::relay::terms::FlowTerms;
 use serde::Deserialize;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::error::Error;
 use std::fmt::{Display, Formatter, Result as FormatResult};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -15,6 +15,9 @@
 /// Weight of the service of a route that is not split.
 const SINGLE_SERVICE_WEIGHT: u32 = 1;
 
+/// Kind of requests that run once at most.
+const UNREPEATABLE_TYPE: &str = "non_idempotent";
+
 #[derive(Debug, Deserialize)]
 struct ManifestBody {
     version: u64,
@@ -35,6 +38,8 @@
     service: Option<String>,
     /// Services of a split route, used if `service` is absent.
     weighted_services: Option<Vec<TargetBody>>,
+    /// Kind of the requests.
+    route_type: Option<String>,
     /// Urgency of the requests; 0 is the highest.
     priority: Option<u64>,
     /// Time within which a request should be answered, in milliseconds.
@@ -105,17 +110,22 @@
     let body: ManifestBody = serde_json::from_slice(value).map_err(ManifestError::Body)?;
     let mut by_address = HashMap::with_capacity(body.routes.len());
     let mut terms = HashMap::with_capacity(body.routes.len());
+    let mut unrepeatable = HashSet::new();
     for route in body.routes {
         let Some(address) = address_of(&route) else {
             return Err(ManifestError::Address { route: route.name });
         };
         terms.insert(address, terms_of(&route));
+        if route.route_type.as_deref() == Some(UNREPEATABLE_TYPE) {
+            unrepeatable.insert(address);
+        }
         by_address.insert(address, targets_of(route)?);
     }
     Ok(RouteSet {
         revision: body.version,
         by_address,
         terms,
+        unrepeatable,
         cold_rates: cold_rates_of(body.services),
         idle_timeout: Duration::from_millis(body.limits.idle_timeout_ms),
     })
--- a/crates/platform/src/packet.rs
+++ b/crates/platform/src/packet.rs
@@ -168,13 +168,18 @@
 /// Encodes a reset of the flow of `head`, to be sent to its caller. Its checksum is 0, since only the ends of a flow
 /// can compute one.
 pub fn encode_reset(head: &PacketHead) -> [u8; HEAD_BYTES] {
-    let mut packet = [0; HEAD_BYTES];
-    let FlowAddresses { caller, service } = head.flow;
     // A caller whose flow is not open yet accepts a reset with any sequence number.
     let sequence = match head.kind {
         PacketKind::Opening { .. } => 0,
         _ => head.acknowledged,
     };
+    encode_flow_reset(head.flow, sequence)
+}
+
+/// Encodes a reset of an open flow whose caller has acknowledged `sequence` bytes, or a few more or less.
+pub fn encode_flow_reset(flow: FlowAddresses, sequence: u32) -> [u8; HEAD_BYTES] {
+    let mut packet = [0; HEAD_BYTES];
+    let FlowAddresses { caller, service } = flow;
     packet[SEQ..ACK].copy_from_slice(&sequence.to_be_bytes());
     packet[SUM..SPORT].copy_from_slice(&[0; 4]);
     packet[SPORT..DST].copy_from_slice(&service.port().to_be_bytes());
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -259,6 +259,7 @@
                 pace: false,
                 schedule: false,
                 evacuations: false,
+                reset_ended: true,
                 cold_overrun: None,
                 cold_slack: 0.0,
             },
--- a/crates/standins/tests/settings_page.rs
+++ b/crates/standins/tests/settings_page.rs
@@ -108,6 +108,7 @@
             pace: false,
             schedule: false,
             evacuations: false,
+            reset_ended: false,
             cold_overrun: Some(1.5),
             cold_slack: 0.0,
         },
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -4,10 +4,12 @@
 //! datagrams carry no authentication tag: the platform gives the processes no shared secret, and the packets
 //! themselves are protected end to end. See docs/relay.md.
 
+mod open_flows;
 mod pace;
 mod record;
 mod terms;
 
+pub use open_flows::{decode_flow_record, encode_flow_record, OpenFlowNotice, OPEN_FLOWS_MAX};
 pub use pace::PaceNotice;
 pub use record::{decode_endpoint, decode_record, encode_endpoint, endpoint_of_key, record_key};
 
@@ -232,6 +234,8 @@
     },
     /// From an entry to another one of its zone: the highest era of the store that the sender has seen.
     StoreEra(StoreEra),
+    /// From an entry to the one that reads for its zone: open flows that pass through the sender, [`OPEN_FLOWS_MAX`] at most.
+    OpenFlows(Vec<OpenFlowNotice>),
 }
 
 /// Changes of the list of endpoints, in the order of the store.
