Entries place no new flows in zones that operators have evacuated

Cause: operators had no way to keep new flows from an availability zone (docs/load.md, part 5). Change: with relay.evacuations on, entries follow the prefix op/ in place of the manifest's key, hold the evacuated zones in a controller ordered by store revisions, mark their endpoints in the view and leave them out when a new flow is placed or forced. Entries of a zone compare routes and evacuations by one notice. A first packet that may belong to an open flow is dropped instead of refused when only evacuated endpoints are left. Existing tests of the other crates not run yet.

--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -292,6 +292,7 @@
         match queried {
             Some(index) => {
                 record.queried.remove(index);
+                record.placed = record.placed.saturating_sub(u8::from(opening));
                 if !record.queried.is_empty() {
                     return RelayVerdict::Drop(RelayDrop::Duplicate);
                 }
@@ -424,7 +425,7 @@
 
     /// Chooses the endpoint of a new flow.
     fn place(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> Option<RelayVerdict> {
-        let PacketKind::Opening { .. } = head.kind else {
+        let PacketKind::Opening { copies } = head.kind else {
             return None;
         };
         let refused = Some(RelayVerdict::Reset(ResetReason::Refused));
@@ -433,15 +434,17 @@
             return refused;
         };
         let record = self.flows.record(head.flow);
-        record.opening = true;
+        record.record_opening(copies);
         let (pending, suspects) = (&self.pending, &self.suspects);
         let count = |id| pending_of(service, pending, id);
         let avoid = |id| suspects.get(&id).is_some_and(|until| now < *until);
         let mut index = None;
-        if record.busy.len() < BUSY_MAX {
+        let busy = record.busy.iter();
+        let busy = busy.filter(|(key, _)| !service.is_evacuated(*key));
+        if busy.clone().count() < BUSY_MAX {
             index = place::choose_endpoint(service, head.flow, &record.tried, count, avoid, now);
         }
-        let least = record.busy.iter().min_by_key(|(_, requests)| *requests);
+        let least = busy.min_by_key(|(_, requests)| *requests);
         if let (None, Some((best, _)), false) = (index, least, record.forced) {
             // All candidates are busy. Queueing at the least busy one is better than a refusal, and further attempts
             // would add to the load.
@@ -457,9 +460,14 @@
             if service.may_become_ready() {
                 return Some(RelayVerdict::Drop(RelayDrop::NoReady));
             }
+            // The flow may be open at an endpoint that has taken it before its zone was evacuated.
+            if record.placed > 0 && service.has_evacuated() {
+                return Some(RelayVerdict::Drop(RelayDrop::Duplicate));
+            }
             return refused;
         };
         let endpoint = &service.endpoints[index];
+        record.record_placed();
         record.queried = smallvec![endpoint.key()];
         let target = DeliverTarget {
             endpoint: endpoint.key(),
@@ -510,6 +518,7 @@
         let record = self.flows.record(head.flow);
         // The flow was open before this time, so reports and lists read after it show whether the flow still exists.
         let unresolved_since = *record.unresolved_since.get_or_insert(now);
+        let opening = matches!(head.kind, PacketKind::Opening { .. });
         let fingerprint = fingerprint_of(head.flow);
         let mut round = SearchRound {
             targets: DeliverList::new(),
@@ -537,7 +546,9 @@
                 let endpoint = &service.endpoints[index];
                 let key = endpoint.key();
                 let is_queried = record.queried.iter().any(|queried| queried.may_be(key));
-                if is_queried || record.tried.contains(&key) {
+                // A first packet, which is searched for only if all weights of its route are 0, could open the flow.
+                let is_closed = endpoint.evacuated && opening;
+                if is_queried || is_closed || record.tried.contains(&key) {
                     continue;
                 }
                 let digest = endpoint.digest.as_ref();
@@ -607,7 +618,10 @@
 /// answer the earlier copy.
 fn record_opening(record: &mut FlowRecord, copies: u32) -> UnansweredList {
     if copies == 0 {
-        *record = FlowRecord::default();
+        *record = FlowRecord {
+            placed: record.placed,
+            ..FlowRecord::default()
+        };
         return UnansweredList::new();
     }
     record.queried.drain(..).map(|key| key.id).collect()
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -12,6 +12,7 @@
 
 use crate::ids::{service_digest, EndpointId, ServiceName, ZoneName};
 use crate::relay::digest::FlowDigest;
+use crate::relay::evacuation::EvacuationController;
 use crate::relay::identity::{merge_accounts, IncarnationChange, IncarnationSource};
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
@@ -327,6 +328,23 @@
         }
         services
     }
+
+    /// Marks the endpoints of evacuated zones in a new view of the services.
+    pub fn mark_evacuated(
+        &self,
+        services: &mut HashMap<ServiceName, ServiceView>,
+        evacuations: &EvacuationController,
+    ) {
+        if evacuations.is_empty() {
+            return;
+        }
+        let endpoints = services.values_mut().flat_map(|view| &mut view.endpoints);
+        for endpoint in endpoints {
+            let known = self.known.get(&endpoint.id);
+            endpoint.evacuated =
+                known.is_some_and(|known| evacuations.is_evacuated(&known.endpoint.zone));
+        }
+    }
 }
 
 impl KnownEndpoint {
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -45,11 +45,33 @@
     pub forced: bool,
     /// Whether only first packets of the flow have arrived so far.
     pub opening: bool,
+    /// Number of first packets of the flow that an endpoint may have accepted. A further first packet does not reset it,
+    /// since the network may have copied one.
+    pub placed: u8,
+    /// Number of the caller's next transmission of the first packet, as far as this entry has seen them.
+    pub next_copy: u32,
     /// Arrival of the first packet for which the entry found no known holder or no route. Only lists, routes and
     /// reports from later than this can prove that the flow has ended.
     pub unresolved_since: Option<Instant>,
 }
 
+impl FlowRecord {
+    /// Records a first packet that was sent this many times before. Another entry may have placed an earlier copy that
+    /// this one has not seen.
+    pub fn record_opening(&mut self, copies: u32) {
+        if copies > self.next_copy {
+            self.record_placed();
+        }
+        self.next_copy = self.next_copy.max(copies.saturating_add(1));
+        self.opening = true;
+    }
+
+    /// Records that a first packet was delivered to an endpoint.
+    pub fn record_placed(&mut self) {
+        self.placed = self.placed.saturating_add(1);
+    }
+}
+
 /// Records of the flows seen lately.
 ///
 /// Two generations replace a timer for each flow: a record that was not used for a whole period is dropped.
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -152,7 +152,10 @@
     let mut considered = 0;
     for index in rank(service, flow) {
         let endpoint = &service.endpoints[index];
-        if endpoint.status != EndpointStatus::Ready || tried.contains(&endpoint.key()) {
+        if endpoint.status != EndpointStatus::Ready
+            || endpoint.evacuated
+            || tried.contains(&endpoint.key())
+        {
             continue;
         }
         let avoided = avoid(endpoint.id);
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -70,10 +70,21 @@
     /// Returns whether any endpoint is silent or pending and so may accept new flows later.
     pub fn may_become_ready(&self) -> bool {
         self.endpoints.iter().any(|endpoint| match endpoint.status {
-            EndpointStatus::Silent | EndpointStatus::Pending => true,
+            EndpointStatus::Silent | EndpointStatus::Pending => !endpoint.evacuated,
             EndpointStatus::Ready | EndpointStatus::Draining => false,
         })
     }
+
+    /// Returns whether the endpoint `key` takes no new flows because its zone is evacuated.
+    pub fn is_evacuated(&self, key: EndpointKey) -> bool {
+        let mut evacuated = self.endpoints.iter().filter(|endpoint| endpoint.evacuated);
+        evacuated.any(|endpoint| endpoint.key().may_be(key))
+    }
+
+    /// Returns whether any endpoint takes no new flows because its zone is evacuated.
+    pub fn has_evacuated(&self) -> bool {
+        self.endpoints.iter().any(|endpoint| endpoint.evacuated)
+    }
 }
 
 /// Routes and endpoints from which a traffic thread decides on packets.
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -3,6 +3,8 @@
 mod chain;
 mod confirm;
 mod digest;
+mod evacuation;
+mod evacuation_placement;
 mod fleet;
 mod freshness;
 mod health;
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry of the relay: follows routes and endpoints, publishes the view, answers readiness probes.
 
 mod endpoints;
+mod evacuations;
 mod range;
 mod routes;
 
@@ -12,6 +13,7 @@
 use prometheus::Registry;
 use quetzalhill_core::ids::id_of;
 use quetzalhill_core::relay::confirm::{ConfirmController, ConfirmQueue, DigestPacer};
+use quetzalhill_core::relay::evacuation::EvacuationController;
 use quetzalhill_core::relay::fleet::FleetController;
 use quetzalhill_core::relay::freshness::FreshnessController;
 use quetzalhill_core::relay::peers::{PeerController, ROLE_TIME};
@@ -21,7 +23,6 @@
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::follow::{confirm, follow, FollowEvent, FollowMode, FollowPlan};
 use quetzalhill_node::relay::settings::{FollowTimeouts, ENDPOINT_PREFIX};
-use quetzalhill_platform::manifest::MANIFEST_KEY;
 use quetzalhill_platform::server::{self, ServerCall};
 use quetzalhill_platform::store::PlatformCodec;
 use quetzalhill_store::api::{KeyRange, StoreRevision};
@@ -145,9 +146,10 @@
         let handler = Rc::new(move |call| answer(&control, &registry, &call));
         ntex::rt::spawn(calls::serve(listener, handler)).detach();
     }
-    let (confirm_routes, confirm_endpoints, routes_mode, list_mode) = {
+    let (routes, confirm_routes, confirm_endpoints, routes_mode, list_mode) = {
         let control = control.borrow();
         (
+            control.operator_range(),
             control.confirm_routes.clone(),
             control.confirm_endpoints.clone(),
             control.routes_mode.subscribe(),
@@ -156,7 +158,7 @@
     };
     let plan = FollowPlan {
         name: ROUTES_NAME,
-        range: KeyRange::Key(MANIFEST_KEY.into()),
+        range: routes,
         apply,
         pause: routes_pause(apply),
         settle: Duration::ZERO,
@@ -214,6 +216,9 @@
                 Ok(Some(TrafficEvent::RoutesState(revision))) => {
                     control.borrow_mut().handle_routes_state(revision, Instant::now());
                 }
+                Ok(Some(TrafficEvent::OperatorState(state))) => {
+                    control.borrow_mut().handle_operator_state(state, Instant::now());
+                }
                 Ok(Some(TrafficEvent::Unanswered(id))) => {
                     control.borrow_mut().doubt(id, Instant::now());
                 }
@@ -295,6 +300,9 @@
     sockets: Arc<RelaySockets>,
     store: PolledStore<PlatformCodec>,
     routes: RouteController,
+    evacuations: EvacuationController,
+    /// Whether the evacuations of zones are read with the routes.
+    follows_evacuations: bool,
     routes_range: RangeState,
     routes_progress: RangeProgress,
     fleet: FleetController,
@@ -337,6 +345,8 @@
             sockets: Arc::clone(&setup.sockets),
             store,
             routes: RouteController::default(),
+            evacuations: EvacuationController::default(),
+            follows_evacuations: setup.settings.relay.evacuations,
             routes_range: RangeState::default(),
             routes_progress: RangeProgress::new(ROUTES_NAME),
             fleet: FleetController::new(setup.settings.node.zone.clone()),
@@ -390,11 +400,13 @@
         self.log_incarnations();
         let mut former = self.routes.former().clone();
         self.fleet.add_holders(&mut former);
+        let mut services = self.fleet.services(now);
+        self.fleet.mark_evacuated(&mut services, &self.evacuations);
         let view = RelayView {
             routes: self.routes.current().clone(),
             former,
             holders_known: self.fleet.holders_known(),
-            services: self.fleet.services(now),
+            services,
             synced: self.routes_range.current && self.endpoints_range.current,
             routes_read: self.routes_range.read,
             routes_confirmed: self.routes_progress.confirmed(),
--- a/crates/entry/src/relay/control/routes.rs
+++ b/crates/entry/src/relay/control/routes.rs
@@ -2,8 +2,8 @@
 
 use super::RelayControl;
 use crate::relay::counters::set;
-use quetzalhill_core::ids::{RevisionNumber, StoreRevision};
-use quetzalhill_core::relay::list::ListState;
+use quetzalhill_core::ids::RevisionNumber;
+use quetzalhill_core::relay::evacuation::OperatorState;
 use quetzalhill_core::relay::peers::ListRole;
 use quetzalhill_core::relay::routes::RouteOutcome;
 use quetzalhill_node::event::{emit, EventCode};
@@ -32,26 +32,32 @@
                 let progress = &mut self.routes_progress;
                 let age = progress.record_answer(revision, confirmed, now, counters);
                 self.routes_range.record_loaded(read);
-                let before = self.routes.current().revision;
+                let before = self.operator_state();
+                self.load_evacuations(&entries, revision, source, age);
                 for entry in entries {
-                    self.apply_routes(&entry, source, age);
+                    if self.is_manifest(&entry) {
+                        self.apply_routes(&entry, source, age);
+                    }
                 }
                 self.routes_freshness.record_read(confirmed);
-                self.tell_routes_state(before, now);
+                self.tell_operator_state(before, now);
             }
             FollowEvent::Changed { events, revision } => {
                 let progress = &mut self.routes_progress;
                 let age = progress.record_answer(revision, now, now, counters);
                 self.routes_range.current = true;
-                let before = self.routes.current().revision;
+                let before = self.operator_state();
                 for event in events {
+                    self.change_evacuation(&event, revision, age);
                     // The key of the routes is only ever replaced, never deleted.
                     if let WatchEvent::Put(entry) = event {
-                        self.apply_routes(&entry, FollowSource::Poll, age);
+                        if self.is_manifest(&entry) {
+                            self.apply_routes(&entry, FollowSource::Poll, age);
+                        }
                     }
                 }
                 self.routes_freshness.record_read(now);
-                self.tell_routes_state(before, now);
+                self.tell_operator_state(before, now);
             }
             FollowEvent::Failed(end) => {
                 self.routes_progress.record_failure(end, counters);
@@ -103,26 +109,60 @@
         self.publish(Instant::now());
     }
 
-    /// Tells the other entries of the zone which routes are in force after an answer of the store, if this entry reads for
-    /// them. `before` is the revision before the answer.
-    fn tell_routes_state(&mut self, before: RevisionNumber, now: Instant) {
-        let revision = self.routes.current().revision;
-        let due = self.routes_freshness.take_notice(now) || revision != before;
+    /// Tells the other entries of the zone which routes and evacuations are in force after an answer of the store, if this
+    /// entry reads for them. `before` is the state before the answer.
+    fn tell_operator_state(&mut self, before: OperatorState, now: Instant) {
+        let state = self.operator_state();
+        let due = self.routes_freshness.take_notice(now) || state != before;
         if self.peers.role(now) != ListRole::Reader || !due {
             return;
         }
+        let OperatorState {
+            routes,
+            evacuations,
+        } = state;
+        let (notice, kind) = match self.follows_evacuations {
+            true => {
+                let notice = RelayNotice::OperatorState {
+                    routes,
+                    evacuations,
+                };
+                (notice, NoticeKind::OperatorState)
+            }
+            false => (RelayNotice::RoutesState(routes), NoticeKind::RoutesState),
+        };
         for peer in self.peers.peers() {
-            let notice = RelayNotice::RoutesState(revision);
-            self.send_to_peer(&notice, peer, NoticeKind::RoutesState);
+            self.send_to_peer(&notice, peer, kind);
+        }
+    }
+
+    /// Compares the own routes with those of an entry that reads for the zone. An entry that follows evacuations ignores
+    /// the notice, whose sender does not: it would make missed evacuations count as confirmed.
+    pub(super) fn handle_routes_state(&mut self, routes: RevisionNumber, now: Instant) {
+        if !self.follows_evacuations {
+            self.compare_operator_state(
+                OperatorState {
+                    routes,
+                    evacuations: 0,
+                },
+                now,
+            );
         }
     }
 
-    /// Compares the own routes with those of an entry that reads for the zone.
-    pub(super) fn handle_routes_state(&mut self, revision: RevisionNumber, now: Instant) {
-        let own = self.routes.current().revision;
+    /// Compares the own routes and evacuations with those of an entry that reads for the zone.
+    pub(super) fn handle_operator_state(&mut self, told: OperatorState, now: Instant) {
+        match self.follows_evacuations {
+            true => self.compare_operator_state(told, now),
+            false => self.handle_routes_state(told.routes, now),
+        }
+    }
+
+    fn compare_operator_state(&mut self, told: OperatorState, now: Instant) {
+        let own = self.operator_state();
         let freshness = &mut self.routes_freshness;
-        freshness.record_state(routes_state(revision), routes_state(own), now);
-        if revision == own {
+        freshness.record_state(told.told_state(own), own.own_state(), now);
+        if told == own {
             self.routes_progress.record_confirmed(now);
         }
     }
@@ -133,17 +173,9 @@
         if self.peers.confirmer().is_none() || !self.routes_range.current {
             return;
         }
-        let own = routes_state(self.routes.current().revision);
+        let own = self.operator_state().own_state();
         if self.routes_freshness.take_read(own, now) {
             self.confirm_routes.notify_one();
         }
     }
 }
-
-/// Returns the state of routes that have this revision, which alone tells them apart.
-fn routes_state(revision: RevisionNumber) -> ListState {
-    ListState {
-        revision: StoreRevision::try_from(revision).unwrap_or(StoreRevision::MAX),
-        fingerprint: revision,
-    }
-}
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -40,6 +40,8 @@
     pub(super) flows: IntGauge,
     /// Revision of the routes in force.
     pub(super) revision: IntGauge,
+    /// Availability zones that operators have evacuated.
+    pub(super) evacuated_zones: IntGauge,
     /// Endpoints by status.
     pub(super) endpoints: prometheus::IntGaugeVec,
     /// Calls to the store since the start, by kind.
@@ -158,6 +160,10 @@
                 "quetzalhill_relay_route_revision",
                 "Revision of the routes in force.",
             )?,
+            evacuated_zones: gauge(
+                "quetzalhill_relay_evacuated_zones",
+                "Availability zones whose upstreams take no new flows because operators have evacuated them.",
+            )?,
             endpoints: gauges(
                 "quetzalhill_relay_endpoints",
                 "Endpoints by status.",
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -12,6 +12,7 @@
     DeliverReason, DeliverTarget, DroppedHolder, RelayDrop, RelayVerdict,
 };
 use quetzalhill_core::relay::confirm::{ConfirmClient, ConfirmId};
+use quetzalhill_core::relay::evacuation::OperatorState;
 use quetzalhill_core::relay::hold::HoldReason;
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::list::ListState;
@@ -54,6 +55,8 @@
     ListState(ListState),
     /// Another entry has told which revision of the routes it has in force.
     RoutesState(RevisionNumber),
+    /// The same for an entry that follows evacuations too.
+    OperatorState(OperatorState),
     /// Another entry requests a read of the list of endpoints.
     ConfirmRequest(ConfirmClient),
     /// Another entry has read the list of endpoints.
@@ -291,6 +294,15 @@
             Ok(RelayDatagram::Notice(RelayNotice::RoutesState(revision))) => {
                 self.send_event(TrafficEvent::RoutesState(revision));
             }
+            Ok(RelayDatagram::Notice(RelayNotice::OperatorState {
+                routes,
+                evacuations,
+            })) => {
+                self.send_event(TrafficEvent::OperatorState(OperatorState {
+                    routes,
+                    evacuations,
+                }));
+            }
             Ok(RelayDatagram::Notice(RelayNotice::ConfirmRequest(id))) => {
                 self.send_event(TrafficEvent::ConfirmRequest(ConfirmClient {
                     entry: id_of(agent),
@@ -302,11 +314,9 @@
                 self.send_event(TrafficEvent::ConfirmAnswer { id, list });
             }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
-            | Ok(RelayDatagram::Notice(
-                RelayNotice::Keepalive(_)
-                | RelayNotice::OperatorState { .. }
-                | RelayNotice::StoreEra(_),
-            )) => self.count_malformed("unexpected"),
+            | Ok(RelayDatagram::Notice(RelayNotice::Keepalive(_) | RelayNotice::StoreEra(_))) => {
+                self.count_malformed("unexpected")
+            }
             Err(error) => self.count_malformed(&format!("{error:?}")),
         }
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -108,6 +108,10 @@
     LeaseLost = 4015, Warn, "lease-lost";
     /// An entry began to follow the list of endpoints itself, or to leave that to other entries of its zone.
     ListRole = 4016, Info, "list-role";
+    /// An availability zone was evacuated, or its evacuation ended.
+    ZoneEvacuation = 4020, Info, "zone-evacuation";
+    /// A key of an evacuation names no availability zone and was ignored.
+    EvacuationInvalid = 4021, Warn, "evacuation-invalid";
     /// A task or thread ended with an error.
     TaskFailed = 5001, Error, "task-failed";
     /// Changed control keys came into force.
--- a/crates/node/src/relay/notices.rs
+++ b/crates/node/src/relay/notices.rs
@@ -16,6 +16,8 @@
     ListState,
     /// Revision of the routes at an entry that reads for its zone, to the other entries.
     RoutesState,
+    /// The same with the evacuations, where they are followed.
+    OperatorState,
     /// Request to confirm the list, or its answer, between entries of a zone.
     Confirm,
 }
@@ -30,6 +32,7 @@
             NoticeKind::Report(ReportRate::Sparse) => "report-far",
             NoticeKind::ListChange => "list-change",
             NoticeKind::RoutesState => "routes-state",
+            NoticeKind::OperatorState => "operator-state",
             NoticeKind::ListState => "list-state",
             NoticeKind::Confirm => "confirm",
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod announcement;
 pub mod manifest;
+pub mod operator;
 pub mod packet;
 pub mod server;
 pub mod standin;
