--- a/crates/standins/src/flows/ledger.rs
+++ b/crates/standins/src/flows/ledger.rs
@@ -1,6 +1,6 @@
 //! Actual state of flows and requests, and the checks against what callers and upstreams observe.
 
-use quetzalhill_core::ids::{IncarnationNumber, ServiceName};
+use quetzalhill_core::ids::{IncarnationNumber, ServiceName, ZoneName};
 use quetzalhill_core::relay::packet::FlowAddresses;
 use quetzalhill_core::relay::routes::RouteSet;
 use std::cell::RefCell;
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Time within which a route change has to be in force on every entry (the platform's bound).
+/// Time within which a change of the routes or evacuations has to be in force on every entry (the platform's bound).
 const ROUTES_LIMIT: Duration = Duration::from_millis(3_000);
 
 /// Time after the end of the last fault from which [`ROUTES_LIMIT`] holds again and all requests reach their upstreams
@@ -80,6 +80,8 @@
 pub struct FlowLedger {
     started: Instant,
     routes: Vec<PublishedRoutes>,
+    /// Evacuated zones with the time of the evacuation.
+    evacuated: HashMap<ZoneName, Instant>,
     /// End of the last fault; `None` while one is active.
     fault_free_since: Option<Instant>,
     openings: HashMap<FlowAddresses, FlowOpening>,
@@ -101,6 +103,7 @@
         Self {
             started: now,
             routes: Vec::new(),
+            evacuated: HashMap::new(),
             fault_free_since: Some(now),
             openings: HashMap::new(),
             shown: HashMap::new(),
@@ -298,6 +301,38 @@
         }
     }
 
+    /// Records that the store has acknowledged the evacuation of a zone, or its end.
+    pub fn record_evacuation(&mut self, zone: &ZoneName, evacuated: bool, now: Instant) {
+        match evacuated {
+            true => {
+                self.evacuated.entry(zone.clone()).or_insert(now);
+            }
+            false => {
+                self.evacuated.remove(zone);
+            }
+        }
+    }
+
+    /// Checks the send time of a first packet that reached an upstream in `zone`.
+    pub fn check_evacuation(
+        &mut self,
+        flow: FlowAddresses,
+        zone: &ZoneName,
+        sent: Instant,
+        now: Instant,
+    ) {
+        let Some(since) = self.evacuated.get(zone) else {
+            return;
+        };
+        if *since + ROUTES_LIMIT <= sent && self.has_settled(sent) {
+            let details = format!(
+                "{flow} was opened in the evacuated {zone} through {}",
+                self.entry_text(flow)
+            );
+            self.record_violation("EVACUATION", details, now);
+        }
+    }
+
     /// Records that an upstream holds an open flow.
     pub fn record_open(&mut self, flow: FlowAddresses, holder: FlowHolder) {
         self.holders.insert(flow, holder);
--- a/crates/standins/src/flows/upstream.rs
+++ b/crates/standins/src/flows/upstream.rs
@@ -239,6 +239,7 @@
         let mut ledger = self.ledger.borrow_mut();
         ledger.check_opening(flow, &self.plan.service, sent, now);
         ledger.check_order(flow, &self.plan.service, now);
+        ledger.check_evacuation(flow, &self.plan.zone, sent, now);
         if let Some(draining_since) = state.draining_since {
             ledger.check_draining(flow, draining_since, sent, now);
         }
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -31,6 +31,12 @@
 /// request on a lost flow is given up after eight more.
 pub const QUIET_TIME: Duration = Duration::from_millis(12_500);
 
+/// Range of the time between the end of an evacuation and the next one.
+const EVACUATION_GAP_MS: (u64, u64) = (200, 4_000);
+
+/// Range of the duration of an evacuation; the bound on first packets is three seconds.
+const EVACUATION_MS: (u64, u64) = (1_000, 9_000);
+
 /// Kinds of faults that a run draws.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FaultMix {
@@ -110,6 +116,8 @@
     Link(usize, LinkFault),
     /// Changes the routes.
     Routes(RouteChange),
+    /// Begins or ends the evacuation of the zone with this index.
+    Evacuation(usize, bool),
 }
 
 /// A fault with its start and duration.
@@ -277,6 +285,33 @@
     }
 }
 
+/// Adds evacuations of one zone at a time to the faults of a plan, and their ends. They are drawn apart from the faults,
+/// so that a seed keeps those.
+pub fn add_evacuations(plan: &mut Vec<PlannedFault>, seed: u64, zones: usize) {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let ends = plan.iter().map(|planned| planned.at + planned.duration);
+    let end = ends.max().unwrap_or_default();
+    let mut draw_ms = |(from, to)| Duration::from_millis(rng.random_range(from..to));
+    let mut at = draw_ms(EVACUATION_GAP_MS);
+    for zone in (0..zones).cycle() {
+        if at >= end {
+            break;
+        }
+        for evacuated in [true, false] {
+            plan.push(PlannedFault {
+                at,
+                duration: Duration::ZERO,
+                fault: SoakFault::Evacuation(zone, evacuated),
+            });
+            at += draw_ms(match evacuated {
+                true => EVACUATION_MS,
+                false => EVACUATION_GAP_MS,
+            });
+        }
+    }
+    plan.sort_by_key(|planned| planned.at);
+}
+
 pub(super) fn draw_route_change(rng: &mut SmallRng) -> RouteChange {
     match rng.random_range(0..6) {
         0 | 1 => RouteChange::Retarget(rng.random_range(0..2)),
--- a/crates/standins/src/soak/run.rs
+++ b/crates/standins/src/soak/run.rs
@@ -2,10 +2,10 @@
 
 use super::outage::draw_outages;
 use super::plan::{
-    draw_faults, draw_restarts, FaultMix, PlannedFault, ProcessFault, RouteChange, SoakFault,
-    StoreFault, UpstreamFault, QUIET_TIME,
+    add_evacuations, draw_faults, draw_restarts, FaultMix, PlannedFault, ProcessFault, RouteChange,
+    SoakFault, StoreFault, UpstreamFault, QUIET_TIME,
 };
-use super::site::{route_address, set_target, unix_millis, SiteSize, SoakSite, SERVICES};
+use super::site::{route_address, set_target, unix_millis, SiteSize, SoakSite, SERVICES, ZONES};
 use crate::flows::caller::CallerPace;
 use crate::flows::ledger::RequestOutcome;
 use crate::link::LinkFault;
@@ -165,7 +165,8 @@
         FaultMix::Restarts => draw_restarts,
         FaultMix::Store => draw_outages,
     };
-    let plan = draw(seed, size.entries, size.agents, plan.fault_time);
+    let mut plan = draw(seed, size.entries, size.agents, plan.fault_time);
+    add_evacuations(&mut plan, seed, ZONES.len());
     let mut lines = format!("times from {:.3} s\n", started.elapsed().as_secs_f64());
     for planned in &plan {
         lines.push_str(&format!("{planned:?}\n"));
@@ -222,6 +223,9 @@
                     .push((end, UndoAction::RestoreLink(index)));
             }
             SoakFault::Routes(change) => self.change_routes(change, now),
+            SoakFault::Evacuation(zone, evacuated) => {
+                self.site.set_evacuated(ZONES[zone], evacuated, now);
+            }
         }
         self.update_fault_free(now);
         Ok(())
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -19,6 +19,7 @@
 use quetzalhill_node::relay::settings::{RelayNode, RelayStore};
 use quetzalhill_node::settings::LogSettings;
 use quetzalhill_platform::manifest::MANIFEST_KEY;
+use quetzalhill_platform::operator::evacuation_key;
 use quetzalhill_platform::standin::call;
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -48,7 +49,8 @@
 /// The upstream of one in this many agents belongs to the second service.
 const BATCH_ONE_IN: usize = 3;
 
-const ZONES: [&str; 2] = ["zone-a", "zone-b"];
+/// Availability zones of a site, of which the instances of each kind belong to one after the other.
+pub const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 
 /// Requests that an upstream runs at the same time.
 const UPSTREAM_SLOTS: u32 = 4;
@@ -229,6 +231,17 @@
         self.ledger.borrow_mut().record_routes(routes, now);
     }
 
+    /// Requests the evacuation of a zone or its end, as operators do, and records it in the ledger.
+    pub fn set_evacuated(&mut self, zone: &str, evacuated: bool, now: Instant) {
+        let key = evacuation_key(zone);
+        match evacuated {
+            true => self.store.put(&key, b"{}"),
+            false => self.store.remove(&key),
+        }
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.record_evacuation(&zone.into(), evacuated, now);
+    }
+
     fn node_settings(&self, name: String, index: usize, host: SocketAddrV4) -> RelayNode {
         RelayNode {
             name,
@@ -258,7 +271,7 @@
                 apply_ms: 3_000,
                 pace: false,
                 schedule: false,
-                evacuations: false,
+                evacuations: true,
                 cold_overrun: None,
                 cold_slack: 0.0,
             },
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -196,6 +196,11 @@
         lock(&self.state).put_now(key.as_bytes(), value);
     }
 
+    /// Removes a key directly, as another client would.
+    pub fn remove(&self, key: &str) {
+        lock(&self.state).remove_now(key.as_bytes());
+    }
+
     /// Returns the keys that start with `prefix`, in their order.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let mut state = lock(&self.state);
--- a/crates/standins/src/store/state.rs
+++ b/crates/standins/src/store/state.rs
@@ -196,6 +196,14 @@
         self.apply(vec![write], &[]);
     }
 
+    pub(super) fn remove_now(&mut self, key: &[u8]) {
+        let range = ByteRange {
+            start: key.to_vec(),
+            end: Vec::new(),
+        };
+        self.apply(Vec::new(), &[range]);
+    }
+
     fn publish(&mut self, events: Vec<StoreEvent>) {
         self.history.extend_from_slice(&events);
         for watcher in &self.watchers {
--- a/crates/standins/tests/flow_ledger.rs
+++ b/crates/standins/tests/flow_ledger.rs
@@ -4,7 +4,7 @@
 use quetzalhill_core::relay::routes::RouteSet;
 use quetzalhill_standins::flows::ledger::{FlowHolder, FlowLedger, RequestOutcome};
 use quetzalhill_standins::soak::outage::draw_outages;
-use quetzalhill_standins::soak::plan::{draw_faults, draw_restarts};
+use quetzalhill_standins::soak::plan::{add_evacuations, draw_faults, draw_restarts, SoakFault};
 use quetzalhill_standins::soak::site::{route_address, set_target, SERVICES};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -232,3 +232,59 @@
     assert_eq!(outages(7), outages(7));
     assert_ne!(outages(7), outages(8));
 }
+
+/// Guards against a soak that misses a flow in an evacuated zone, or reports one that was opened before the bound, after
+/// the evacuation, in another zone or soon after a fault.
+#[test]
+fn flow_in_an_evacuated_zone_is_seen() {
+    let (zone, other) = ("a".to_string(), "b".to_string());
+    let opened = |delay_ms: u64, taken_back_ms: Option<u64>, opened_in: &String| {
+        violated_checks(|ledger, now| {
+            let at = |ms| now + Duration::from_millis(ms);
+            ledger.record_evacuation(&zone, true, at(1_000));
+            // A second write of the key changes nothing.
+            ledger.record_evacuation(&zone, true, at(2_000));
+            if let Some(ms) = taken_back_ms {
+                ledger.record_evacuation(&zone, false, at(ms));
+            }
+            ledger.check_evacuation(flow(), opened_in, at(delay_ms), at(delay_ms));
+        })
+    };
+    assert_eq!(opened(4_100, None, &zone), ["EVACUATION"]);
+    assert!(opened(3_900, None, &zone).is_empty());
+    assert!(opened(8_000, Some(7_900), &zone).is_empty());
+    assert!(opened(8_000, None, &other).is_empty());
+    let after_fault = violated_checks(|ledger, now| {
+        ledger.record_evacuation(&zone, true, now);
+        ledger.set_fault_free(false, now);
+        ledger.set_fault_free(true, now + Duration::from_secs(5));
+        let sent = now + Duration::from_secs(8);
+        ledger.check_evacuation(flow(), &zone, sent, sent);
+    });
+    assert!(after_fault.is_empty());
+}
+
+/// Guards against runs without evacuations, ones in which a zone stays evacuated or all are evacuated at once, and other
+/// faults of a seed than before.
+#[test]
+fn evacuations_follow_each_other() {
+    for seed in 0..50 {
+        let faults = draw_faults(seed, 3, 6, Duration::from_secs(10));
+        let mut plan = faults.clone();
+        add_evacuations(&mut plan, seed, 2);
+        assert!(plan.is_sorted_by_key(|planned| planned.at));
+        let (mut evacuated, mut count, mut kept) = (None, 0, Vec::new());
+        for planned in plan {
+            match planned.fault {
+                SoakFault::Evacuation(zone, true) => {
+                    assert_eq!(evacuated.replace(zone), None);
+                    count += 1;
+                }
+                SoakFault::Evacuation(zone, false) => assert_eq!(evacuated.take(), Some(zone)),
+                _ => kept.push(planned),
+            }
+        }
+        assert!(count > 0 && evacuated.is_none());
+        assert_eq!(format!("{kept:?}"), format!("{faults:?}"));
+    }
+}
