--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -3,6 +3,8 @@
 //! One thread receives the packets of callers, the other returned packets and reports of agents. Both are plain threads
 //! with blocking sockets. The relay chain decides on each packet, and the thread that received it executes the verdict.
 
+mod text;
+
 use super::counters::verdict_name;
 use super::shared::RelayState;
 use crate::traffic::{bind, expect_v4, is_idle, ERROR_PAUSE};
@@ -17,7 +19,7 @@
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::list::ListState;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
-use quetzalhill_core::relay::place::{EndpointKey, TriedList};
+use quetzalhill_core::relay::place::EndpointKey;
 use quetzalhill_core::relay::view::RelayView;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::threads::TrafficThreads;
@@ -27,12 +29,12 @@
     decode_datagram, ListNotice, PaceNotice, RelayDatagram, RelayHeader, RelayNotice, ReportNotice,
     RELAY_HEADER_MAX,
 };
-use std::fmt::{Display, Formatter, Result as FormatResult};
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Instant;
+use text::{age_ms, EndpointList, KeyList, KeyText};
 use tokio::sync::mpsc;
 
 /// A report of an agent with the agent's address, for the control thread.
@@ -480,44 +482,3 @@
             .inc();
     }
 }
-
-/// Formats endpoints with their incarnations, as `10.0.0.1:7000@1783371811029`.
-struct EndpointList<'a>(&'a [DeliverTarget]);
-
-impl Display for EndpointList<'_> {
-    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
-        for (index, target) in self.0.iter().enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{}", KeyText(target.endpoint))?;
-        }
-        Ok(())
-    }
-}
-
-/// Formats an endpoint with its incarnation, as `10.0.0.1:7000@1783371811029`.
-struct KeyText(EndpointKey);
-
-impl Display for KeyText {
-    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
-        let EndpointKey { id, incarnation } = self.0;
-        write!(f, "{}@{incarnation}", address_of(id))
-    }
-}
-
-/// Formats the endpoints that a search leaves out, separated by commas.
-struct KeyList(TriedList);
-
-impl Display for KeyList {
-    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
-        for (index, key) in self.0.iter().enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{}", KeyText(*key))?;
-        }
-        Ok(())
-    }
-}
-
-/// Returns the time since `confirmed` in milliseconds, or 0 if there is no such time.
-fn age_ms(confirmed: Option<Instant>) -> u128 {
-    confirmed.map_or(0, |confirmed| confirmed.elapsed().as_millis())
-}
--- a/crates/standins/tests/evacuation.rs
+++ b/crates/standins/tests/evacuation.rs
@@ -22,7 +22,7 @@
 const SIZE: SiteSize = SiteSize {
     entries: 3,
     agents: 6,
-    callers: 8,
+    callers: 48,
 };
 
 /// Second byte of the loopback addresses of the first case; each further one uses the next, so that no address is reused.
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -235,6 +235,23 @@
     }
 }
 
+/// Guards against evacuations that are changed between two entries, and against another encoding of the variants before
+/// it.
+#[test]
+fn operator_state_round_trip() {
+    for (routes, evacuations) in [(0, 0), (7, u64::MAX), (u64::MAX, 1)] {
+        let notice = RelayNotice::OperatorState {
+            routes,
+            evacuations,
+        };
+        let mut datagram = notice.encode().expect("encodes");
+        assert!(datagram.len() <= 24, "{} bytes", datagram.len());
+        assert_eq!(datagram[2], 8);
+        let decoded = decode_datagram(&mut datagram);
+        assert_eq!(decoded, Ok(RelayDatagram::Notice(notice)));
+    }
+}
+
 /// Guards against a revision of the routes that is changed between two entries, and against another encoding of the
 /// variants before it.
 #[test]
