Move search rounds and unreported flows out of the relay chain

Change: the rounds of a search are in chain/search.rs, the count of unreported flows in pending.rs; no decision changes.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -20,6 +20,7 @@
 pub mod pace;
 pub mod packet;
 pub mod peers;
+pub mod pending;
 pub mod place;
 pub mod presence;
 pub mod registration;
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -1,18 +1,21 @@
-//! The packet filter chain of an entry for opaque flows; longer than 500 lines so that all filters are in one file.
+//! The packet filter chain of an entry for opaque flows.
 //!
 //! The chain works on decoded packet heads and so does not depend on the encoding. It returns verdicts that the
 //! traffic thread executes. See docs/relay.md.
 
+mod search;
+
+use self::search::is_overdue;
 use crate::ids::{EndpointId, ServiceDigest};
-use crate::relay::digest::fingerprint_of;
-use crate::relay::flows::{FlowRecord, FlowTable, RoundRecord};
+use crate::relay::flows::{FlowRecord, FlowTable};
 use crate::relay::hold::HoldReason;
 use crate::relay::identity::HolderState;
 use crate::relay::intake::ReturnReason;
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
-use crate::relay::place::{self, EndpointKey, SearchOrder, TriedList};
+use crate::relay::pending::PendingTable;
+use crate::relay::place::{self, EndpointKey, TriedList};
 use crate::relay::routes::choose_target;
-use crate::relay::view::{EndpointStatus, RelayView, ServiceView, ViewEndpoint};
+use crate::relay::view::RelayView;
 use smallvec::{smallvec, SmallVec};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -24,27 +27,10 @@
 /// Idle time after which a flow is dropped from the flow table while no routes are in force.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
-/// Endpoints queried at the same time once the candidates of new flows have been queried.
-const QUERY_MAX: usize = 16;
-
-/// Candidates in the entry's zone below which those of other zones are queried with them.
-const NEAR_MIN: usize = 2;
-
-/// Time after which the search for a flow goes on without the endpoints that have not answered, with the caller's next
-/// packet. It is many round trips, and shorter than the caller's first retransmission after 200 ms.
-const ROUND_TIME: Duration = Duration::from_millis(150);
-
 /// Number of endpoints that may return a new flow as busy before it is placed on the least busy of them; each attempt
 /// takes a round trip.
 const BUSY_MAX: usize = 3;
 
-/// Silent endpoints to which a packet is sent at the same time. A silent endpoint probably does not receive it.
-const SILENT_MAX: usize = 2;
-
-/// Limit of endpoints for which the entry counts its own unreported flows; all counts are cleared at the limit. An
-/// entry sees only the endpoints of its services.
-const PENDING_MAX: usize = 4_096;
-
 /// Why a packet is dropped without an answer to its caller.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum RelayDrop {
@@ -135,37 +121,11 @@
     RelayFilter::Search,
 ];
 
-/// Round of a search in which an endpoint is queried.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum SearchTier {
-    Near,
-    Far,
-    Rest,
-}
-
-/// Next round of a search.
-#[derive(Debug)]
-struct SearchRound {
-    /// Endpoints to query; empty if all have been queried.
-    targets: DeliverList,
-    /// Whether every endpoint that may hold the flow is known and can be queried.
-    complete: bool,
-    /// Whether the list of endpoints or a digest is older than the search.
-    needs_confirmation: bool,
-}
-
-/// Flows placed on an endpoint that its last report does not count yet.
-#[derive(Clone, Copy, Debug, Default)]
-struct PendingFlows {
-    report: u64,
-    count: u32,
-}
-
 /// The filter chain with its state: flow table, unreported flows per endpoint and suspected endpoints.
 #[derive(Debug)]
 pub struct RelayChain {
     flows: FlowTable,
-    pending: HashMap<EndpointId, PendingFlows>,
+    pending: PendingTable,
     suspects: HashMap<EndpointId, Instant>,
     /// Endpoints that became suspect since they were taken last.
     unanswered: UnansweredList,
@@ -195,7 +155,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             flows: FlowTable::new(now),
-            pending: HashMap::new(),
+            pending: PendingTable::default(),
             suspects: HashMap::new(),
             unanswered: UnansweredList::new(),
             dropped_holders: DroppedHolders::new(),
@@ -399,29 +359,6 @@
         })
     }
 
-    /// Queries the next endpoints as well as those that have not answered, which may be lost or only slow.
-    fn widen(
-        &mut self,
-        head: &PacketHead,
-        mut targets: DeliverList,
-        view: &RelayView,
-        now: Instant,
-    ) -> Option<RelayVerdict> {
-        let next = self.next_round(head, view, now);
-        let record = self.flows.record(head.flow);
-        record
-            .queried
-            .extend(next.targets.iter().map(|target| target.endpoint));
-        if !next.targets.is_empty() {
-            record.round = Some(round_record(head, now));
-        }
-        targets.extend(next.targets);
-        Some(RelayVerdict::Deliver {
-            targets,
-            reason: DeliverReason::Queried,
-        })
-    }
-
     /// Chooses the endpoint of a new flow.
     fn place(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> Option<RelayVerdict> {
         let PacketKind::Opening { .. } = head.kind else {
@@ -435,7 +372,7 @@
         let record = self.flows.record(head.flow);
         record.opening = true;
         let (pending, suspects) = (&self.pending, &self.suspects);
-        let count = |id| pending_of(service, pending, id);
+        let count = |id| pending.of_id(service, id);
         let avoid = |id| suspects.get(&id).is_some_and(|until| now < *until);
         let mut index = None;
         if record.busy.len() < BUSY_MAX {
@@ -466,130 +403,12 @@
             service: service.digest,
             forced: record.forced,
         };
-        self.count_pending(endpoint);
+        self.pending.count(endpoint);
         Some(RelayVerdict::Deliver {
             targets: smallvec![target],
             reason: DeliverReason::Placed,
         })
     }
-
-    /// Chooses the next endpoints to query for a flow whose holder is unknown, or ends the flow if none is left.
-    fn search(
-        &mut self,
-        head: &PacketHead,
-        view: &RelayView,
-        now: Instant,
-    ) -> Option<RelayVerdict> {
-        let round = self.next_round(head, view, now);
-        let record = self.flows.record(head.flow);
-        if !round.targets.is_empty() {
-            record.queried = round.targets.iter().map(|target| target.endpoint).collect();
-            record.round = Some(round_record(head, now));
-            return Some(RelayVerdict::Deliver {
-                targets: round.targets,
-                reason: DeliverReason::Queried,
-            });
-        }
-        if !round.complete {
-            return None;
-        }
-        // The endpoint of an open flow is listed before it accepts the flow, so a list read after the search began
-        // contains it.
-        if round.needs_confirmation {
-            let unresolved_since = *record.unresolved_since.get_or_insert(now);
-            return Some(RelayVerdict::Hold(HoldReason::Confirmation(
-                unresolved_since,
-            )));
-        }
-        Some(RelayVerdict::Reset(ResetReason::Ended))
-    }
-
-    /// Returns the endpoints of the next round of a search: candidates of the entry's zone, then those of other zones,
-    /// then the others. Most flows are found in the first round, without a copy of the packet in another zone.
-    fn next_round(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> SearchRound {
-        let record = self.flows.record(head.flow);
-        // The flow was open before this time, so reports and lists read after it show whether the flow still exists.
-        let unresolved_since = *record.unresolved_since.get_or_insert(now);
-        let fingerprint = fingerprint_of(head.flow);
-        let mut round = SearchRound {
-            targets: DeliverList::new(),
-            complete: view.synced && view.holders_known,
-            needs_confirmation: view.endpoints_read < Some(unresolved_since),
-        };
-        let (mut near, mut far) = (DeliverList::new(), DeliverList::new());
-        let (mut rest, mut silent) = (DeliverList::new(), DeliverList::new());
-        for name in view.holder_services(head.flow) {
-            let Some(service) = view.services.get(name) else {
-                round.complete = false;
-                continue;
-            };
-            round.complete &= service.complete;
-            let order = SearchOrder::new(service, head.flow);
-            let tiers = [
-                (SearchTier::Near, order.near),
-                (SearchTier::Far, order.far),
-                (SearchTier::Rest, order.rest),
-            ];
-            for (tier, index) in tiers
-                .into_iter()
-                .flat_map(|(tier, list)| list.into_iter().map(move |index| (tier, index)))
-            {
-                let endpoint = &service.endpoints[index];
-                let key = endpoint.key();
-                let is_queried = record.queried.iter().any(|queried| queried.may_be(key));
-                if is_queried || record.tried.contains(&key) {
-                    continue;
-                }
-                let digest = endpoint.digest.as_ref();
-                if digest.is_some_and(|digest| !digest.contains(fingerprint)) {
-                    if endpoint.keepalive_sent >= Some(unresolved_since) {
-                        continue;
-                    }
-                    // The digest is older than the search. A flow opened since the last report is probably at a
-                    // candidate of the own zone, so these are queried anyway; the others report once more.
-                    if tier != SearchTier::Near {
-                        round.needs_confirmation = true;
-                        continue;
-                    }
-                }
-                let (list, limit) = match (endpoint.status, tier) {
-                    (EndpointStatus::Silent, _) => (&mut silent, SILENT_MAX),
-                    (_, SearchTier::Near) => (&mut near, QUERY_MAX),
-                    (_, SearchTier::Far) => (&mut far, QUERY_MAX),
-                    (_, SearchTier::Rest) => (&mut rest, QUERY_MAX),
-                };
-                if list.len() < limit {
-                    list.push(DeliverTarget {
-                        endpoint: key,
-                        service: service.digest,
-                        forced: false,
-                    });
-                }
-            }
-        }
-        if near.len() < NEAR_MIN {
-            near.extend(far.drain(..));
-        }
-        // Silent endpoints are queried last, since the packet is probably lost there.
-        let rounds = [near, far, rest, silent];
-        let next = rounds.into_iter().find(|targets| !targets.is_empty());
-        round.targets = next.unwrap_or_default();
-        round
-    }
-
-    fn count_pending(&mut self, endpoint: &ViewEndpoint) {
-        if self.pending.len() >= PENDING_MAX {
-            self.pending.clear();
-        }
-        let pending = self.pending.entry(endpoint.id).or_default();
-        if pending.report != endpoint.reports {
-            *pending = PendingFlows {
-                report: endpoint.reports,
-                count: 0,
-            };
-        }
-        pending.count += 1;
-    }
 }
 
 fn check_kind(head: &PacketHead) -> Option<RelayVerdict> {
@@ -612,30 +431,3 @@
     }
     record.queried.drain(..).map(|key| key.id).collect()
 }
-
-fn round_record(head: &PacketHead, now: Instant) -> RoundRecord {
-    RoundRecord {
-        ends: now + ROUND_TIME,
-        acknowledged: head.acknowledged,
-    }
-}
-
-/// Returns whether the endpoints of a round should have answered, and the caller still waits for its upstream.
-fn is_overdue(round: &RoundRecord, head: &PacketHead, now: Instant) -> bool {
-    round.ends <= now && round.acknowledged == head.acknowledged
-}
-
-fn pending_of(
-    service: &ServiceView,
-    pending: &HashMap<EndpointId, PendingFlows>,
-    id: EndpointId,
-) -> u32 {
-    let Some(flows) = pending.get(&id) else {
-        return 0;
-    };
-    let endpoint = service.endpoints.iter().find(|endpoint| endpoint.id == id);
-    match endpoint {
-        Some(endpoint) if endpoint.reports == flows.report => flows.count,
-        _ => 0,
-    }
-}
