Limit the first packets of cold upstreams at their agents

Cause: a cold upstream must get no more first packets in any sliding second, from all entries together, than its rate times the overrun plus the slack; the entries place by reports that are 0.4 s old and cannot keep such a limit. Change: the agent counts first packets in a window of 1,050 ms, checked before and recorded after the sending, and returns the rest, also forced ones and copies, as cold; the limit comes with the packet. An upstream counts as cold until an announcement says otherwise; a restarted agent delivers nothing for one window unless it has seen the start of the upstream. The entry leaves out endpoints without credit, drops a packet that none has credit for, and places its copy anew. Without the setting or a rate, headers and decisions are as before.

With the window at 950 ms, without the unseen second, without the doubt and without the entry's memory 2 to 3 of the tests fail each.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -39,6 +39,10 @@
 /// arrives, because two announcements may get lost before an upstream counts as lost.
 const START_MARGIN_INTERVALS: u32 = 3;
 
+/// Announcement intervals for which an announcement says whether the upstream is cold; one may be lost. A restarted
+/// upstream announces itself within one interval.
+const ANNOUNCED_INTERVALS: u32 = 2;
+
 /// Health probes per round while announcements are missing. Their number is small because each one occupies a slot
 /// of the upstream for a moment.
 const PROBES_PER_ROUND: u32 = 2;
@@ -279,6 +283,12 @@
                 .forget_before(self.incarnation_start(now));
             self.state.health().reset();
         }
+        if matches!(
+            outcome,
+            PresenceOutcome::Confirmed | PresenceOutcome::Changed
+        ) {
+            self.update_cold(now);
+        }
         match outcome {
             PresenceOutcome::Confirmed => {}
             PresenceOutcome::Changed => self.publish_change("announcement", now),
@@ -298,6 +308,20 @@
         }
     }
 
+    /// Passes the warm-up in the last announcement on to the traffic threads, which limit first packets meanwhile.
+    fn update_cold(&self, now: Instant) {
+        let Some(record) = self.presence.upstream() else {
+            return;
+        };
+        let interval = Duration::from_millis(self.settings.relay.announce_ms);
+        let announced_until = record.received + interval * ANNOUNCED_INTERVALS;
+        let seen = self.presence.covers_all_flows(now);
+        let cold_until = record.announcement.cold_until;
+        self.state
+            .cold()
+            .announce(cold_until, announced_until, seen, now);
+    }
+
     fn deregister(
         &mut self,
         name: &UpstreamName,
--- a/crates/agent/src/relay/run.rs
+++ b/crates/agent/src/relay/run.rs
@@ -10,6 +10,7 @@
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::threads::TrafficThreads;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::sync::mpsc;
 
 /// Capacity of the event queue from the traffic threads to the control thread.
@@ -30,7 +31,7 @@
 /// Returns an error that names the address that cannot be bound or the thread that could not be started.
 pub fn start(settings: RelaySettings) -> Result<RelayHandle> {
     let registry = Registry::new();
-    let state = AgentState::new(AgentCounters::new(&registry)?);
+    let state = AgentState::new(AgentCounters::new(&registry)?, Instant::now());
     let relay = &settings.relay;
     let sockets = AgentSockets::bind(&SocketSettings {
         packets: relay.packets,
--- a/crates/agent/src/relay/shared.rs
+++ b/crates/agent/src/relay/shared.rs
@@ -3,6 +3,7 @@
 use super::counters::AgentCounters;
 use arc_swap::ArcSwap;
 use quetzalhill_core::ids::IncarnationNumber;
+use quetzalhill_core::relay::cold::ColdGate;
 use quetzalhill_core::relay::health::AnswerHealth;
 use quetzalhill_core::relay::intake::UpstreamState;
 use quetzalhill_core::relay::load::LoadMeter;
@@ -10,6 +11,7 @@
 use rand::SeedableRng;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 /// Status of the upstream, as the control thread derives it from announcements and probes.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +31,7 @@
     pub(super) status: ArcSwap<UpstreamStatus>,
     meter: Mutex<LoadMeter>,
     health: Mutex<AnswerHealth>,
+    cold: Mutex<ColdGate>,
     pub(super) counters: AgentCounters,
     /// Stop flag of the traffic threads.
     pub(super) stop: Arc<AtomicBool>,
@@ -36,7 +39,7 @@
 
 impl AgentState {
     /// Creates the state of an agent whose upstream is still unknown.
-    pub(super) fn new(counters: AgentCounters) -> Arc<Self> {
+    pub(super) fn new(counters: AgentCounters, now: Instant) -> Arc<Self> {
         Arc::new(Self {
             status: ArcSwap::from_pointee(UpstreamStatus {
                 state: UpstreamState::Unknown,
@@ -45,6 +48,7 @@
             }),
             meter: Mutex::default(),
             health: Mutex::new(AnswerHealth::new(SmallRng::from_os_rng())),
+            cold: Mutex::new(ColdGate::new(now)),
             counters,
             stop: Arc::default(),
         })
@@ -57,6 +61,12 @@
         self.meter.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the gate for first packets to a cold upstream.
+    pub(super) fn cold(&self) -> MutexGuard<'_, ColdGate> {
+        // The gate has no state that a panic could leave half changed.
+        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the health of the upstream, which is derived from the outcomes of requests.
     pub(super) fn health(&self) -> MutexGuard<'_, AnswerHealth> {
         // Later outcomes make up for those that another thread did not record because it panicked, so that a
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -135,6 +135,15 @@
     Ok(threads)
 }
 
+/// Fields of the header of a packet from an entry.
+#[derive(Clone, Copy, Debug)]
+struct DeliveryFields {
+    service_matches: bool,
+    forced: bool,
+    /// First packets a second that the upstream may get while it is cold.
+    cold_limit: Option<u8>,
+}
+
 struct AgentRelay {
     sockets: Arc<AgentSockets>,
     state: Arc<AgentState>,
@@ -191,7 +200,10 @@
         match decode_datagram(&mut buffer[RELAY_HEADER_MAX..]) {
             Ok(RelayDatagram::Flow(
                 RelayHeader::Deliver {
-                    service, forced, ..
+                    service,
+                    forced,
+                    cold_limit,
+                    ..
                 },
                 packet,
             )) => {
@@ -200,9 +212,13 @@
                 // for the header of a packet that is returned.
                 let end = buffer.len();
                 buffer.copy_within(end - length.., RELAY_HEADER_MAX);
-                let service_matches = service == self.sockets.service;
+                let delivery = DeliveryFields {
+                    service_matches: service == self.sockets.service,
+                    forced,
+                    cold_limit,
+                };
                 let buffer = &mut buffer[..RELAY_HEADER_MAX + length];
-                self.handle_packet(buffer, entry, service_matches, forced);
+                self.handle_packet(buffer, entry, delivery);
             }
             Ok(RelayDatagram::Notice(RelayNotice::Keepalive(keepalive))) => {
                 self.send_event(TrafficEvent::Keepalive(entry, keepalive));
@@ -225,13 +241,7 @@
         }
     }
 
-    fn handle_packet(
-        &self,
-        buffer: &mut [u8],
-        entry: SocketAddrV4,
-        service_matches: bool,
-        forced: bool,
-    ) {
+    fn handle_packet(&self, buffer: &mut [u8], entry: SocketAddrV4, delivery: DeliveryFields) {
         let bytes = &mut buffer[RELAY_HEADER_MAX..];
         let head = match packet::decode(bytes, PacketSender::Caller) {
             Ok(head) => head,
@@ -239,27 +249,33 @@
         };
         let status = **self.state.status.load();
         let now = Instant::now();
-        let (busy, failing) = match head.kind {
-            PacketKind::Opening { .. } => (
+        let opening = matches!(head.kind, PacketKind::Opening { .. });
+        let (busy, failing, cold_wait) = match opening {
+            true => (
                 self.state.meter().pending_requests(now),
                 !self.state.health().takes_flows(now),
+                self.state.cold().wait(delivery.cold_limit, now),
             ),
-            _ => (0, false),
+            false => (0, false, None),
         };
         let context = IntakeContext {
             kind: head.kind,
             state: status.state,
-            service_matches,
+            service_matches: delivery.service_matches,
             failing,
-            forced,
+            forced: delivery.forced,
             busy,
             slots: status.slots,
+            cold_wait,
         };
         match decide(&context) {
             IntakeVerdict::Return(reason) => self.return_packet(buffer, &head, reason, *entry.ip()),
             IntakeVerdict::Deliver => {
                 packet::set_mark(bytes, u32::from(*entry.ip()));
                 self.deliver(bytes, &head);
+                if opening && delivery.cold_limit.is_some() {
+                    self.state.cold().record(Instant::now());
+                }
             }
         }
     }
@@ -274,6 +290,7 @@
         if error.kind() != io::ErrorKind::ConnectionRefused {
             return;
         }
+        self.state.cold().doubt();
         self.send_event(TrafficEvent::UpstreamRefused);
         // The error was caused by an earlier packet; this one has not been sent yet.
         let _ = self.sockets.upstream.send(packet);
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -6,7 +6,9 @@
 //! endpoints in the same order. See docs/relay.md.
 
 pub mod chain;
+pub mod cold;
 pub mod confirm;
+pub mod credits;
 pub mod digest;
 pub mod fleet;
 pub mod flows;
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -6,7 +6,9 @@
 mod search;
 
 use self::search::is_overdue;
-use crate::ids::{EndpointId, ServiceDigest};
+use crate::ids::{EndpointId, ServiceDigest, ServiceName};
+use crate::relay::cold::ColdPolicy;
+use crate::relay::credits::CreditTable;
 use crate::relay::flows::{FlowRecord, FlowTable};
 use crate::relay::hold::HoldReason;
 use crate::relay::identity::HolderState;
@@ -14,7 +16,7 @@
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use crate::relay::pending::PendingTable;
 use crate::relay::place::{self, EndpointKey, TriedList};
-use crate::relay::routes::choose_target;
+use crate::relay::routes::{choose_target, RouteSet};
 use crate::relay::view::RelayView;
 use smallvec::{smallvec, SmallVec};
 use std::collections::HashMap;
@@ -43,6 +45,9 @@
     /// No ready endpoint accepts the new flow, but a silent or pending one may become ready. The caller retransmits
     /// its packet.
     NoReady,
+    /// The ready endpoints are cold and have taken as many new flows as they may. The caller retransmits its packet, which
+    /// is then placed anew.
+    Cold,
     /// Another endpoint has received the same packet and may still accept it.
     Duplicate,
 }
@@ -78,6 +83,9 @@
     pub service: ServiceDigest,
     /// Whether the endpoint has to take a new flow even if it is busy.
     pub forced: bool,
+    /// First packets a second that the endpoint may take while it is cold; only for first packets of services with such a
+    /// limit.
+    pub cold_limit: Option<u8>,
 }
 
 /// Endpoints that receive a packet: one for most packets, several during a search.
@@ -121,11 +129,21 @@
     RelayFilter::Search,
 ];
 
-/// The filter chain with its state: flow table, unreported flows per endpoint and suspected endpoints.
+/// Rules of a chain that the settings of the entry enable. See docs/load.md.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ChainPolicy {
+    /// Limit of first packets to cold endpoints; without it they have no limit.
+    pub cold: Option<ColdPolicy>,
+}
+
+/// The filter chain with its state: flow table, unreported flows per endpoint, endpoints without credit and suspected
+/// endpoints.
 #[derive(Debug)]
 pub struct RelayChain {
+    policy: ChainPolicy,
     flows: FlowTable,
     pending: PendingTable,
+    credits: CreditTable,
     suspects: HashMap<EndpointId, Instant>,
     /// Endpoints that became suspect since they were taken last.
     unanswered: UnansweredList,
@@ -151,11 +169,18 @@
 pub type DroppedHolders = SmallVec<[DroppedHolder; 2]>;
 
 impl RelayChain {
-    /// Makes a chain with an empty flow table.
+    /// Makes a chain with an empty flow table that places new flows by load only.
     pub fn new(now: Instant) -> Self {
+        Self::with_policy(ChainPolicy::default(), now)
+    }
+
+    /// Makes a chain with an empty flow table and the rules of `policy`.
+    pub fn with_policy(policy: ChainPolicy, now: Instant) -> Self {
         Self {
+            policy,
             flows: FlowTable::new(now),
             pending: PendingTable::default(),
+            credits: CreditTable::default(),
             suspects: HashMap::new(),
             unanswered: UnansweredList::new(),
             dropped_holders: DroppedHolders::new(),
@@ -241,6 +266,10 @@
                 record.busy.push((known, requests));
             }
         }
+        if let ReturnReason::Cold { wait_ms } = reason {
+            self.credits.spend(known, wait_ms, now);
+            record.cold_returned = true;
+        }
         // The view may lag behind the agent. The incarnation in the view is not queried again either; otherwise the
         // packet would loop between entry and agent.
         for key in [key, known] {
@@ -307,6 +336,7 @@
         if let PacketKind::Opening { copies } = head.kind {
             let unanswered = record_opening(record, copies);
             self.suspects.retain(|_, until| now < *until);
+            self.credits.tick(now);
             for id in unanswered {
                 self.suspects.insert(id, now + SUSPECT_TIME);
                 self.unanswered.push(id);
@@ -328,6 +358,7 @@
                         endpoint: key,
                         service: service.digest,
                         forced: false,
+                        cold_limit: None,
                     });
                     record.queried.push(key);
                     continue;
@@ -366,19 +397,24 @@
         };
         let refused = Some(RelayVerdict::Reset(ResetReason::Refused));
         let target = choose_target(view.routes.targets(head.flow.service)?, head.flow)?;
-        let Some(service) = view.services.get(&target.service) else {
+        let name = &target.service;
+        let Some(service) = view.services.get(name) else {
             return refused;
         };
         let record = self.flows.record(head.flow);
         record.opening = true;
-        let (pending, suspects) = (&self.pending, &self.suspects);
+        let (pending, suspects, credits) = (&self.pending, &self.suspects, &self.credits);
         let count = |id| pending.of_id(service, id);
         let avoid = |id| suspects.get(&id).is_some_and(|until| now < *until);
         let mut index = None;
         if record.busy.len() < BUSY_MAX {
-            index = place::choose_endpoint(service, head.flow, &record.tried, count, avoid, now);
+            let excluded = credits.exclude(service, &record.tried, now);
+            index = place::choose_endpoint(service, head.flow, &excluded, count, avoid, now);
         }
-        let least = record.busy.iter().min_by_key(|(_, requests)| *requests);
+        let busy = record.busy.iter();
+        let least = busy
+            .filter(|(key, _)| !credits.is_spent(*key, now))
+            .min_by_key(|(_, requests)| *requests);
         if let (None, Some((best, _)), false) = (index, least, record.forced) {
             // All candidates are busy. Queueing at the least busy one is better than a refusal, and further attempts
             // would add to the load.
@@ -389,6 +425,9 @@
             record.forced = true;
         }
         let Some(index) = index else {
+            if credits.is_awaited(service, now) {
+                return Some(RelayVerdict::Drop(RelayDrop::Cold));
+            }
             // The flow is not reset while an endpoint may become ready: after a pause of this process all endpoints
             // look silent for a moment, and a late copy of a first packet may belong to a flow that is open by now.
             if service.may_become_ready() {
@@ -402,6 +441,7 @@
             endpoint: endpoint.key(),
             service: service.digest,
             forced: record.forced,
+            cold_limit: self.policy.cold_limit(&view.routes, name),
         };
         self.pending.count(endpoint);
         Some(RelayVerdict::Deliver {
@@ -411,6 +451,14 @@
     }
 }
 
+impl ChainPolicy {
+    /// Returns the limit of first packets that go with a new flow of `service`.
+    fn cold_limit(&self, routes: &RouteSet, service: &ServiceName) -> Option<u8> {
+        let rate = routes.cold_rates.get(service)?;
+        self.cold.map(|cold| cold.limit(*rate))
+    }
+}
+
 fn check_kind(head: &PacketHead) -> Option<RelayVerdict> {
     match head.kind {
         // Only an upstream accepts a flow; the endpoint would accept such a packet from a caller as genuine.
@@ -429,5 +477,11 @@
         *record = FlowRecord::default();
         return UnansweredList::new();
     }
+    if std::mem::take(&mut record.cold_returned) {
+        // The endpoints that returned the earlier copy may have credit by now.
+        record.tried.clear();
+        record.busy.clear();
+        record.forced = false;
+    }
     record.queried.drain(..).map(|key| key.id).collect()
 }
--- a/crates/core/src/relay/chain/search.rs
+++ b/crates/core/src/relay/chain/search.rs
@@ -155,6 +155,7 @@
                         endpoint: key,
                         service: service.digest,
                         forced: false,
+                        cold_limit: None,
                     });
                 }
             }
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -43,6 +43,8 @@
     pub busy: BusyList,
     /// Whether the new flow was placed on a busy endpoint because the other candidates were busy too.
     pub forced: bool,
+    /// Whether an endpoint returned the new flow because it had no credit.
+    pub cold_returned: bool,
     /// Whether only first packets of the flow have arrived so far.
     pub opening: bool,
     /// Arrival of the first packet for which the entry found no known holder or no route. Only lists, routes and
--- a/crates/core/src/relay/intake.rs
+++ b/crates/core/src/relay/intake.rs
@@ -1,6 +1,8 @@
 //! Decides whether an agent delivers a packet from an entry to its upstream or returns it.
 
+use crate::relay::cold::wait_millis;
 use crate::relay::packet::PacketKind;
+use std::time::Duration;
 
 /// State of an upstream as its agent sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -98,6 +100,8 @@
     pub busy: u32,
     /// Number of requests that the upstream runs concurrently; 0 while it is not known.
     pub slots: u32,
+    /// Time until the upstream may get a further first packet, if it is cold and has got as many as it may.
+    pub cold_wait: Option<Duration>,
 }
 
 /// Decides whether a packet is delivered to the upstream.
@@ -107,13 +111,18 @@
 /// upstream is unknown, because the upstream can tell which flows it holds and an agent that has just started cannot.
 ///
 /// The check on requests in progress is for a load peak, when many callers open flows within one report interval: the
-/// agent knows the current load, the entries only that of the last report.
+/// agent knows the current load, the entries only that of the last report. The limit of a cold upstream holds for forced
+/// flows too, so it is checked first: the entry must not force a flow on an upstream that cannot take it.
 pub fn decide(context: &IntakeContext) -> IntakeVerdict {
     if !context.service_matches {
         return IntakeVerdict::Return(ReturnReason::WrongService);
     }
     match (context.state, context.kind) {
         (UpstreamState::Gone, _) => IntakeVerdict::Return(ReturnReason::NotHeld),
+        (UpstreamState::Ready, PacketKind::Opening { .. }) if context.cold_wait.is_some() => {
+            let wait_ms = context.cold_wait.map_or(0, wait_millis);
+            IntakeVerdict::Return(ReturnReason::Cold { wait_ms })
+        }
         (UpstreamState::Ready, PacketKind::Opening { .. })
             if context.failing && !context.forced =>
         {
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions on packets of opaque flows.
 
 mod chain;
+mod cold;
 mod confirm;
 mod digest;
 mod fleet;
@@ -21,3 +22,4 @@
 mod site;
 mod subscribe;
 mod support;
+mod surge;
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -198,6 +198,7 @@
             RelayDrop::NoRoute => "drop-no-route",
             RelayDrop::NoHolder => "drop-no-holder",
             RelayDrop::NoReady => "drop-no-ready",
+            RelayDrop::Cold => "drop-cold",
             RelayDrop::Duplicate => "drop-copied",
         },
     }
--- a/crates/entry/src/relay/run.rs
+++ b/crates/entry/src/relay/run.rs
@@ -33,8 +33,8 @@
 pub fn start(settings: RelaySettings) -> Result<RelayHandle> {
     let registry = Registry::new();
     let counters = RelayCounters::new(&registry)?;
-    let state = RelayState::new(counters, Instant::now());
     let relay = &settings.relay;
+    let state = RelayState::new(counters, relay.chain_policy(), Instant::now());
     let sockets = RelaySockets::bind(relay.packets, relay.agents)?;
     let (sender, events) = mpsc::channel(EVENTS_MAX);
     let traffic = traffic::start(&sockets, &state, &sender)?;
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of an entry of the relay.
 
+use quetzalhill_core::relay::chain::ChainPolicy;
+use quetzalhill_core::relay::cold::ColdPolicy;
 use quetzalhill_node::relay::settings::{RelayCommon, RelayNode, RelayStore};
 use quetzalhill_node::settings::{LogSettings, SettingError};
 use serde::{Deserialize, Serialize};
@@ -39,6 +41,18 @@
     pub cold_slack: f64,
 }
 
+impl RelaySection {
+    /// Returns the rules of the packet filter chain that the settings enable.
+    pub fn chain_policy(&self) -> ChainPolicy {
+        let slack = self.cold_slack;
+        ChainPolicy {
+            cold: self
+                .cold_overrun
+                .map(|overrun| ColdPolicy { overrun, slack }),
+        }
+    }
+}
+
 fn default_linger_ms() -> u64 {
     1_500
 }
--- a/crates/entry/src/relay/shared.rs
+++ b/crates/entry/src/relay/shared.rs
@@ -2,7 +2,7 @@
 
 use super::counters::RelayCounters;
 use arc_swap::ArcSwap;
-use quetzalhill_core::relay::chain::RelayChain;
+use quetzalhill_core::relay::chain::{ChainPolicy, RelayChain};
 use quetzalhill_core::relay::hold::HoldQueue;
 use quetzalhill_core::relay::view::RelayView;
 use std::sync::atomic::AtomicBool;
@@ -23,11 +23,11 @@
 }
 
 impl RelayState {
-    /// Creates the state of an entry that has not loaded routes or endpoints yet.
-    pub(super) fn new(counters: RelayCounters, now: Instant) -> Arc<Self> {
+    /// Creates the state of an entry that has not loaded routes or endpoints yet and decides by `policy`.
+    pub(super) fn new(counters: RelayCounters, policy: ChainPolicy, now: Instant) -> Arc<Self> {
         Arc::new(Self {
             view: ArcSwap::default(),
-            chain: Mutex::new(RelayChain::new(now)),
+            chain: Mutex::new(RelayChain::with_policy(policy, now)),
             hold: Mutex::default(),
             counters,
             stop: Arc::default(),
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -377,7 +377,7 @@
             service: target.service,
             forced: target.forced,
             terms: None,
-            cold_limit: None,
+            cold_limit: target.cold_limit,
         };
         let Ok(start) = header.prepend_to(buffer) else {
             return self.count_malformed("seal");
