Spill, hold or refuse new flows for which there is no room

Cause: in a burst flows queued in one service while another one of their route was idle; after a loss of power first packets were dropped or forced on the first ready endpoints; and callers of an overloaded service waited for answers that came after their timeout. Change, where relay.schedule is on: a flow whose candidates are all full goes to another service of its route with a free slot; a first packet without a ready endpoint is held for at most 350 ms and placed when one is ready, a few at a time while a service starts; a first packet that would be answered after the route's timeout is reset as hopeless, only if no copy of it can have been accepted. Copies of a first packet are placed anew. Without the setting nothing changes.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -5,6 +5,7 @@
 //! derived from the flow's addresses. To find the endpoint of a flow that is not in its flow table, it queries the
 //! endpoints in the same order. See docs/relay.md.
 
+pub mod admit;
 pub mod chain;
 pub mod cold;
 pub mod confirm;
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -3,19 +3,25 @@
 //! The chain works on decoded packet heads and so does not depend on the encoding. It returns verdicts that the
 //! traffic thread executes. See docs/relay.md.
 
+mod opening;
 mod search;
 
+pub use self::opening::UnansweredList;
+
 use self::search::is_overdue;
 use crate::ids::{EndpointId, ServiceDigest, ServiceName};
+use crate::relay::admit::{
+    AdmissionContext, AdmissionPolicy, Overflow, BUSY_MAX, FAILING_REQUESTS,
+};
 use crate::relay::cold::ColdPolicy;
 use crate::relay::credits::CreditTable;
-use crate::relay::flows::{FlowRecord, FlowTable};
+use crate::relay::flows::FlowTable;
 use crate::relay::hold::HoldReason;
 use crate::relay::identity::HolderState;
 use crate::relay::intake::ReturnReason;
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use crate::relay::pending::PendingTable;
-use crate::relay::place::{self, EndpointKey, TriedList};
+use crate::relay::place::{EndpointKey, TriedList};
 use crate::relay::routes::{choose_target, RouteSet};
 use crate::relay::view::RelayView;
 use smallvec::{smallvec, SmallVec};
@@ -29,10 +35,6 @@
 /// Idle time after which a flow is dropped from the flow table while no routes are in force.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
-/// Number of endpoints that may return a new flow as busy before it is placed on the least busy of them; each attempt
-/// takes a round trip.
-const BUSY_MAX: usize = 3;
-
 /// Why a packet is dropped without an answer to its caller.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum RelayDrop {
@@ -59,6 +61,8 @@
     NoRoute,
     /// No endpoint accepts the new flow, and none is expected to become ready.
     Refused,
+    /// No endpoint can answer the request of the new flow before its caller gives it up.
+    Hopeless,
     /// Every endpoint that may hold the flow has been ruled out.
     Ended,
 }
@@ -68,6 +72,8 @@
 pub enum DeliverReason {
     /// The flow is new and was placed on the endpoint by load.
     Placed,
+    /// The flow is new and was placed on an endpoint of another service of its route, because its own has no room.
+    Spilled,
     /// The flow table holds the endpoint.
     TableHit,
     /// The holder is unknown, and the endpoints are the next to be queried.
@@ -134,6 +140,8 @@
 pub struct ChainPolicy {
     /// Limit of first packets to cold endpoints; without it they have no limit.
     pub cold: Option<ColdPolicy>,
+    /// Decisions on new flows for which there is no room or no ready endpoint.
+    pub admission: AdmissionPolicy,
 }
 
 /// The filter chain with its state: flow table, unreported flows per endpoint, endpoints without credit and suspected
@@ -151,9 +159,6 @@
     dropped_holders: DroppedHolders,
 }
 
-/// Endpoints that left a first packet unanswered; a flow is placed on one.
-pub type UnansweredList = SmallVec<[EndpointId; 2]>;
-
 /// Endpoint to which the packets of a flow no longer go, because the view has no such incarnation of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DroppedHolder {
@@ -252,10 +257,9 @@
         let opening = matches!(head.kind, PacketKind::Opening { .. });
         let record = self.flows.record(head.flow);
         let known = view.key_of(head.flow, key.id).unwrap_or(key);
-        // A failing upstream counts as the busiest, so that it is chosen only if every candidate fails.
         let requests = match reason {
             ReturnReason::Busy { requests } => Some(requests),
-            ReturnReason::Failing => Some(u32::MAX),
+            ReturnReason::Failing => Some(FAILING_REQUESTS),
             ReturnReason::NotHeld
             | ReturnReason::NotReady
             | ReturnReason::Cold { .. }
@@ -332,17 +336,10 @@
         view: &RelayView,
         now: Instant,
     ) -> Option<RelayVerdict> {
-        let record = self.flows.record(head.flow);
         if let PacketKind::Opening { copies } = head.kind {
-            let unanswered = record_opening(record, copies);
-            self.suspects.retain(|_, until| now < *until);
-            self.credits.tick(now);
-            for id in unanswered {
-                self.suspects.insert(id, now + SUSPECT_TIME);
-                self.unanswered.push(id);
-            }
-            return None;
+            return self.begin_opening(head, copies, now);
         }
+        let record = self.flows.record(head.flow);
         if std::mem::take(&mut record.opening) {
             // An endpoint that returned the first packet may have accepted a copy of it through another entry, so it
             // is queried again.
@@ -392,46 +389,72 @@
 
     /// Chooses the endpoint of a new flow.
     fn place(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> Option<RelayVerdict> {
-        let PacketKind::Opening { .. } = head.kind else {
+        let PacketKind::Opening { copies } = head.kind else {
             return None;
         };
         let refused = Some(RelayVerdict::Reset(ResetReason::Refused));
         let target = choose_target(view.routes.targets(head.flow.service)?, head.flow)?;
-        let name = &target.service;
-        let Some(service) = view.services.get(name) else {
+        let mut name = &target.service;
+        let Some(mut service) = view.services.get(name) else {
             return refused;
         };
         let record = self.flows.record(head.flow);
         record.opening = true;
-        let (pending, suspects, credits) = (&self.pending, &self.suspects, &self.credits);
-        let count = |id| pending.of_id(service, id);
-        let avoid = |id| suspects.get(&id).is_some_and(|until| now < *until);
-        let mut index = None;
-        if record.busy.len() < BUSY_MAX {
-            let excluded = credits.exclude(service, &record.tried, now);
-            index = place::choose_endpoint(service, head.flow, &excluded, count, avoid, now);
+        let context = AdmissionContext {
+            view,
+            flow: head.flow,
+            record,
+            pending: &self.pending,
+            credits: &self.credits,
+            suspects: &self.suspects,
+            now,
+        };
+        let admission = self.policy.admission;
+        let mut index = match context.busy_count(service) < BUSY_MAX {
+            true => context.choose(service),
+            false => None,
+        };
+        let mut reason = DeliverReason::Placed;
+        let least = context.least_busy(service);
+        let overflow = match admission {
+            AdmissionPolicy::Off => Overflow::Stay,
+            AdmissionPolicy::On => context.overflow(name, index),
+        };
+        match overflow {
+            Overflow::Stay => {}
+            Overflow::Spill {
+                name: other,
+                service: other_service,
+                index: other_index,
+            } => {
+                (name, service, index) = (other, other_service, Some(other_index));
+                reason = DeliverReason::Spilled;
+            }
+            // A copy is not held, since its caller has waited for 200 ms already.
+            Overflow::Wait if copies > 0 => {}
+            Overflow::Wait => {
+                if let Some(held) = self.hold_until_ready(head, copies, service, now) {
+                    return Some(held);
+                }
+            }
+            Overflow::Refuse => return Some(RelayVerdict::Reset(ResetReason::Hopeless)),
         }
-        let busy = record.busy.iter();
-        let least = busy
-            .filter(|(key, _)| !credits.is_spent(*key, now))
-            .min_by_key(|(_, requests)| *requests);
+        let record = self.flows.record(head.flow);
         if let (None, Some((best, _)), false) = (index, least, record.forced) {
             // All candidates are busy. Queueing at the least busy one is better than a refusal, and further attempts
             // would add to the load.
-            index = service
-                .endpoints
-                .iter()
-                .position(|known| known.key().may_be(*best));
+            index = Some(best);
             record.forced = true;
         }
         let Some(index) = index else {
-            if credits.is_awaited(service, now) {
+            if self.credits.is_awaited(service, now) {
                 return Some(RelayVerdict::Drop(RelayDrop::Cold));
             }
             // The flow is not reset while an endpoint may become ready: after a pause of this process all endpoints
             // look silent for a moment, and a late copy of a first packet may belong to a flow that is open by now.
             if service.may_become_ready() {
-                return Some(RelayVerdict::Drop(RelayDrop::NoReady));
+                let held = self.hold_until_ready(head, copies, service, now);
+                return held.or(Some(RelayVerdict::Drop(RelayDrop::NoReady)));
             }
             return refused;
         };
@@ -446,7 +469,7 @@
         self.pending.count(endpoint);
         Some(RelayVerdict::Deliver {
             targets: smallvec![target],
-            reason: DeliverReason::Placed,
+            reason,
         })
     }
 }
@@ -469,19 +492,3 @@
         | PacketKind::Reset => None,
     }
 }
-
-/// Resets the record for the original first packet of a flow. For a retransmission, returns the endpoints that did not
-/// answer the earlier copy.
-fn record_opening(record: &mut FlowRecord, copies: u32) -> UnansweredList {
-    if copies == 0 {
-        *record = FlowRecord::default();
-        return UnansweredList::new();
-    }
-    if std::mem::take(&mut record.cold_returned) {
-        // The endpoints that returned the earlier copy may have credit by now.
-        record.tried.clear();
-        record.busy.clear();
-        record.forced = false;
-    }
-    record.queried.drain(..).map(|key| key.id).collect()
-}
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -432,6 +432,9 @@
             digest: current.and_then(|report| report.digest.clone()),
             keepalive_sent: current.and_then(|report| report.keepalive_sent),
             pace_factor: 1.0,
+            service_time: report
+                .and_then(|report| report.pace.as_ref())
+                .and_then(EndpointPace::least_service_time),
             evacuated: false,
         }
     }
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -27,6 +27,15 @@
     pub acknowledged: u32,
 }
 
+/// A first packet that is or was held.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldOpening {
+    /// Number of copies that the caller had sent before this one.
+    pub copies: u32,
+    /// End of the hold.
+    pub until: Instant,
+}
+
 /// State of one flow in the table.
 #[derive(Clone, Debug, Default)]
 pub struct FlowRecord {
@@ -45,6 +54,12 @@
     pub forced: bool,
     /// Whether an endpoint returned the new flow because it had no credit.
     pub cold_returned: bool,
+    /// First packet of the flow that was held last until an endpoint is ready.
+    pub held: Option<HeldOpening>,
+    /// Arrival of the last first packet of the flow.
+    pub opening_seen: Option<Instant>,
+    /// Point in time until which the flow may be refused, because no copy of its first packet can have been accepted.
+    pub refusable_until: Option<Instant>,
     /// Whether only first packets of the flow have arrived so far.
     pub opening: bool,
     /// Arrival of the first packet for which the entry found no known holder or no route. Only lists, routes and
--- a/crates/core/src/relay/pace.rs
+++ b/crates/core/src/relay/pace.rs
@@ -27,3 +27,12 @@
     /// Measured service times; empty until enough requests have been answered.
     pub service_times: ServiceTimes,
 }
+
+impl EndpointPace {
+    /// Returns the least service time, so that an estimate of the queue is not too long whatever kinds of requests wait
+    /// in it; `None` until enough requests have been answered.
+    pub fn least_service_time(&self) -> Option<Duration> {
+        let times = self.service_times.iter();
+        times.map(|time| time.average).min()
+    }
+}
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -8,7 +8,11 @@
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Seed of the fingerprint of ready endpoints.
+const READY_SEED: u64 = 0x004e_ad11;
 
 /// State of an endpoint as an entry sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,6 +54,8 @@
     pub keepalive_sent: Option<Instant>,
     /// Service time of the upstream over the median of its service; 1 if it is like the others or not measured.
     pub pace_factor: f64,
+    /// Least time that a kind of request runs at the upstream, if its agent measures it.
+    pub service_time: Option<Duration>,
     /// Whether operators have evacuated the endpoint's availability zone, so that it takes no new flows.
     pub evacuated: bool,
 }
@@ -67,6 +73,32 @@
 }
 
 impl ServiceView {
+    /// Returns a fingerprint of the endpoints that are ready for new flows; 0 if there is none.
+    pub fn ready_mark(&self) -> u64 {
+        let mut mark = 0;
+        for endpoint in &self.endpoints {
+            if endpoint.status == EndpointStatus::Ready && !endpoint.evacuated {
+                let bytes = endpoint.id.to_be_bytes();
+                mark ^= xxh3_64_with_seed(&bytes, READY_SEED ^ endpoint.incarnation);
+            }
+        }
+        mark
+    }
+
+    /// Returns whether most endpoints have yet to become ready, as after a loss of power. To place all flows on the first ones
+    /// would overload them shortly before the others are ready.
+    pub fn is_starting(&self) -> bool {
+        let (mut ready, mut awaited) = (0, 0);
+        for endpoint in &self.endpoints {
+            match endpoint.status {
+                EndpointStatus::Ready => ready += 1,
+                EndpointStatus::Silent | EndpointStatus::Pending => awaited += 1,
+                EndpointStatus::Draining => {}
+            }
+        }
+        awaited > ready
+    }
+
     /// Returns whether any endpoint is silent or pending and so may accept new flows later.
     pub fn may_become_ready(&self) -> bool {
         self.endpoints.iter().any(|endpoint| match endpoint.status {
--- a/crates/core/tests/relay/cold.rs
+++ b/crates/core/tests/relay/cold.rs
@@ -26,7 +26,10 @@
 const LIMIT: usize = 17;
 
 fn chain(now: Instant) -> RelayChain {
-    let policy = ChainPolicy { cold: Some(POLICY) };
+    let policy = ChainPolicy {
+        cold: Some(POLICY),
+        ..ChainPolicy::default()
+    };
     RelayChain::with_policy(policy, now)
 }
 
@@ -281,7 +284,10 @@
 /// 23 entries place on endpoints that have just become cold; a part of the packets is lost, so that copies follow.
 fn play_cold(cold: Option<ColdPolicy>, seed: u64) -> SurgeResult {
     let plan = SurgePlan {
-        policy: ChainPolicy { cold },
+        policy: ChainPolicy {
+            cold,
+            ..ChainPolicy::default()
+        },
         entries: 23,
         services: vec![ServicePlan {
             name: FEED,
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions on packets of opaque flows.
 
+mod admission;
 mod chain;
 mod cold;
 mod confirm;
@@ -13,6 +14,7 @@
 mod intake;
 mod list;
 mod load;
+mod overload;
 mod peers;
 mod place;
 mod presence;
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -182,17 +182,20 @@
     match verdict {
         RelayVerdict::Deliver { reason, .. } => match reason {
             DeliverReason::Placed => "placed",
+            DeliverReason::Spilled => "spilled",
             DeliverReason::TableHit => "remembered",
             DeliverReason::Queried => "asked",
         },
         RelayVerdict::Reset(reason) => match reason {
             ResetReason::NoRoute => "reset-no-route",
             ResetReason::Refused => "reset-refused",
+            ResetReason::Hopeless => "reset-hopeless",
             ResetReason::Ended => "reset-ended",
         },
         RelayVerdict::Hold(HoldReason::Load) => "hold-load",
         RelayVerdict::Hold(HoldReason::Confirmation(_)) => "hold-confirmation",
         RelayVerdict::Hold(HoldReason::Routes(_)) => "hold-routes",
+        RelayVerdict::Hold(HoldReason::Ready(_)) => "hold-ready",
         RelayVerdict::Drop(reason) => match reason {
             RelayDrop::Unexpected => "drop-unexpected",
             RelayDrop::NoRoute => "drop-no-route",
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry of the relay.
 
+use quetzalhill_core::relay::admit::AdmissionPolicy;
 use quetzalhill_core::relay::chain::ChainPolicy;
 use quetzalhill_core::relay::cold::ColdPolicy;
 use quetzalhill_node::relay::settings::{RelayCommon, RelayNode, RelayStore};
@@ -45,10 +46,15 @@
     /// Returns the rules of the packet filter chain that the settings enable.
     pub fn chain_policy(&self) -> ChainPolicy {
         let slack = self.cold_slack;
+        let admission = match self.schedule {
+            true => AdmissionPolicy::On,
+            false => AdmissionPolicy::Off,
+        };
         ChainPolicy {
             cold: self
                 .cold_overrun
                 .map(|overrun| ColdPolicy { overrun, slack }),
+            admission,
         }
     }
 }
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -363,7 +363,7 @@
                     self.count_malformed("hold-full");
                 }
                 match reason {
-                    HoldReason::Load => {}
+                    HoldReason::Load | HoldReason::Ready(_) => {}
                     HoldReason::Confirmation(_) => self.send_event(TrafficEvent::ConfirmEndpoints),
                     HoldReason::Routes(_) => self.send_event(TrafficEvent::ConfirmRoutes),
                 }
@@ -397,23 +397,29 @@
             } => {}
             RelayVerdict::Deliver { targets, reason } => {
                 let code = match reason {
-                    DeliverReason::Placed => EventCode::FlowPlaced,
+                    DeliverReason::Placed | DeliverReason::Spilled => EventCode::FlowPlaced,
                     _ => EventCode::FlowQueried,
                 };
                 let copies = match head.kind {
                     PacketKind::Opening { copies } => copies,
                     _ => 0,
                 };
-                emit(
-                    code,
-                    &[
-                        ("flow", &head.flow),
-                        ("endpoints", &EndpointList(targets)),
-                        ("copies", &copies),
-                        ("revision", &revision),
-                        ("routes_age_ms", &age_ms(view.routes_confirmed)),
-                    ],
-                );
+                let fields: [(&str, &dyn Display); 6] = [
+                    ("flow", &head.flow),
+                    ("endpoints", &EndpointList(targets)),
+                    ("copies", &copies),
+                    ("revision", &revision),
+                    ("routes_age_ms", &age_ms(view.routes_confirmed)),
+                    ("reason", &name),
+                ];
+                // The reason is given only if it is not the usual one.
+                let count = match reason {
+                    DeliverReason::Spilled => fields.len(),
+                    DeliverReason::Placed | DeliverReason::TableHit | DeliverReason::Queried => {
+                        fields.len() - 1
+                    }
+                };
+                emit(code, &fields[..count]);
             }
             RelayVerdict::Reset(_) => {
                 self.log_undelivered(EventCode::FlowReset, head, name, &view);
