--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -5,8 +5,11 @@
 //! derived from the flow's addresses. To find the endpoint of a flow that is not in its flow table, it queries the
 //! endpoints in the same order. See docs/relay.md.
 
+pub mod admit;
 pub mod chain;
+pub mod cold;
 pub mod confirm;
+pub mod credits;
 pub mod digest;
 pub mod evacuation;
 pub mod fleet;
@@ -22,6 +25,7 @@
 pub mod pace;
 pub mod packet;
 pub mod peers;
+pub mod pending;
 pub mod place;
 pub mod presence;
 pub mod registration;
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -1,18 +1,29 @@
-//! The packet filter chain of an entry for opaque flows; longer than 500 lines so that all filters are in one file.
+//! The packet filter chain of an entry for opaque flows.
 //!
 //! The chain works on decoded packet heads and so does not depend on the encoding. It returns verdicts that the
 //! traffic thread executes. See docs/relay.md.
 
-use crate::ids::{EndpointId, ServiceDigest};
-use crate::relay::digest::fingerprint_of;
-use crate::relay::flows::{FlowRecord, FlowTable, RoundRecord};
+mod opening;
+mod search;
+
+pub use self::opening::UnansweredList;
+
+use self::search::is_overdue;
+use crate::ids::{EndpointId, ServiceDigest, ServiceName};
+use crate::relay::admit::{
+    AdmissionContext, AdmissionPolicy, Overflow, BUSY_MAX, FAILING_REQUESTS,
+};
+use crate::relay::cold::ColdPolicy;
+use crate::relay::credits::CreditTable;
+use crate::relay::flows::FlowTable;
 use crate::relay::hold::HoldReason;
 use crate::relay::identity::HolderState;
 use crate::relay::intake::ReturnReason;
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
-use crate::relay::place::{self, EndpointKey, SearchOrder, TriedList};
-use crate::relay::routes::choose_target;
-use crate::relay::view::{EndpointStatus, RelayView, ServiceView, ViewEndpoint};
+use crate::relay::pending::PendingTable;
+use crate::relay::place::{EndpointKey, TriedList};
+use crate::relay::routes::{choose_target, RouteSet};
+use crate::relay::view::RelayView;
 use smallvec::{smallvec, SmallVec};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -24,27 +35,6 @@
 /// Idle time after which a flow is dropped from the flow table while no routes are in force.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
-/// Endpoints queried at the same time once the candidates of new flows have been queried.
-const QUERY_MAX: usize = 16;
-
-/// Candidates in the entry's zone below which those of other zones are queried with them.
-const NEAR_MIN: usize = 2;
-
-/// Time after which the search for a flow goes on without the endpoints that have not answered, with the caller's next
-/// packet. It is many round trips, and shorter than the caller's first retransmission after 200 ms.
-const ROUND_TIME: Duration = Duration::from_millis(150);
-
-/// Number of endpoints that may return a new flow as busy before it is placed on the least busy of them; each attempt
-/// takes a round trip.
-const BUSY_MAX: usize = 3;
-
-/// Silent endpoints to which a packet is sent at the same time. A silent endpoint probably does not receive it.
-const SILENT_MAX: usize = 2;
-
-/// Limit of endpoints for which the entry counts its own unreported flows; all counts are cleared at the limit. An
-/// entry sees only the endpoints of its services.
-const PENDING_MAX: usize = 4_096;
-
 /// Why a packet is dropped without an answer to its caller.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum RelayDrop {
@@ -57,6 +47,9 @@
     /// No ready endpoint accepts the new flow, but a silent or pending one may become ready. The caller retransmits
     /// its packet.
     NoReady,
+    /// The ready endpoints are cold and have taken as many new flows as they may. The caller retransmits its packet, which
+    /// is then placed anew.
+    Cold,
     /// Another endpoint has received the same packet and may still accept it.
     Duplicate,
 }
@@ -68,6 +61,8 @@
     NoRoute,
     /// No endpoint accepts the new flow, and none is expected to become ready.
     Refused,
+    /// No endpoint can answer the request of the new flow before its caller gives it up.
+    Hopeless,
     /// Every endpoint that may hold the flow has been ruled out.
     Ended,
 }
@@ -77,6 +72,8 @@
 pub enum DeliverReason {
     /// The flow is new and was placed on the endpoint by load.
     Placed,
+    /// The flow is new and was placed on an endpoint of another service of its route, because its own has no room.
+    Spilled,
     /// The flow table holds the endpoint.
     TableHit,
     /// The holder is unknown, and the endpoints are the next to be queried.
@@ -92,6 +89,9 @@
     pub service: ServiceDigest,
     /// Whether the endpoint has to take a new flow even if it is busy.
     pub forced: bool,
+    /// First packets a second that the endpoint may take while it is cold; only for first packets of services with such a
+    /// limit.
+    pub cold_limit: Option<u8>,
 }
 
 /// Endpoints that receive a packet: one for most packets, several during a search.
@@ -135,37 +135,23 @@
     RelayFilter::Search,
 ];
 
-/// Round of a search in which an endpoint is queried.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum SearchTier {
-    Near,
-    Far,
-    Rest,
+/// Rules of a chain that the settings of the entry enable. See docs/load.md.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ChainPolicy {
+    /// Limit of first packets to cold endpoints; without it they have no limit.
+    pub cold: Option<ColdPolicy>,
+    /// Decisions on new flows for which there is no room or no ready endpoint.
+    pub admission: AdmissionPolicy,
 }
 
-/// Next round of a search.
-#[derive(Debug)]
-struct SearchRound {
-    /// Endpoints to query; empty if all have been queried.
-    targets: DeliverList,
-    /// Whether every endpoint that may hold the flow is known and can be queried.
-    complete: bool,
-    /// Whether the list of endpoints or a digest is older than the search.
-    needs_confirmation: bool,
-}
-
-/// Flows placed on an endpoint that its last report does not count yet.
-#[derive(Clone, Copy, Debug, Default)]
-struct PendingFlows {
-    report: u64,
-    count: u32,
-}
-
-/// The filter chain with its state: flow table, unreported flows per endpoint and suspected endpoints.
+/// The filter chain with its state: flow table, unreported flows per endpoint, endpoints without credit and suspected
+/// endpoints.
 #[derive(Debug)]
 pub struct RelayChain {
+    policy: ChainPolicy,
     flows: FlowTable,
-    pending: HashMap<EndpointId, PendingFlows>,
+    pending: PendingTable,
+    credits: CreditTable,
     suspects: HashMap<EndpointId, Instant>,
     /// Endpoints that became suspect since they were taken last.
     unanswered: UnansweredList,
@@ -173,9 +159,6 @@
     dropped_holders: DroppedHolders,
 }
 
-/// Endpoints that left a first packet unanswered; a flow is placed on one.
-pub type UnansweredList = SmallVec<[EndpointId; 2]>;
-
 /// Endpoint to which the packets of a flow no longer go, because the view has no such incarnation of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DroppedHolder {
@@ -191,11 +174,18 @@
 pub type DroppedHolders = SmallVec<[DroppedHolder; 2]>;
 
 impl RelayChain {
-    /// Makes a chain with an empty flow table.
+    /// Makes a chain with an empty flow table that places new flows by load only.
     pub fn new(now: Instant) -> Self {
+        Self::with_policy(ChainPolicy::default(), now)
+    }
+
+    /// Makes a chain with an empty flow table and the rules of `policy`.
+    pub fn with_policy(policy: ChainPolicy, now: Instant) -> Self {
         Self {
+            policy,
             flows: FlowTable::new(now),
-            pending: HashMap::new(),
+            pending: PendingTable::default(),
+            credits: CreditTable::default(),
             suspects: HashMap::new(),
             unanswered: UnansweredList::new(),
             dropped_holders: DroppedHolders::new(),
@@ -267,10 +257,9 @@
         let opening = matches!(head.kind, PacketKind::Opening { .. });
         let record = self.flows.record(head.flow);
         let known = view.key_of(head.flow, key.id).unwrap_or(key);
-        // A failing upstream counts as the busiest, so that it is chosen only if every candidate fails.
         let requests = match reason {
             ReturnReason::Busy { requests } => Some(requests),
-            ReturnReason::Failing => Some(u32::MAX),
+            ReturnReason::Failing => Some(FAILING_REQUESTS),
             ReturnReason::NotHeld
             | ReturnReason::NotReady
             | ReturnReason::Cold { .. }
@@ -281,6 +270,10 @@
                 record.busy.push((known, requests));
             }
         }
+        if let ReturnReason::Cold { wait_ms } = reason {
+            self.credits.spend(known, wait_ms, now);
+            record.cold_returned = true;
+        }
         // The view may lag behind the agent. The incarnation in the view is not queried again either; otherwise the
         // packet would loop between entry and agent.
         for key in [key, known] {
@@ -344,16 +337,10 @@
         view: &RelayView,
         now: Instant,
     ) -> Option<RelayVerdict> {
-        let record = self.flows.record(head.flow);
         if let PacketKind::Opening { copies } = head.kind {
-            let unanswered = record_opening(record, copies);
-            self.suspects.retain(|_, until| now < *until);
-            for id in unanswered {
-                self.suspects.insert(id, now + SUSPECT_TIME);
-                self.unanswered.push(id);
-            }
-            return None;
+            return self.begin_opening(head, copies, now);
         }
+        let record = self.flows.record(head.flow);
         if std::mem::take(&mut record.opening) {
             // An endpoint that returned the first packet may have accepted a copy of it through another entry, so it
             // is queried again.
@@ -369,6 +356,7 @@
                         endpoint: key,
                         service: service.digest,
                         forced: false,
+                        cold_limit: None,
                     });
                     record.queried.push(key);
                     continue;
@@ -400,29 +388,6 @@
         })
     }
 
-    /// Queries the next endpoints as well as those that have not answered, which may be lost or only slow.
-    fn widen(
-        &mut self,
-        head: &PacketHead,
-        mut targets: DeliverList,
-        view: &RelayView,
-        now: Instant,
-    ) -> Option<RelayVerdict> {
-        let next = self.next_round(head, view, now);
-        let record = self.flows.record(head.flow);
-        record
-            .queried
-            .extend(next.targets.iter().map(|target| target.endpoint));
-        if !next.targets.is_empty() {
-            record.round = Some(round_record(head, now));
-        }
-        targets.extend(next.targets);
-        Some(RelayVerdict::Deliver {
-            targets,
-            reason: DeliverReason::Queried,
-        })
-    }
-
     /// Chooses the endpoint of a new flow.
     fn place(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> Option<RelayVerdict> {
         let PacketKind::Opening { copies } = head.kind else {
@@ -430,35 +395,67 @@
         };
         let refused = Some(RelayVerdict::Reset(ResetReason::Refused));
         let target = choose_target(view.routes.targets(head.flow.service)?, head.flow)?;
-        let Some(service) = view.services.get(&target.service) else {
+        let mut name = &target.service;
+        let Some(mut service) = view.services.get(name) else {
             return refused;
         };
         let record = self.flows.record(head.flow);
         record.record_opening(copies);
-        let (pending, suspects) = (&self.pending, &self.suspects);
-        let count = |id| pending_of(service, pending, id);
-        let avoid = |id| suspects.get(&id).is_some_and(|until| now < *until);
-        let mut index = None;
-        let busy = record.busy.iter();
-        let busy = busy.filter(|(key, _)| !service.is_evacuated(*key));
-        if busy.clone().count() < BUSY_MAX {
-            index = place::choose_endpoint(service, head.flow, &record.tried, count, avoid, now);
+        let context = AdmissionContext {
+            view,
+            flow: head.flow,
+            record,
+            pending: &self.pending,
+            credits: &self.credits,
+            suspects: &self.suspects,
+            now,
+        };
+        let admission = self.policy.admission;
+        let mut index = match context.busy_count(service) < BUSY_MAX {
+            true => context.choose(service),
+            false => None,
+        };
+        let mut reason = DeliverReason::Placed;
+        let least = context.least_busy(service);
+        let overflow = match admission {
+            AdmissionPolicy::Off => Overflow::Stay,
+            AdmissionPolicy::On => context.overflow(name, index),
+        };
+        match overflow {
+            Overflow::Stay => {}
+            Overflow::Spill {
+                name: other,
+                service: other_service,
+                index: other_index,
+            } => {
+                (name, service, index) = (other, other_service, Some(other_index));
+                reason = DeliverReason::Spilled;
+            }
+            // A copy is not held, since its caller has waited for 200 ms already.
+            Overflow::Wait if copies > 0 => {}
+            Overflow::Wait => {
+                if let Some(held) = self.hold_until_ready(head, copies, service, now) {
+                    return Some(held);
+                }
+            }
+            Overflow::Refuse => return Some(RelayVerdict::Reset(ResetReason::Hopeless)),
         }
-        let least = busy.min_by_key(|(_, requests)| *requests);
+        let record = self.flows.record(head.flow);
         if let (None, Some((best, _)), false) = (index, least, record.forced) {
             // All candidates are busy. Queueing at the least busy one is better than a refusal, and further attempts
             // would add to the load.
-            index = service
-                .endpoints
-                .iter()
-                .position(|known| known.key().may_be(*best));
+            index = Some(best);
             record.forced = true;
         }
         let Some(index) = index else {
+            if self.credits.is_awaited(service, now) {
+                return Some(RelayVerdict::Drop(RelayDrop::Cold));
+            }
             // The flow is not reset while an endpoint may become ready: after a pause of this process all endpoints
             // look silent for a moment, and a late copy of a first packet may belong to a flow that is open by now.
             if service.may_become_ready() {
-                return Some(RelayVerdict::Drop(RelayDrop::NoReady));
+                let held = self.hold_until_ready(head, copies, service, now);
+                return held.or(Some(RelayVerdict::Drop(RelayDrop::NoReady)));
             }
             // The flow may be open at an endpoint that has taken it before its zone was evacuated.
             if record.placed > 0 && service.has_evacuated() {
@@ -473,133 +470,21 @@
             endpoint: endpoint.key(),
             service: service.digest,
             forced: record.forced,
+            cold_limit: self.policy.cold_limit(&view.routes, name),
         };
-        self.count_pending(endpoint);
+        self.pending.count(endpoint);
         Some(RelayVerdict::Deliver {
             targets: smallvec![target],
-            reason: DeliverReason::Placed,
+            reason,
         })
     }
+}
 
-    /// Chooses the next endpoints to query for a flow whose holder is unknown, or ends the flow if none is left.
-    fn search(
-        &mut self,
-        head: &PacketHead,
-        view: &RelayView,
-        now: Instant,
-    ) -> Option<RelayVerdict> {
-        let round = self.next_round(head, view, now);
-        let record = self.flows.record(head.flow);
-        if !round.targets.is_empty() {
-            record.queried = round.targets.iter().map(|target| target.endpoint).collect();
-            record.round = Some(round_record(head, now));
-            return Some(RelayVerdict::Deliver {
-                targets: round.targets,
-                reason: DeliverReason::Queried,
-            });
-        }
-        if !round.complete {
-            return None;
-        }
-        // The endpoint of an open flow is listed before it accepts the flow, so a list read after the search began
-        // contains it.
-        if round.needs_confirmation {
-            let unresolved_since = *record.unresolved_since.get_or_insert(now);
-            return Some(RelayVerdict::Hold(HoldReason::Confirmation(
-                unresolved_since,
-            )));
-        }
-        Some(RelayVerdict::Reset(ResetReason::Ended))
-    }
-
-    /// Returns the endpoints of the next round of a search: candidates of the entry's zone, then those of other zones,
-    /// then the others. Most flows are found in the first round, without a copy of the packet in another zone.
-    fn next_round(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> SearchRound {
-        let record = self.flows.record(head.flow);
-        // The flow was open before this time, so reports and lists read after it show whether the flow still exists.
-        let unresolved_since = *record.unresolved_since.get_or_insert(now);
-        let opening = matches!(head.kind, PacketKind::Opening { .. });
-        let fingerprint = fingerprint_of(head.flow);
-        let mut round = SearchRound {
-            targets: DeliverList::new(),
-            complete: view.synced && view.holders_known,
-            needs_confirmation: view.endpoints_read < Some(unresolved_since),
-        };
-        let (mut near, mut far) = (DeliverList::new(), DeliverList::new());
-        let (mut rest, mut silent) = (DeliverList::new(), DeliverList::new());
-        for name in view.holder_services(head.flow) {
-            let Some(service) = view.services.get(name) else {
-                round.complete = false;
-                continue;
-            };
-            round.complete &= service.complete;
-            let order = SearchOrder::new(service, head.flow);
-            let tiers = [
-                (SearchTier::Near, order.near),
-                (SearchTier::Far, order.far),
-                (SearchTier::Rest, order.rest),
-            ];
-            for (tier, index) in tiers
-                .into_iter()
-                .flat_map(|(tier, list)| list.into_iter().map(move |index| (tier, index)))
-            {
-                let endpoint = &service.endpoints[index];
-                let key = endpoint.key();
-                let is_queried = record.queried.iter().any(|queried| queried.may_be(key));
-                // A first packet, which is searched for only if all weights of its route are 0, could open the flow.
-                let is_closed = endpoint.evacuated && opening;
-                if is_queried || is_closed || record.tried.contains(&key) {
-                    continue;
-                }
-                let digest = endpoint.digest.as_ref();
-                if digest.is_some_and(|digest| !digest.contains(fingerprint)) {
-                    if endpoint.keepalive_sent >= Some(unresolved_since) {
-                        continue;
-                    }
-                    // The digest is older than the search. A flow opened since the last report is probably at a
-                    // candidate of the own zone, so these are queried anyway; the others report once more.
-                    if tier != SearchTier::Near {
-                        round.needs_confirmation = true;
-                        continue;
-                    }
-                }
-                let (list, limit) = match (endpoint.status, tier) {
-                    (EndpointStatus::Silent, _) => (&mut silent, SILENT_MAX),
-                    (_, SearchTier::Near) => (&mut near, QUERY_MAX),
-                    (_, SearchTier::Far) => (&mut far, QUERY_MAX),
-                    (_, SearchTier::Rest) => (&mut rest, QUERY_MAX),
-                };
-                if list.len() < limit {
-                    list.push(DeliverTarget {
-                        endpoint: key,
-                        service: service.digest,
-                        forced: false,
-                    });
-                }
-            }
-        }
-        if near.len() < NEAR_MIN {
-            near.extend(far.drain(..));
-        }
-        // Silent endpoints are queried last, since the packet is probably lost there.
-        let rounds = [near, far, rest, silent];
-        let next = rounds.into_iter().find(|targets| !targets.is_empty());
-        round.targets = next.unwrap_or_default();
-        round
-    }
-
-    fn count_pending(&mut self, endpoint: &ViewEndpoint) {
-        if self.pending.len() >= PENDING_MAX {
-            self.pending.clear();
-        }
-        let pending = self.pending.entry(endpoint.id).or_default();
-        if pending.report != endpoint.reports {
-            *pending = PendingFlows {
-                report: endpoint.reports,
-                count: 0,
-            };
-        }
-        pending.count += 1;
+impl ChainPolicy {
+    /// Returns the limit of first packets that go with a new flow of `service`.
+    fn cold_limit(&self, routes: &RouteSet, service: &ServiceName) -> Option<u8> {
+        let rate = routes.cold_rates.get(service)?;
+        self.cold.map(|cold| cold.limit(*rate))
     }
 }
 
@@ -613,43 +498,3 @@
         | PacketKind::Reset => None,
     }
 }
-
-/// Resets the record for the original first packet of a flow. For a retransmission, returns the endpoints that did not
-/// answer the earlier copy.
-fn record_opening(record: &mut FlowRecord, copies: u32) -> UnansweredList {
-    if copies == 0 {
-        *record = FlowRecord {
-            placed: record.placed,
-            ..FlowRecord::default()
-        };
-        return UnansweredList::new();
-    }
-    record.queried.drain(..).map(|key| key.id).collect()
-}
-
-fn round_record(head: &PacketHead, now: Instant) -> RoundRecord {
-    RoundRecord {
-        ends: now + ROUND_TIME,
-        acknowledged: head.acknowledged,
-    }
-}
-
-/// Returns whether the endpoints of a round should have answered, and the caller still waits for its upstream.
-fn is_overdue(round: &RoundRecord, head: &PacketHead, now: Instant) -> bool {
-    round.ends <= now && round.acknowledged == head.acknowledged
-}
-
-fn pending_of(
-    service: &ServiceView,
-    pending: &HashMap<EndpointId, PendingFlows>,
-    id: EndpointId,
-) -> u32 {
-    let Some(flows) = pending.get(&id) else {
-        return 0;
-    };
-    let endpoint = service.endpoints.iter().find(|endpoint| endpoint.id == id);
-    match endpoint {
-        Some(endpoint) if endpoint.reports == flows.report => flows.count,
-        _ => 0,
-    }
-}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the decisions on packets of opaque flows.
 
+mod admission;
 mod chain;
+mod cold;
 mod confirm;
 mod digest;
 mod evacuation;
@@ -15,6 +17,7 @@
 mod list;
 mod load;
 mod open_flows;
+mod overload;
 mod peers;
 mod place;
 mod presence;
@@ -24,3 +27,4 @@
 mod site;
 mod subscribe;
 mod support;
+mod surge;
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -30,6 +30,7 @@
     decode_datagram, ListNotice, OpenFlowNotice, PaceNotice, RelayDatagram, RelayHeader,
     RelayNotice, ReportNotice, RELAY_HEADER_MAX,
 };
+use std::fmt::Display;
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -412,7 +413,7 @@
                     self.count_malformed("hold-full");
                 }
                 match reason {
-                    HoldReason::Load => {}
+                    HoldReason::Load | HoldReason::Ready(_) => {}
                     HoldReason::Confirmation(_) => self.send_event(TrafficEvent::ConfirmEndpoints),
                     HoldReason::Routes(_) => self.send_event(TrafficEvent::ConfirmRoutes),
                 }
@@ -439,7 +440,7 @@
             service: target.service,
             forced: target.forced,
             terms: None,
-            cold_limit: None,
+            cold_limit: target.cold_limit,
         };
         let Ok(start) = header.prepend_to(buffer) else {
             return self.count_malformed("seal");
@@ -459,23 +460,29 @@
             } => {}
             RelayVerdict::Deliver { targets, reason } => {
                 let code = match reason {
-                    DeliverReason::Placed => EventCode::FlowPlaced,
+                    DeliverReason::Placed | DeliverReason::Spilled => EventCode::FlowPlaced,
                     _ => EventCode::FlowQueried,
                 };
                 let copies = match head.kind {
                     PacketKind::Opening { copies } => copies,
                     _ => 0,
                 };
-                emit(
-                    code,
-                    &[
-                        ("flow", &head.flow),
-                        ("endpoints", &EndpointList(targets)),
-                        ("copies", &copies),
-                        ("revision", &revision),
-                        ("routes_age_ms", &age_ms(view.routes_confirmed)),
-                    ],
-                );
+                let fields: [(&str, &dyn Display); 6] = [
+                    ("flow", &head.flow),
+                    ("endpoints", &EndpointList(targets)),
+                    ("copies", &copies),
+                    ("revision", &revision),
+                    ("routes_age_ms", &age_ms(view.routes_confirmed)),
+                    ("reason", &name),
+                ];
+                // The reason is given only if it is not the usual one.
+                let count = match reason {
+                    DeliverReason::Spilled => fields.len(),
+                    DeliverReason::Placed | DeliverReason::TableHit | DeliverReason::Queried => {
+                        fields.len() - 1
+                    }
+                };
+                emit(code, &fields[..count]);
             }
             RelayVerdict::Reset(_) => {
                 self.log_undelivered(EventCode::FlowReset, head, name, &view);
