Agents order the requests that wait for their upstream

Cause: requests on open flows wait in the upstream's short queue, first in first out: urgent ones behind streams, and after a loss of power those that can still be answered in time behind those that are late already; beyond the queue the upstream answers 503. Change: with relay.schedule an agent delivers as many requests as the upstream has slots and holds the rest in the order of their routes' terms, which entries send with each packet (docs/design/request-scheduling.md).

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -1,23 +1,27 @@
 //! The control thread of the agent for opaque flows: announcements of the upstream, reports to entries, registration
 //! in the store.
 
+mod probe;
+
+use self::probe::{probe_once, ProbeOutcome};
 use super::registration::keep_registered;
 use super::settings::RelaySettings;
 use super::shared::{AgentState, UpstreamStatus};
-use super::traffic::{AgentSockets, TrafficEvent};
+use super::traffic::{AgentRelay, AgentSockets, TrafficEvent};
 use anyhow::{anyhow, Context, Result};
-use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::Client;
-use ntex::time::{sleep, timeout, Millis};
+use ntex::time::{sleep, Millis};
 use ntex::SharedCfg;
 use prometheus::Registry;
 use quetzalhill_core::ids::{address_of, id_of, IncarnationNumber, UpstreamName};
 use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint, REPORT_INTERVAL};
 use quetzalhill_core::relay::identity::UNKNOWN_INCARNATION;
 use quetzalhill_core::relay::intake::UpstreamState;
+use quetzalhill_core::relay::load::LoadCounts;
 use quetzalhill_core::relay::presence::{
     PresenceController, PresenceOutcome, UpstreamAnnouncement,
 };
+use quetzalhill_core::relay::schedule::RequestScheduler;
 use quetzalhill_core::relay::subscribe::{DueReport, ReportRate, SubscriberController};
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
 use quetzalhill_node::event::{emit, EventCode};
@@ -26,7 +30,6 @@
 use quetzalhill_platform::server::{self, ServerCall};
 use quetzalhill_wire::relay::{RelayNotice, ReportNotice};
 use std::cell::RefCell;
-use std::io::ErrorKind;
 use std::net::{SocketAddrV4, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -50,9 +53,6 @@
 /// Pause after each probe.
 const PROBE_PAUSE: Millis = Millis(250);
 
-/// Timeout of a probe, long enough for the late answer of an overloaded upstream.
-const PROBE_TIMEOUT: Millis = Millis(500);
-
 /// A running control thread.
 #[derive(Debug)]
 pub(super) struct ControlHandle {
@@ -78,6 +78,8 @@
     pub(super) settings: RelaySettings,
     pub(super) state: Arc<AgentState>,
     pub(super) sockets: Arc<AgentSockets>,
+    /// Delivers held requests whose time has come.
+    pub(super) relay: Arc<AgentRelay>,
     pub(super) events: mpsc::Receiver<TrafficEvent>,
     pub(super) registry: Registry,
 }
@@ -150,7 +152,8 @@
             received = timeout_at(tick.into(), events.recv()) => match received {
                 Ok(Some(event)) => control.borrow_mut().handle_event(event, Instant::now()),
                 Ok(None) => return Ok(()),
-                Err(_) => control.borrow_mut().tick(Instant::now()),
+                // The tick is due now.
+                Err(_) => {}
             },
         }
     }
@@ -178,30 +181,6 @@
     }
 }
 
-/// Result of a health probe.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ProbeOutcome {
-    Healthy,
-    /// No process listens at the address.
-    Refused,
-    /// Neither healthy nor refused, for example a timeout; the state stays until the next probe or announcement.
-    Inconclusive,
-}
-
-async fn probe_once(client: &Client, upstream: SocketAddrV4) -> ProbeOutcome {
-    let url = format!("http://{upstream}{}", server::HEALTH_PATH);
-    let request = client.get(url).address(upstream.into()).force_close();
-    match timeout(PROBE_TIMEOUT, request.send()).await {
-        Ok(Ok(response)) if response.status().is_success() => ProbeOutcome::Healthy,
-        Ok(Err(ClientError::Connect(ConnectError::Disconnected(Some(error)))))
-            if error.kind() == ErrorKind::ConnectionRefused =>
-        {
-            ProbeOutcome::Refused
-        }
-        _ => ProbeOutcome::Inconclusive,
-    }
-}
-
 /// Answers an HTTP call: metrics, readiness, announcement or deregistration.
 fn handle_call(
     control: &RefCell<AgentControl>,
@@ -237,6 +216,7 @@
     settings: RelaySettings,
     state: Arc<AgentState>,
     sockets: Arc<AgentSockets>,
+    relay: Arc<AgentRelay>,
     presence: PresenceController,
     registration: watch::Sender<Option<ListedEndpoint>>,
     /// Counts how often the upstream's announcements stopped; each change starts a round of probes.
@@ -261,6 +241,7 @@
             settings: setup.settings.clone(),
             state: Arc::clone(&setup.state),
             sockets: Arc::clone(&setup.sockets),
+            relay: Arc::clone(&setup.relay),
             presence: PresenceController::new(relay.service.clone(), interval, started, now),
             registration,
             losses: watch::Sender::new(0),
@@ -278,9 +259,10 @@
         let previous = self.incarnation();
         let outcome = self.presence.announce(announcement, now);
         if self.incarnation() != previous {
-            self.state
-                .meter()
-                .forget_before(self.incarnation_start(now));
+            let restarted_at = self.incarnation_start(now);
+            self.state.meter().forget_before(restarted_at);
+            self.relay
+                .release_after(|scheduler| scheduler.forget_before(restarted_at));
             self.state.health().reset();
         }
         if matches!(
@@ -378,6 +360,7 @@
 
     fn tick(&mut self, now: Instant) {
         self.next_tick = now + REPORT_INTERVAL;
+        self.relay.release_after(|scheduler| scheduler.tick(now));
         if self.presence.tick(now) == PresenceOutcome::Changed {
             self.losses.send_modify(|count| *count += 1);
             return self.publish_change("silence", now);
@@ -397,6 +380,9 @@
                 .map_or(0, |record| record.announcement.slots),
         };
         self.state.status.store(Arc::new(status));
+        if state == UpstreamState::Gone {
+            self.relay.release_after(RequestScheduler::release_all);
+        }
         let upstream = self.presence.upstream();
         let sequence = upstream.map_or(0, |record| record.announcement.sequence);
         emit(
@@ -469,7 +455,13 @@
             let digest = reports_digest.then(|| meter.digest()).flatten();
             (meter.counts(now), meter.addresses(), digest)
         };
+        let held = self.state.held_requests();
+        let load = LoadCounts {
+            busy: load.busy.saturating_add(held),
+            ..load
+        };
         let counters = &self.state.counters;
+        counters.held.set(held.into());
         counters.flows.set(load.flows.into());
         counters.busy.set(load.busy.into());
         self.report_count += 1;
@@ -502,6 +494,8 @@
 
     fn stop(&mut self, now: Instant) {
         self.stopping = true;
+        // Callers would otherwise have to send the held requests again to the next agent.
+        self.relay.release_after(RequestScheduler::release_all);
         self.report_change(now);
     }
 }
--- a/crates/agent/src/relay/counters.rs
+++ b/crates/agent/src/relay/counters.rs
@@ -1,6 +1,8 @@
 //! Metrics of the agent for opaque flows.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, Result};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, Result,
+};
 use quetzalhill_node::relay::notices::NoticeCounters;
 
 /// Upper bounds of the buckets of the answer time histogram, in seconds.
@@ -15,14 +17,20 @@
     pub(super) packets: IntCounterVec,
     /// Datagrams that could not be decoded, by reason.
     pub(super) malformed: IntCounterVec,
-    /// Time from the first packet of a request to the first packet of its answer, in seconds.
+    /// Time from the delivery of a request's first packet to the first packet of its answer, in seconds.
     pub(super) answers: Histogram,
     /// Reports to entries.
     pub(super) notices: NoticeCounters,
     /// Open flows of the upstream.
     pub(super) flows: IntGauge,
-    /// Requests in progress at the upstream.
+    /// Requests in progress at the upstream, and held ones.
     pub(super) busy: IntGauge,
+    /// Requests that wait at the agent.
+    pub(super) held: IntGauge,
+    /// Time for which requests were held until they were delivered, by priority, in seconds.
+    pub(super) held_times: HistogramVec,
+    /// Requests that were held or for which the queue had no room, by what became of them.
+    pub(super) scheduled: IntCounterVec,
 }
 
 impl AgentCounters {
@@ -44,10 +52,17 @@
         };
         let options = HistogramOpts::new(
             "quetzalhill_relay_answer_seconds",
-            "Time from the first packet of a request to the first of its answer, in seconds.",
+            "Time from the delivery of a request's first packet to the first of its answer, in seconds.",
         );
         let answers = Histogram::with_opts(options.buckets(ANSWER_BUCKETS.to_vec()))?;
         registry.register(Box::new(answers.clone()))?;
+        let options = HistogramOpts::new(
+            "quetzalhill_relay_held_seconds",
+            "Time for which requests were held until they were delivered, in seconds.",
+        );
+        let options = options.buckets(ANSWER_BUCKETS.to_vec());
+        let held_times = HistogramVec::new(options, &["priority"])?;
+        registry.register(Box::new(held_times.clone()))?;
         Ok(Self {
             packets: counter(
                 "quetzalhill_relay_packets_total",
@@ -64,7 +79,17 @@
             flows: gauge("quetzalhill_relay_flows", "Open flows of the upstream.")?,
             busy: gauge(
                 "quetzalhill_relay_requests",
-                "Requests in progress at the upstream.",
+                "Requests in progress at the upstream or held.",
+            )?,
+            held: gauge(
+                "quetzalhill_relay_held_requests",
+                "Requests that wait at the agent.",
+            )?,
+            held_times,
+            scheduled: counter(
+                "quetzalhill_relay_scheduled_total",
+                "Requests that were held, and what became of them.",
+                "outcome",
             )?,
         })
     }
--- a/crates/agent/src/relay/run.rs
+++ b/crates/agent/src/relay/run.rs
@@ -4,7 +4,7 @@
 use super::counters::AgentCounters;
 use super::settings::RelaySettings;
 use super::shared::AgentState;
-use super::traffic::{self, AgentSockets, SocketSettings};
+use super::traffic::{self, AgentRelay, AgentSockets, SocketSettings};
 use anyhow::Result;
 use prometheus::Registry;
 use quetzalhill_node::event::{emit, EventCode};
@@ -31,8 +31,12 @@
 /// Returns an error that names the address that cannot be bound or the thread that could not be started.
 pub fn start(settings: RelaySettings) -> Result<RelayHandle> {
     let registry = Registry::new();
-    let state = AgentState::new(AgentCounters::new(&registry)?, Instant::now());
     let relay = &settings.relay;
+    let state = AgentState::new(
+        AgentCounters::new(&registry)?,
+        relay.schedule,
+        Instant::now(),
+    );
     let sockets = AgentSockets::bind(&SocketSettings {
         packets: relay.packets,
         outbound: relay.outbound,
@@ -45,6 +49,7 @@
     let control = control::start(ControlSetup {
         settings: settings.clone(),
         state: Arc::clone(&state),
+        relay: Arc::new(AgentRelay::new(&sockets, &state, &sender)),
         sockets,
         events,
         registry,
--- a/crates/agent/src/relay/shared.rs
+++ b/crates/agent/src/relay/shared.rs
@@ -7,6 +7,7 @@
 use quetzalhill_core::relay::health::AnswerHealth;
 use quetzalhill_core::relay::intake::UpstreamState;
 use quetzalhill_core::relay::load::LoadMeter;
+use quetzalhill_core::relay::schedule::RequestScheduler;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::sync::atomic::AtomicBool;
@@ -32,14 +33,17 @@
     meter: Mutex<LoadMeter>,
     health: Mutex<AnswerHealth>,
     cold: Mutex<ColdGate>,
+    /// Queue of requests; `None` if they are not scheduled.
+    scheduler: Option<Mutex<RequestScheduler>>,
     pub(super) counters: AgentCounters,
     /// Stop flag of the traffic threads.
     pub(super) stop: Arc<AtomicBool>,
 }
 
 impl AgentState {
-    /// Creates the state of an agent whose upstream is still unknown.
-    pub(super) fn new(counters: AgentCounters, now: Instant) -> Arc<Self> {
+    /// Creates the state of an agent whose upstream is still unknown. `schedule` says whether requests are held and
+    /// ordered.
+    pub(super) fn new(counters: AgentCounters, schedule: bool, now: Instant) -> Arc<Self> {
         Arc::new(Self {
             status: ArcSwap::from_pointee(UpstreamStatus {
                 state: UpstreamState::Unknown,
@@ -49,6 +53,7 @@
             meter: Mutex::default(),
             health: Mutex::new(AnswerHealth::new(SmallRng::from_os_rng())),
             cold: Mutex::new(ColdGate::new(now)),
+            scheduler: schedule.then(Mutex::default),
             counters,
             stop: Arc::default(),
         })
@@ -73,4 +78,24 @@
         // poisoned lock is still usable.
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Locks the queue of requests, or returns `None` if requests are not scheduled. Callers hold the lock until they
+    /// have sent what it gives them, so that no packet of a flow overtakes another one; they lock nothing else before it.
+    pub(super) fn scheduler(&self) -> Option<MutexGuard<'_, RequestScheduler>> {
+        let scheduler = self.scheduler.as_ref()?;
+        // A panic can lose one held request, which its caller retransmits, so that a poisoned lock is still usable.
+        Some(scheduler.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns the number of requests that wait at the agent.
+    pub(super) fn held_requests(&self) -> u32 {
+        let held = self.scheduler().map_or(0, |queue| queue.held_requests());
+        u32::try_from(held).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of requests in progress, held, or expected at once on new flows.
+    pub(super) fn pending_requests(&self, now: Instant) -> u32 {
+        let held = self.held_requests();
+        held.saturating_add(self.meter().pending_requests(now))
+    }
 }
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -3,12 +3,15 @@
 //! One thread handles the datagrams of entries, the other the packets of the upstream. Both are plain threads with
 //! blocking sockets.
 
+mod held;
+
 use super::shared::AgentState;
 use anyhow::{Context, Result};
 use quetzalhill_core::ids::{service_digest, ServiceDigest};
 use quetzalhill_core::relay::intake::{decide, IntakeContext, IntakeVerdict, ReturnReason};
 use quetzalhill_core::relay::load::RequestOutcome;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
+use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::threads::TrafficThreads;
 use quetzalhill_platform::packet::{self, PacketSender, UpstreamPacket};
@@ -142,16 +145,21 @@
     forced: bool,
     /// First packets a second that the upstream may get while it is cold.
     cold_limit: Option<u8>,
+    /// Requirements on the requests of the flow.
+    terms: FlowTerms,
 }
 
-struct AgentRelay {
+/// Executes the decisions on packets; each traffic thread has one, and the control thread for packets whose time has
+/// come.
+pub(super) struct AgentRelay {
     sockets: Arc<AgentSockets>,
     state: Arc<AgentState>,
     events: mpsc::Sender<TrafficEvent>,
 }
 
 impl AgentRelay {
-    fn new(
+    /// Creates one that works with these sockets and this state, and sends its events to the control thread.
+    pub(super) fn new(
         sockets: &Arc<AgentSockets>,
         state: &Arc<AgentState>,
         events: &mpsc::Sender<TrafficEvent>,
@@ -203,6 +211,7 @@
                     service,
                     forced,
                     cold_limit,
+                    terms,
                     ..
                 },
                 packet,
@@ -216,6 +225,7 @@
                     service_matches: service == self.sockets.service,
                     forced,
                     cold_limit,
+                    terms: terms.unwrap_or_default(),
                 };
                 let buffer = &mut buffer[..RELAY_HEADER_MAX + length];
                 self.handle_packet(buffer, entry, delivery);
@@ -253,7 +263,7 @@
         let opening = matches!(head.kind, PacketKind::Opening { .. });
         let (busy, failing, cold_wait) = match opening {
             true => (
-                self.state.meter().pending_requests(now),
+                self.state.pending_requests(now),
                 !self.state.health().takes_flows(now),
                 self.state.cold().wait(delivery.cold_limit, now),
             ),
@@ -273,7 +283,7 @@
             IntakeVerdict::Return(reason) => self.return_packet(buffer, &head, reason, *entry.ip()),
             IntakeVerdict::Deliver => {
                 packet::set_mark(bytes, u32::from(*entry.ip()));
-                self.deliver(bytes, &head);
+                self.schedule(bytes, &head, delivery.terms);
                 if opening && delivery.cold_limit.is_some() {
                     self.state.cold().record(Instant::now());
                 }
@@ -330,11 +340,13 @@
                 let caller = SocketAddrV4::new(*head.flow.caller.ip(), self.sockets.reply_port);
                 // A failed send is treated as a lost packet; the upstream retransmits it.
                 let _ = self.sockets.packets.send_to(bytes, caller);
+                self.release_after(|scheduler| scheduler.record_sent(&head, now));
             }
             Ok(UpstreamPacket::Returned { head, mark }) => {
                 packet::restore(bytes);
                 let entry = Ipv4Addr::from(mark);
                 self.return_packet(buffer, &head, ReturnReason::NotHeld, entry);
+                self.release_after(|scheduler| scheduler.record_returned(head.flow));
             }
             Err(error) => self.count_malformed(&format!("{error:?}")),
         }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -31,6 +31,7 @@
 pub mod registration;
 pub mod revisions;
 pub mod routes;
+pub mod schedule;
 pub mod subscribe;
 pub mod terms;
 pub mod view;
--- a/crates/core/src/relay/load.rs
+++ b/crates/core/src/relay/load.rs
@@ -86,6 +86,13 @@
         activity.expires = now + IDLE_MAX;
     }
 
+    /// Records that the request on a flow waits at the agent, which counts it itself until it is delivered.
+    pub fn record_held(&mut self, flow: FlowAddresses) {
+        if let Some(activity) = self.flows.get_mut(&flow) {
+            activity.awaited_until = None;
+        }
+    }
+
     /// Records a packet that the upstream sent, and returns the outcome of the request that it ends, if any.
     pub fn record_sent(&mut self, head: &PacketHead, now: Instant) -> Option<RequestOutcome> {
         match head.kind {
--- a/crates/core/src/relay/packet.rs
+++ b/crates/core/src/relay/packet.rs
@@ -58,8 +58,25 @@
     pub flow: FlowAddresses,
     /// Effect of the packet on the flow.
     pub kind: PacketKind,
+    /// Number of the first byte of data among all bytes that the sender has sent; wraps around.
+    pub sequence: u32,
     /// Number of bytes that the sender has received; a reset is accepted only with a value near it.
     pub acknowledged: u32,
     /// Bytes of data in the packet.
     pub data_len: usize,
 }
+
+impl PacketHead {
+    /// Returns the sequence number of the byte after the data of the packet.
+    pub fn end(&self) -> u32 {
+        let data_len = u32::try_from(self.data_len).unwrap_or(u32::MAX);
+        self.sequence.wrapping_add(data_len)
+    }
+}
+
+/// Returns how many bytes `position` is behind `other` in the sequence of a flow, or `None` if it is before it.
+pub fn bytes_after(position: u32, other: u32) -> Option<u32> {
+    let distance = position.wrapping_sub(other);
+    // Sequence numbers wrap around, so that the shorter way between two of them tells their order.
+    (distance < 1 << 31).then_some(distance)
+}
--- a/crates/core/tests/relay/load.rs
+++ b/crates/core/tests/relay/load.rs
@@ -97,3 +97,17 @@
     meter.forget_before(born);
     assert_eq!((meter.counts(born).flows, meter.counts(born).busy), (1, 0));
 }
+
+/// Guards against the first request of a new flow that is counted twice while it waits at the agent, which counts it
+/// itself: new flows would be returned as busy too early.
+#[test]
+fn held_request_is_not_expected_any_more() {
+    let now = Instant::now();
+    let mut meter = LoadMeter::default();
+    meter.record_sent(&packet(1, PacketKind::Accepting), now);
+    assert_eq!(meter.pending_requests(now), 1);
+    meter.record_held(flow(1));
+    assert_eq!(meter.pending_requests(now), 0);
+    meter.record_delivered(&data(1), now);
+    assert_eq!(meter.pending_requests(now), 1);
+}
--- a/crates/core/tests/relay/support.rs
+++ b/crates/core/tests/relay/support.rs
@@ -45,6 +45,7 @@
     PacketHead {
         flow: flow(number),
         kind,
+        sequence: 0,
         acknowledged: 77,
         data_len: 0,
     }
--- a/crates/core/tests/relay/surge.rs
+++ b/crates/core/tests/relay/surge.rs
@@ -203,6 +203,7 @@
                 service: route_address(kind_of_flow),
             },
             kind,
+            sequence: 0,
             acknowledged: 77,
             data_len,
         }
--- a/crates/entry/src/relay/run.rs
+++ b/crates/entry/src/relay/run.rs
@@ -34,7 +34,12 @@
     let registry = Registry::new();
     let counters = RelayCounters::new(&registry)?;
     let relay = &settings.relay;
-    let state = RelayState::new(counters, relay.chain_policy(), Instant::now());
+    let state = RelayState::new(
+        counters,
+        relay.chain_policy(),
+        relay.schedule,
+        Instant::now(),
+    );
     let sockets = RelaySockets::bind(relay.packets, relay.agents)?;
     let (sender, events) = mpsc::channel(EVENTS_MAX);
     let traffic = traffic::start(&sockets, &state, &sender, settings.relay.reset_ended)?;
--- a/crates/entry/src/relay/shared.rs
+++ b/crates/entry/src/relay/shared.rs
@@ -18,6 +18,8 @@
     chain: Mutex<RelayChain>,
     hold: Mutex<HoldQueue>,
     open_flows: Mutex<OpenFlows>,
+    /// Whether agents get the terms of routes with each packet.
+    pub(super) schedule: bool,
     /// Metrics, updated by all threads.
     pub(super) counters: RelayCounters,
     /// Set to end the traffic threads.
@@ -25,13 +27,20 @@
 }
 
 impl RelayState {
-    /// Creates the state of an entry that has not loaded routes or endpoints yet and decides by `policy`.
-    pub(super) fn new(counters: RelayCounters, policy: ChainPolicy, now: Instant) -> Arc<Self> {
+    /// Creates the state of an entry that has not loaded routes or endpoints yet and decides by `policy`. `schedule` says
+    /// whether agents get the terms of routes.
+    pub(super) fn new(
+        counters: RelayCounters,
+        policy: ChainPolicy,
+        schedule: bool,
+        now: Instant,
+    ) -> Arc<Self> {
         Arc::new(Self {
             view: ArcSwap::default(),
             chain: Mutex::new(RelayChain::with_policy(policy, now)),
             hold: Mutex::default(),
             open_flows: Mutex::default(),
+            schedule,
             counters,
             stop: Arc::default(),
         })
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -21,6 +21,7 @@
 use quetzalhill_core::relay::open_flows::OpenFlow;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_core::relay::place::EndpointKey;
+use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_core::relay::view::RelayView;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::threads::TrafficThreads;
@@ -397,8 +398,9 @@
                 if self.reset_ended {
                     self.record_open_flow(head, targets);
                 }
+                let terms = self.terms_of(head);
                 for target in targets {
-                    self.deliver(target, buffer);
+                    self.deliver(target, terms, buffer);
                 }
             }
             RelayVerdict::Reset(_) => {
@@ -435,11 +437,20 @@
         }
     }
 
-    fn deliver(&self, target: &DeliverTarget, buffer: &mut [u8]) {
+    /// Returns the terms that agents get with a packet, if requests are scheduled and the route has any.
+    fn terms_of(&self, head: &PacketHead) -> Option<FlowTerms> {
+        if !self.state.schedule {
+            return None;
+        }
+        let terms = self.state.view.load().routes.terms(head.flow.service);
+        (terms != FlowTerms::default()).then_some(terms)
+    }
+
+    fn deliver(&self, target: &DeliverTarget, terms: Option<FlowTerms>, buffer: &mut [u8]) {
         let header = RelayHeader::Deliver {
             service: target.service,
             forced: target.forced,
-            terms: None,
+            terms,
             cold_limit: target.cold_limit,
         };
         let Ok(start) = header.prepend_to(buffer) else {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -76,6 +76,8 @@
     RequestSeen = 2013, Info, "request-seen";
     /// An upstream was ejected because it resets its requests; it gets no new flows for a while.
     UpstreamEjected = 2014, Warn, "upstream-ejected";
+    /// An agent dropped a held request because its request timeout had passed; it has not run.
+    RequestDropped = 2030, Info, "request-dropped";
     /// An endpoint was added or removed, or its state changed.
     EndpointChanged = 3001, Info, "endpoint-changed";
     /// An entry learned another incarnation of an endpoint's upstream.
@@ -146,6 +148,7 @@
                 | EventCode::HolderDropped
                 | EventCode::PacketReturned
                 | EventCode::RequestSeen
+                | EventCode::RequestDropped
         )
     }
 }
--- a/crates/platform/src/packet.rs
+++ b/crates/platform/src/packet.rs
@@ -102,6 +102,7 @@
     Ok(PacketHead {
         flow: FlowAddresses { caller, service },
         kind: kind_of(packet),
+        sequence: u32_at(packet, SEQ),
         acknowledged: u32_at(packet, ACK),
         data_len,
     })
@@ -141,7 +142,7 @@
     }
     Ok(UpstreamPacket::Returned {
         head: decode(packet, PacketSender::Caller)?,
-        mark: u32_at(packet, ECHO),
+        mark: mark_of(packet),
     })
 }
 
@@ -155,6 +156,15 @@
     packet[ECHO..ECHO + 4].copy_from_slice(&mark.to_be_bytes());
 }
 
+/// Returns the mark that [`set_mark`] wrote into a packet.
+///
+/// # Panics
+///
+/// Panics if `packet` is shorter than the header.
+pub fn mark_of(packet: &[u8]) -> u32 {
+    u32_at(packet, ECHO)
+}
+
 /// Restores a returned packet to what the caller sent: clears the mark and the flag of a returned packet.
 ///
 /// # Panics
--- a/crates/platform/src/standin/call.rs
+++ b/crates/platform/src/standin/call.rs
@@ -7,6 +7,7 @@
 use quetzalhill_store::codec::HttpCall;
 use serde_json::json;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 /// Content of an announcement that a stand-in upstream sends.
 #[derive(Clone, Debug)]
@@ -66,7 +67,7 @@
     get(READY_PATH.into())
 }
 
-/// Encodes a manifest in which every route lists its services under `weightedServices`.
+/// Encodes a manifest in which every route lists its services under `weightedServices`, and its terms if it has any.
 pub fn manifest(routes: &RouteSet) -> Vec<u8> {
     let mut list = Vec::new();
     for (address, targets) in &routes.by_address {
@@ -74,19 +75,28 @@
             .iter()
             .map(|target| json!({ "service": target.service, "weight": target.weight }))
             .collect();
-        list.push(json!({
+        let mut route = json!({
             "name": address.to_string(),
             "host": address.ip().to_string(),
             "prefix": format!("/{}/", address.port()),
             "weightedServices": weighted,
-        }));
+        });
+        if let Some(terms) = routes.terms.get(address) {
+            route["priority"] = json!(terms.priority);
+            route["targetLatencyMs"] = json!(millis(terms.target));
+            route["timeoutMs"] = json!(millis(terms.timeout));
+        }
+        list.push(route);
     }
-    let idle_ms = u64::try_from(routes.idle_timeout.as_millis()).unwrap_or(u64::MAX);
     let body = json!({
         "version": routes.revision,
         "routes": list,
         "services": [],
-        "limits": { "idleTimeoutMs": idle_ms },
+        "limits": { "idleTimeoutMs": millis(routes.idle_timeout) },
     });
     body.to_string().into_bytes()
 }
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/platform/tests/standin.rs
+++ b/crates/platform/tests/standin.rs
@@ -2,6 +2,7 @@
 
 use quetzalhill_core::relay::packet::{FlowAddresses, PacketKind};
 use quetzalhill_core::relay::routes::{RouteSet, RouteTarget};
+use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_platform::announcement;
 use quetzalhill_platform::manifest;
 use quetzalhill_platform::packet::{self, PacketSender, UpstreamPacket};
@@ -216,14 +217,21 @@
         service: service.into(),
         weight,
     });
+    let terms = FlowTerms {
+        priority: 2,
+        target: Duration::from_millis(250),
+        timeout: Duration::from_millis(1_500),
+    };
     let routes = RouteSet {
         revision: 6,
         by_address: [(address, targets.into_iter().collect())].into(),
+        terms: [(address, terms)].into(),
         idle_timeout: Duration::from_secs(15),
         ..RouteSet::default()
     };
     let read = manifest::decode(&call::manifest(&routes)).expect("a manifest");
     assert_eq!(read.revision, 6);
     assert_eq!(read.by_address, routes.by_address);
+    assert_eq!(read.terms, routes.terms);
     assert_eq!(read.idle_timeout, routes.idle_timeout);
 }
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -16,6 +16,7 @@
 };
 use quetzalhill_core::ids::ServiceName;
 use quetzalhill_core::relay::routes::{RouteSet, RouteTarget};
+use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_node::relay::settings::{RelayNode, RelayStore};
 use quetzalhill_node::settings::LogSettings;
 use quetzalhill_platform::manifest::MANIFEST_KEY;
@@ -64,6 +65,12 @@
 /// Idle timeout of flows in the published routes.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Target latency in the published routes, the shortest of the first deployment.
+const TARGET_LATENCY: Duration = Duration::from_millis(250);
+
+/// Request timeout in the published routes: the longest time for which callers of the soak wait for an answer.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(8_000);
+
 /// Numbers of instances of a site.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SiteSize {
@@ -270,7 +277,7 @@
                 linger_ms: 1_500,
                 apply_ms: 3_000,
                 pace: false,
-                schedule: false,
+                schedule: true,
                 evacuations: true,
                 reset_ended: true,
                 cold_overrun: None,
@@ -297,7 +304,7 @@
                 announce_ms: ANNOUNCE_MS,
                 pace: false,
                 slow_start: false,
-                schedule: false,
+                schedule: true,
             },
         }
     }
@@ -338,7 +345,7 @@
     routes
 }
 
-/// Directs the route with this number to a service.
+/// Directs the route with this number to a service. Routes with odd numbers are more urgent than the others.
 pub fn set_target(routes: &mut RouteSet, number: u8, service: &str) {
     let target = RouteTarget {
         service: service.into(),
@@ -346,6 +353,12 @@
     };
     let targets = [target].into_iter().collect();
     routes.by_address.insert(route_address(number), targets);
+    let terms = FlowTerms {
+        priority: 2 * (1 - number % 2),
+        target: TARGET_LATENCY,
+        timeout: REQUEST_TIMEOUT,
+    };
+    routes.terms.insert(route_address(number), terms);
 }
 
 /// Returns the time of the wall clock in milliseconds since the Unix epoch.
