Measure the pace of upstreams and place new flows by it

Cause: placement compares requests and flows per slot, so an upstream at half the pace gets as much work as the others, and one that has just started is flooded up to two requests per slot. Change: the agent derives service times from a FIFO model of its upstream and averages them by address (service_time.rs), limits new flows by a window after a start (slow_start.rs), and reports both as PacedReport where relay.pace is on. An entry compares the times with the median of the service (pace_factor.rs), and load_score multiplies the load by the factor. Events QH2020 and QH2021, gauges of both processes.

--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -24,7 +24,7 @@
 use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_platform::announcement;
 use quetzalhill_platform::server::{self, ServerCall};
-use quetzalhill_wire::relay::{RelayNotice, ReportNotice};
+use quetzalhill_wire::relay::{PaceNotice, RelayNotice, ReportNotice};
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::{SocketAddrV4, TcpListener};
@@ -272,12 +272,16 @@
         let (name, sequence) = (announcement.name.clone(), announcement.sequence);
         let incarnation = announcement.incarnation;
         let previous = self.incarnation();
+        let previous_state = self.presence.state();
         let outcome = self.presence.announce(announcement, now);
+        let was_away = matches!(previous_state, UpstreamState::Lost | UpstreamState::Gone);
         if self.incarnation() != previous {
             self.state
                 .meter()
                 .forget_before(self.incarnation_start(now));
             self.state.health().reset();
+        } else if was_away && outcome == PresenceOutcome::Changed {
+            self.state.restart_window("silence", now);
         }
         match outcome {
             PresenceOutcome::Confirmed => {}
@@ -372,7 +376,13 @@
                 .upstream()
                 .map_or(0, |record| record.announcement.slots),
         };
-        self.state.status.store(Arc::new(status));
+        let previous = self.state.status.swap(Arc::new(status));
+        if previous.incarnation != status.incarnation {
+            self.state.reset_pace(now);
+        }
+        if let Some(pace) = self.state.meter().pace() {
+            pace.set_slots(status.slots, now);
+        }
         let upstream = self.presence.upstream();
         let sequence = upstream.map_or(0, |record| record.announcement.sequence);
         emit(
@@ -439,13 +449,17 @@
     }
 
     fn send_reports(&mut self, reports: &[DueReport], now: Instant) {
-        let (load, addresses, digest) = {
+        let (load, addresses, digest, pace) = {
             let mut meter = self.state.meter();
             let reports_digest = self.presence.reports_digest(now);
             let digest = reports_digest.then(|| meter.digest()).flatten();
-            (meter.counts(now), meter.addresses(), digest)
+            let pace = meter.pace().map(|pace| pace.pace(now));
+            (meter.counts(now), meter.addresses(), digest, pace)
         };
         let counters = &self.state.counters;
+        if let Some(pace) = &pace {
+            counters.set_pace(pace);
+        }
         counters.flows.set(load.flows.into());
         counters.busy.set(load.busy.into());
         self.report_count += 1;
@@ -461,7 +475,7 @@
             cold_until: upstream.and_then(|record| record.announcement.cold_until),
             digest: digest.map(Arc::new),
             keepalive_sent: None,
-            pace: None,
+            pace: pace.filter(|_| self.settings.relay.pace),
             expires: now,
         };
         let peers = self.subscribers.next_peers();
@@ -470,7 +484,10 @@
             if due.rate == ReportRate::Frequent {
                 notice.peers = peers.to_vec();
             }
-            let notice = RelayNotice::Report(notice);
+            let notice = match &report.pace {
+                Some(pace) => RelayNotice::PacedReport(notice, PaceNotice::new(pace)),
+                None => RelayNotice::Report(notice),
+            };
             let size = self.sockets.notify(&notice, address_of(due.entry));
             counters.notices.count(NoticeKind::Report(due.rate), size);
         }
--- a/crates/agent/src/relay/counters.rs
+++ b/crates/agent/src/relay/counters.rs
@@ -1,6 +1,9 @@
 //! Metrics of the agent for opaque flows.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, Result};
+use prometheus::{
+    GaugeVec, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, Result,
+};
+use quetzalhill_core::relay::pace::EndpointPace;
 use quetzalhill_node::relay::notices::NoticeCounters;
 
 /// Upper bounds of the buckets of the answer time histogram, in seconds.
@@ -23,6 +26,10 @@
     pub(super) flows: IntGauge,
     /// Requests in progress at the upstream.
     pub(super) busy: IntGauge,
+    /// Average service time of the upstream in seconds, by service address.
+    pub(super) service_times: GaugeVec,
+    /// Requests in progress at which new flows are returned.
+    pub(super) window: IntGauge,
 }
 
 impl AgentCounters {
@@ -48,6 +55,12 @@
         );
         let answers = Histogram::with_opts(options.buckets(ANSWER_BUCKETS.to_vec()))?;
         registry.register(Box::new(answers.clone()))?;
+        let times = Opts::new(
+            "quetzalhill_relay_service_seconds",
+            "Average time from the start of a request at the upstream to its answer, in seconds.",
+        );
+        let service_times = GaugeVec::new(times, &["address"])?;
+        registry.register(Box::new(service_times.clone()))?;
         Ok(Self {
             packets: counter(
                 "quetzalhill_relay_packets_total",
@@ -66,6 +79,23 @@
                 "quetzalhill_relay_requests",
                 "Requests in progress at the upstream.",
             )?,
+            service_times,
+            window: gauge(
+                "quetzalhill_relay_window",
+                "Requests in progress at which new flows are returned; 0 if not measured.",
+            )?,
         })
     }
+
+    /// Sets the gauges of the upstream's pace. Addresses without a current average have none.
+    pub(super) fn set_pace(&self, pace: &EndpointPace) {
+        self.window.set(pace.window.into());
+        self.service_times.reset();
+        for time in &pace.service_times {
+            let gauge = self
+                .service_times
+                .with_label_values(&[&time.address.to_string()]);
+            gauge.set(time.average.as_secs_f64());
+        }
+    }
 }
--- a/crates/agent/src/relay/run.rs
+++ b/crates/agent/src/relay/run.rs
@@ -7,9 +7,11 @@
 use super::traffic::{self, AgentSockets, SocketSettings};
 use anyhow::Result;
 use prometheus::Registry;
+use quetzalhill_core::relay::pace::PaceMeter;
 use quetzalhill_node::event::{emit, EventCode};
 use quetzalhill_node::relay::threads::TrafficThreads;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::sync::mpsc;
 
 /// Capacity of the event queue from the traffic threads to the control thread.
@@ -30,8 +32,11 @@
 /// Returns an error that names the address that cannot be bound or the thread that could not be started.
 pub fn start(settings: RelaySettings) -> Result<RelayHandle> {
     let registry = Registry::new();
-    let state = AgentState::new(AgentCounters::new(&registry)?);
     let relay = &settings.relay;
+    // The window is judged by the measured times, so that it needs them even if they are not reported.
+    let measures = relay.pace || relay.slow_start;
+    let pace = measures.then(|| PaceMeter::new(relay.slow_start, Instant::now()));
+    let state = AgentState::new(AgentCounters::new(&registry)?, pace);
     let sockets = AgentSockets::bind(&SocketSettings {
         packets: relay.packets,
         outbound: relay.outbound,
--- a/crates/agent/src/relay/shared.rs
+++ b/crates/agent/src/relay/shared.rs
@@ -6,10 +6,14 @@
 use quetzalhill_core::relay::health::AnswerHealth;
 use quetzalhill_core::relay::intake::UpstreamState;
 use quetzalhill_core::relay::load::LoadMeter;
+use quetzalhill_core::relay::pace::PaceMeter;
+use quetzalhill_core::relay::slow_start::WindowFilled;
+use quetzalhill_node::event::{emit, EventCode};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 /// Status of the upstream, as the control thread derives it from announcements and probes.
 #[derive(Clone, Copy, Debug)]
@@ -35,15 +39,15 @@
 }
 
 impl AgentState {
-    /// Creates the state of an agent whose upstream is still unknown.
-    pub(super) fn new(counters: AgentCounters) -> Arc<Self> {
+    /// Creates the state of an agent whose upstream is still unknown; `pace` measures its pace, if it is measured.
+    pub(super) fn new(counters: AgentCounters, pace: Option<PaceMeter>) -> Arc<Self> {
         Arc::new(Self {
             status: ArcSwap::from_pointee(UpstreamStatus {
                 state: UpstreamState::Unknown,
                 incarnation: 0,
                 slots: 0,
             }),
-            meter: Mutex::default(),
+            meter: Mutex::new(pace.map(LoadMeter::with_pace).unwrap_or_default()),
             health: Mutex::new(AnswerHealth::new(SmallRng::from_os_rng())),
             counters,
             stop: Arc::default(),
@@ -57,6 +61,59 @@
         self.meter.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Starts the window of new flows again, if there is one, because the upstream recovers from `cause`.
+    pub(super) fn restart_window(&self, cause: &str, now: Instant) {
+        let mut meter = self.meter();
+        let Some(pace) = meter.pace() else {
+            return;
+        };
+        let restarted = pace.restart_window(now);
+        let window = pace.window().unwrap_or(0);
+        drop(meter);
+        if restarted {
+            self.log_restart(cause, window);
+        }
+    }
+
+    /// Discards what was measured of the upstream, because another incarnation of it has started.
+    pub(super) fn reset_pace(&self, now: Instant) {
+        let mut meter = self.meter();
+        let Some(pace) = meter.pace() else {
+            return;
+        };
+        pace.reset(now);
+        let window = pace.window();
+        drop(meter);
+        if let Some(window) = window {
+            self.log_restart("incarnation", window);
+        }
+    }
+
+    fn log_restart(&self, cause: &str, window: u32) {
+        let incarnation = self.status.load().incarnation;
+        emit(
+            EventCode::SlowStartBegun,
+            &[
+                ("cause", &cause),
+                ("window", &window),
+                ("incarnation", &incarnation),
+            ],
+        );
+    }
+
+    /// Logs that the window of new flows has reached its ceiling after a start.
+    pub(super) fn log_filled(&self, filled: &WindowFilled) {
+        emit(
+            EventCode::SlowStartDone,
+            &[
+                ("window", &filled.window),
+                ("elapsed_ms", &filled.elapsed.as_millis()),
+                ("answers", &filled.answers),
+                ("incarnation", &self.status.load().incarnation),
+            ],
+        );
+    }
+
     /// Locks the health of the upstream, which is derived from the outcomes of requests.
     pub(super) fn health(&self) -> MutexGuard<'_, AnswerHealth> {
         // Later outcomes make up for those that another thread did not record because it panicked, so that a
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -239,12 +239,18 @@
         };
         let status = **self.state.status.load();
         let now = Instant::now();
-        let (busy, failing) = match head.kind {
-            PacketKind::Opening { .. } => (
-                self.state.meter().pending_requests(now),
-                !self.state.health().takes_flows(now),
-            ),
-            _ => (0, false),
+        let (busy, window, failing) = match head.kind {
+            PacketKind::Opening { .. } => {
+                let failing = !self.state.health().takes_flows(now);
+                if failing {
+                    // Keeps the window at its start until the upstream takes flows again.
+                    self.state.restart_window("ejected", now);
+                }
+                let mut meter = self.state.meter();
+                let window = meter.pace().and_then(|pace| pace.window());
+                (meter.pending_requests(now), window, failing)
+            }
+            _ => (0, None, false),
         };
         let context = IntakeContext {
             kind: head.kind,
@@ -254,6 +260,7 @@
             forced,
             busy,
             slots: status.slots,
+            window,
         };
         match decide(&context) {
             IntakeVerdict::Return(reason) => self.return_packet(buffer, &head, reason, *entry.ip()),
@@ -305,10 +312,17 @@
             Ok(UpstreamPacket::Answer(head)) => {
                 self.count("answered");
                 let now = Instant::now();
-                let outcome = self.state.meter().record_sent(&head, now);
+                let (outcome, filled) = {
+                    let mut meter = self.state.meter();
+                    let outcome = meter.record_sent(&head, now);
+                    (outcome, meter.pace().and_then(|pace| pace.take_filled()))
+                };
                 if let Some(outcome) = outcome {
                     self.record_outcome(outcome, now);
                 }
+                if let Some(filled) = filled {
+                    self.state.log_filled(&filled);
+                }
                 let caller = SocketAddrV4::new(*head.flow.caller.ip(), self.sockets.reply_port);
                 // A failed send is treated as a lost packet; the upstream retransmits it.
                 let _ = self.sockets.packets.send_to(bytes, caller);
@@ -332,6 +346,7 @@
         if !self.state.health().record(outcome, now) {
             return;
         }
+        self.state.restart_window("ejected", now);
         let status = **self.state.status.load();
         emit(
             EventCode::UpstreamEjected,
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -16,6 +16,7 @@
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
 use crate::relay::pace::EndpointPace;
+use crate::relay::pace_factor::compare_paces;
 use crate::relay::revisions::RevisionLog;
 use crate::relay::routes::FormerServices;
 use crate::relay::subscribe::{sparse_interval, ReportRate};
@@ -135,6 +136,8 @@
 #[derive(Debug)]
 pub struct FleetController {
     zone: ZoneName,
+    /// Whether views have the pace of endpoints.
+    pace: bool,
     known: HashMap<EndpointId, KnownEndpoint>,
     /// Store revisions of the records of the list that were applied.
     revisions: RevisionLog,
@@ -147,12 +150,18 @@
     pub fn new(zone: ZoneName) -> Self {
         Self {
             zone,
+            pace: false,
             known: HashMap::new(),
             revisions: RevisionLog::default(),
             incarnation_changes: Vec::new(),
         }
     }
 
+    /// Sets whether views have the pace of endpoints, by which new flows are placed.
+    pub fn with_pace(self, pace: bool) -> Self {
+        Self { pace, ..self }
+    }
+
     /// Makes an endpoint that does not report soon count as silent, after a sign that it may have ended. An endpoint
     /// of another zone reports seldom, so its last report would count for a long time.
     pub fn doubt(&mut self, id: EndpointId, now: Instant) {
@@ -325,8 +334,26 @@
             service.complete &= matches!(status, EndpointStatus::Ready | EndpointStatus::Draining);
             service.endpoints.push(known.view(status, &self.zone));
         }
+        if self.pace {
+            for service in services.values_mut() {
+                self.set_pace_factors(service, now);
+            }
+        }
         services
     }
+
+    /// Compares the endpoints of a service by their last reports that still count.
+    fn set_pace_factors(&self, service: &mut ServiceView, now: Instant) {
+        let mut paces = Vec::with_capacity(service.endpoints.len());
+        for endpoint in &service.endpoints {
+            let known = self.known.get(&endpoint.id);
+            paces.push(known.and_then(|known| known.pace(now)));
+        }
+        for (endpoint, factor) in service.endpoints.iter_mut().zip(compare_paces(&paces)) {
+            endpoint.pace_known = factor.is_some();
+            endpoint.pace_factor = factor.unwrap_or(1.0);
+        }
+    }
 }
 
 impl KnownEndpoint {
@@ -394,6 +421,11 @@
         (keepalive, interval)
     }
 
+    fn pace(&self, now: Instant) -> Option<&EndpointPace> {
+        let last = self.last.as_ref().filter(|last| now < last.expires)?;
+        last.report.pace.as_ref()
+    }
+
     fn is_fresh(&self, now: Instant) -> bool {
         self.last.as_ref().is_some_and(|last| now < last.expires)
     }
@@ -432,6 +464,7 @@
             digest: current.and_then(|report| report.digest.clone()),
             keepalive_sent: current.and_then(|report| report.keepalive_sent),
             pace_factor: 1.0,
+            pace_known: false,
             evacuated: false,
         }
     }
--- a/crates/core/src/relay/intake.rs
+++ b/crates/core/src/relay/intake.rs
@@ -98,6 +98,8 @@
     pub busy: u32,
     /// Number of requests that the upstream runs concurrently; 0 while it is not known.
     pub slots: u32,
+    /// Requests in progress from which new flows are returned as busy, if the agent determines them by the answers.
+    pub window: Option<u32>,
 }
 
 /// Decides whether a packet is delivered to the upstream.
@@ -131,7 +133,6 @@
 }
 
 fn is_busy(context: &IntakeContext) -> bool {
-    !context.forced
-        && context.slots > 0
-        && context.busy >= context.slots.saturating_mul(BUSY_PER_SLOT)
+    let fixed = context.slots.saturating_mul(BUSY_PER_SLOT);
+    !context.forced && context.slots > 0 && context.busy >= context.window.unwrap_or(fixed)
 }
--- a/crates/core/src/relay/load.rs
+++ b/crates/core/src/relay/load.rs
@@ -4,6 +4,7 @@
 //! data from the upstream makes it idle again.
 
 use crate::relay::digest::{fingerprint_of, FlowDigest, DIGEST_MAX};
+use crate::relay::pace::PaceMeter;
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use smallvec::SmallVec;
 use std::collections::HashMap;
@@ -37,6 +38,9 @@
     /// Point in time until which the first request of a new flow counts although it has not arrived.
     awaited_until: Option<Instant>,
     opened: Instant,
+    /// Bytes that the caller had received when it sent its last request; a copy of the request has the same number, and
+    /// the next request a higher one.
+    request_acknowledged: Option<u32>,
     /// Whether the upstream has sent its last data, which the caller may not have received.
     ended: bool,
     expires: Instant,
@@ -64,13 +68,30 @@
 #[derive(Debug, Default)]
 pub struct LoadMeter {
     flows: HashMap<FlowAddresses, FlowActivity>,
+    pace: Option<PaceMeter>,
 }
 
 impl LoadMeter {
+    /// Makes a meter that also measures the pace of the upstream.
+    pub fn with_pace(pace: PaceMeter) -> Self {
+        Self {
+            flows: HashMap::new(),
+            pace: Some(pace),
+        }
+    }
+
+    /// Returns the meter of the upstream's pace, if it is measured.
+    pub fn pace(&mut self) -> Option<&mut PaceMeter> {
+        self.pace.as_mut()
+    }
+
     /// Records a packet that was delivered to the upstream.
     pub fn record_delivered(&mut self, head: &PacketHead, now: Instant) {
         if head.kind == PacketKind::Reset {
             self.flows.remove(&head.flow);
+            if let Some(pace) = &mut self.pace {
+                pace.abort(head.flow, now);
+            }
             return;
         }
         let Some(activity) = self.flows.get_mut(&head.flow) else {
@@ -82,12 +103,21 @@
         if head.data_len > 0 {
             activity.busy_since = activity.busy_since.or(Some(now));
             activity.awaited_until = None;
+            let acknowledged = Some(head.acknowledged);
+            let is_copy = activity.request_acknowledged == acknowledged;
+            activity.request_acknowledged = acknowledged;
+            if let Some(pace) = self.pace.as_mut().filter(|_| !is_copy) {
+                pace.begin(head.flow, now);
+            }
         }
         activity.expires = now + IDLE_MAX;
     }
 
     /// Records a packet that the upstream sent, and returns the outcome of the request that it ends, if any.
     pub fn record_sent(&mut self, head: &PacketHead, now: Instant) -> Option<RequestOutcome> {
+        if let Some(pace) = &mut self.pace {
+            pace.record_sent(head, now);
+        }
         match head.kind {
             PacketKind::Ending => {
                 let activity = self.flows.get_mut(&head.flow)?;
@@ -113,6 +143,7 @@
             busy_since: None,
             awaited_until: Some(now + FIRST_REQUEST_WAIT),
             opened: now,
+            request_acknowledged: None,
             ended: false,
             expires: now,
         });
--- a/crates/core/src/relay/place.rs
+++ b/crates/core/src/relay/place.rs
@@ -35,7 +35,7 @@
 /// slots. Its caller sends a request at once, which has to wait, and other entries place flows in the same interval.
 const WAITING_REQUESTS: f64 = 4.0;
 
-/// Factor on the load of an endpoint that is still slow after its start.
+/// Factor on the load of an endpoint that is still slow after its start and whose pace is not known.
 const COLD_FACTOR: f64 = 2.0;
 
 /// One incarnation of an endpoint. A restart gives an endpoint a new key, since the upstream loses its flows.
@@ -127,9 +127,11 @@
     let free = endpoint.slots.saturating_sub(endpoint.busy);
     requests += f64::from(pending.saturating_sub(free)) * WAITING_REQUESTS;
     let mut load = requests / f64::from(endpoint.slots.max(1));
-    if endpoint.cold_until.is_some_and(|until| now < until) {
-        load *= COLD_FACTOR;
-    }
+    let is_cold = endpoint.cold_until.is_some_and(|until| now < until);
+    load *= match is_cold && !endpoint.pace_known {
+        true => COLD_FACTOR,
+        false => endpoint.pace_factor,
+    };
     match endpoint.same_zone {
         true => load,
         false => load + REMOTE_LOAD,
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -50,6 +50,8 @@
     pub keepalive_sent: Option<Instant>,
     /// Service time of the upstream over the median of its service; 1 if it is like the others or not measured.
     pub pace_factor: f64,
+    /// Whether the service time was measured and compared with that of others.
+    pub pace_known: bool,
     /// Whether operators have evacuated the endpoint's availability zone, so that it takes no new flows.
     pub evacuated: bool,
 }
--- a/crates/core/tests/relay/herd.rs
+++ b/crates/core/tests/relay/herd.rs
@@ -270,6 +270,7 @@
             forced,
             busy: self.meters[endpoint].pending_requests(now),
             slots: u32::try_from(SLOTS).expect("fits"),
+            window: None,
         };
         let delay = Self::delay(entry, endpoint);
         if let IntakeVerdict::Return(_) = decide(&context) {
--- a/crates/core/tests/relay/intake.rs
+++ b/crates/core/tests/relay/intake.rs
@@ -23,6 +23,7 @@
         forced: false,
         busy,
         slots,
+        window: None,
     });
     let expected = match delivered {
         true => IntakeVerdict::Deliver,
--- a/crates/core/tests/relay/presence.rs
+++ b/crates/core/tests/relay/presence.rs
@@ -194,6 +194,7 @@
         forced: false,
         busy: 0,
         slots: 4,
+        window: None,
     };
     assert_eq!(decide(&context), expected);
 }
@@ -226,6 +227,7 @@
         forced,
         busy,
         slots,
+        window: None,
     };
     let expected = returned.map_or(IntakeVerdict::Deliver, IntakeVerdict::Return);
     assert_eq!(decide(&context), expected);
--- a/crates/core/tests/relay/support.rs
+++ b/crates/core/tests/relay/support.rs
@@ -72,6 +72,7 @@
         digest: None,
         keepalive_sent: None,
         pace_factor: 1.0,
+        pace_known: false,
         evacuated: false,
     }
 }
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -339,7 +339,8 @@
             routes: RouteController::default(),
             routes_range: RangeState::default(),
             routes_progress: RangeProgress::new(ROUTES_NAME),
-            fleet: FleetController::new(setup.settings.node.zone.clone()),
+            fleet: FleetController::new(setup.settings.node.zone.clone())
+                .with_pace(setup.settings.relay.pace),
             endpoints_range: RangeState::default(),
             endpoints_progress: RangeProgress::new(ENDPOINTS_NAME),
             list_revision: 0,
@@ -460,6 +461,18 @@
                 .count();
             set(&counters.endpoints.with_label_values(&[name]), count);
         }
+        let (mut slow, mut fast) = (0, 0);
+        for endpoint in view
+            .services
+            .values()
+            .flat_map(|service| &service.endpoints)
+        {
+            slow += usize::from(endpoint.pace_factor > 1.0);
+            fast += usize::from(endpoint.pace_factor < 1.0);
+        }
+        for (pace, count) in [("slow", slow), ("fast", fast)] {
+            set(&counters.paced_endpoints.with_label_values(&[pace]), count);
+        }
         let calls = self.store.counts();
         for (kind, count) in [("read", calls.reads), ("write", calls.writes)] {
             set(&counters.store_calls.with_label_values(&[kind]), count);
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -42,6 +42,8 @@
     pub(super) revision: IntGauge,
     /// Endpoints by status.
     pub(super) endpoints: prometheus::IntGaugeVec,
+    /// Endpoints whose service times differ from the median of their service, by direction.
+    pub(super) paced_endpoints: prometheus::IntGaugeVec,
     /// Calls to the store since the start, by kind.
     pub(super) store_calls: prometheus::IntGaugeVec,
     /// Failed calls to the store by range and end of the call.
@@ -163,6 +165,11 @@
                 "Endpoints by status.",
                 "status",
             )?,
+            paced_endpoints: gauges(
+                "quetzalhill_relay_paced_endpoints",
+                "Endpoints whose service times differ from the median of their service.",
+                "pace",
+            )?,
             store_calls: gauges(
                 "quetzalhill_store_calls",
                 "Calls to the store since the start.",
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -74,6 +74,10 @@
     RequestSeen = 2013, Info, "request-seen";
     /// An upstream was ejected because it resets its requests; it gets no new flows for a while.
     UpstreamEjected = 2014, Warn, "upstream-ejected";
+    /// An agent started the window of new flows again, because its upstream has started or recovers.
+    SlowStartBegun = 2020, Info, "slow-start-begun";
+    /// The window of new flows has reached its ceiling after a start.
+    SlowStartDone = 2021, Info, "slow-start-done";
     /// An endpoint was added or removed, or its state changed.
     EndpointChanged = 3001, Info, "endpoint-changed";
     /// An entry learned another incarnation of an endpoint's upstream.
