--- a/crates/agent/src/relay.rs
+++ b/crates/agent/src/relay.rs
@@ -4,7 +4,7 @@
 
 mod control;
 mod counters;
-mod registration;
+pub mod registration;
 pub mod run;
 pub mod settings;
 mod shared;
--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -126,7 +126,8 @@
         let handler = Rc::new(move |call| handle_call(&control, &registry, &call));
         ntex::rt::spawn(calls::serve(listener, handler)).detach();
     }
-    ntex::rt::spawn(keep_registered(store, target)).detach();
+    let era = setup.state.counters.era.clone();
+    ntex::rt::spawn(keep_registered(store, target, era)).detach();
     let losses = control.borrow().losses.subscribe();
     ntex::rt::spawn(probe(control.clone(), losses)).detach();
     let mut events = setup.events;
--- a/crates/agent/src/relay/counters.rs
+++ b/crates/agent/src/relay/counters.rs
@@ -1,6 +1,7 @@
 //! Metrics of the agent for opaque flows.
 
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, Result};
+use quetzalhill_node::relay::era::EraCounters;
 use quetzalhill_node::relay::notices::NoticeCounters;
 
 /// Upper bounds of the buckets of the answer time histogram, in seconds.
@@ -17,6 +18,8 @@
     pub(super) malformed: IntCounterVec,
     /// Time from the first packet of a request to the first packet of its answer, in seconds.
     pub(super) answers: Histogram,
+    /// Era of the store and its restores.
+    pub(super) era: EraCounters,
     /// Reports to entries.
     pub(super) notices: NoticeCounters,
     /// Open flows of the upstream.
@@ -60,6 +63,7 @@
                 "reason",
             )?,
             answers,
+            era: EraCounters::new(registry)?,
             notices: NoticeCounters::new(registry)?,
             flows: gauge("quetzalhill_relay_flows", "Open flows of the upstream.")?,
             busy: gauge(
--- a/crates/agent/src/relay/registration.rs
+++ b/crates/agent/src/relay/registration.rs
@@ -1,13 +1,15 @@
 //! Store calls that register the agent's endpoint under a lease and renew it.
 
-use quetzalhill_core::ids::address_of;
+use quetzalhill_core::ids::{address_of, StoreEra};
+use quetzalhill_core::relay::era::EraChange;
 use quetzalhill_core::relay::fleet::ListedEndpoint;
 use quetzalhill_core::relay::registration::{
     RegistrationAction, RegistrationController, RegistrationOutcome, LEASE_TTL,
 };
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::relay::era::EraCounters;
 use quetzalhill_node::relay::settings::ENDPOINT_PREFIX;
-use quetzalhill_store::api::{CallEnd, CatalogueStore, PutOp, StoreError, Transaction};
+use quetzalhill_store::api::{CallEnd, CatalogueStore, DeleteOp, PutOp, StoreError, Transaction};
 use quetzalhill_wire::relay::{encode_endpoint, record_key};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -18,13 +20,15 @@
 
 /// Keeps the endpoint in `target` registered in the store, or no endpoint if it is `None`. Ends when the sender of
 /// `target` is dropped.
-pub(super) async fn keep_registered<S: CatalogueStore>(
+pub async fn keep_registered<S: CatalogueStore>(
     store: S,
     mut target: watch::Receiver<Option<ListedEndpoint>>,
+    counters: EraCounters,
 ) {
     let mut controller = RegistrationController::new();
     let mut rng = SmallRng::from_os_rng();
     let mut unavailable = false;
+    let mut restored: Option<RestoredEra> = None;
     loop {
         controller.set_target(target.borrow_and_update().clone());
         let action = controller.next_action(Instant::now());
@@ -40,9 +44,43 @@
             unavailable = failed;
             log_store_state(result.as_ref().err());
         }
+        let now = Instant::now();
+        let era = store.era();
+        let change = controller.observe_era(era, rng.random_range(0.0..1.0), now);
+        counters.record(change, era, FOLLOWS);
+        if let EraChange::Restored { .. } = change {
+            restored = Some(RestoredEra { era, noticed: now });
+        }
         let outcome = outcome_of(result);
         log_outcome(&action, outcome);
-        controller.finish(&action, outcome, rng.random_range(0.0..1.0), Instant::now());
+        controller.finish(&action, outcome, rng.random_range(0.0..1.0), now);
+        if controller.is_registered() {
+            log_registered_again(restored.take(), &action, now);
+        }
+    }
+}
+
+/// Name of the registration in the log fields `follows` and `source`.
+const FOLLOWS: &str = "registration";
+
+/// A restore of the store after which the endpoint has not been registered again.
+#[derive(Clone, Copy, Debug)]
+struct RestoredEra {
+    era: StoreEra,
+    noticed: Instant,
+}
+
+fn log_registered_again(restored: Option<RestoredEra>, action: &RegistrationAction, now: Instant) {
+    if let (Some(restored), RegistrationAction::Write(endpoint, lease)) = (restored, action) {
+        emit(
+            EventCode::EndpointRegisteredAgain,
+            &[
+                ("endpoint", &address_of(endpoint.id)),
+                ("lease", lease),
+                ("era", &restored.era),
+                ("after_ms", &(now - restored.noticed).as_millis()),
+            ],
+        );
     }
 }
 
@@ -54,9 +92,9 @@
     match error {
         Some(error) => emit(
             EventCode::StoreUnavailable,
-            &[("follows", &"registration"), ("error", error)],
+            &[("follows", &FOLLOWS), ("error", error)],
         ),
-        None => emit(EventCode::StoreAvailable, &[("follows", &"registration")]),
+        None => emit(EventCode::StoreAvailable, &[("follows", &FOLLOWS)]),
     }
 }
 
@@ -95,6 +133,19 @@
             store.revoke(*lease).await?;
             Ok(RegistrationOutcome::Revoked)
         }
+        RegistrationAction::Remove(id) => {
+            let key = record_key(ENDPOINT_PREFIX, *id);
+            let delete = DeleteOp {
+                to: format!("{key}\0"),
+                from: key,
+            };
+            let transaction = Transaction {
+                deletes: vec![delete],
+                ..Transaction::default()
+            };
+            store.commit(&transaction).await?;
+            Ok(RegistrationOutcome::Removed)
+        }
     }
 }
 
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -217,7 +217,8 @@
                 | RelayNotice::RoutesState(_)
                 | RelayNotice::PacedReport(..)
                 | RelayNotice::OperatorState { .. }
-                | RelayNotice::StoreEra(_),
+                | RelayNotice::StoreEra(_)
+                | RelayNotice::EraListChange(..),
             )) => {
                 self.count_malformed("unexpected");
             }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -8,6 +8,7 @@
 pub mod chain;
 pub mod confirm;
 pub mod digest;
+pub mod era;
 pub mod fleet;
 pub mod flows;
 pub mod freshness;
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -10,9 +10,12 @@
     ListChange, ListEffect, ListRead, ListRecord, ListState, ListedEndpoint,
 };
 
-use crate::ids::{service_digest, EndpointId, ServiceName, ZoneName};
+use crate::ids::{service_digest, EndpointId, ServiceName, StoreEra, ZoneName};
 use crate::relay::digest::FlowDigest;
-use crate::relay::identity::{merge_accounts, IncarnationChange, IncarnationSource};
+use crate::relay::era::{EraChange, EraController};
+use crate::relay::identity::{
+    merge_accounts, IncarnationChange, IncarnationSource, UNKNOWN_INCARNATION,
+};
 use crate::relay::intake::UpstreamState;
 use crate::relay::load::{AddressList, LoadCounts};
 use crate::relay::pace::EndpointPace;
@@ -108,8 +111,11 @@
 struct KnownEndpoint {
     endpoint: ListedEndpoint,
     listed: bool,
-    /// Whether the last account of the list was set aside for a report that was current.
+    /// Whether the last account of the list was set aside for a report that was current, or for what was known before a
+    /// restore of the store.
     set_aside: bool,
+    /// Whether the restored store lacks the endpoint, which stays listed until the end of the grace.
+    withheld: bool,
     /// Point in time until which an unlisted endpoint without reports is kept.
     retained_until: Instant,
     last: Option<LastReport>,
@@ -136,8 +142,9 @@
 pub struct FleetController {
     zone: ZoneName,
     known: HashMap<EndpointId, KnownEndpoint>,
-    /// Store revisions of the records of the list that were applied.
+    /// Store revisions of the records of the list that were applied, in the era of `era`.
     revisions: RevisionLog,
+    era: EraController,
     /// Changes of incarnations since they were taken last.
     incarnation_changes: Vec<IncarnationChange>,
 }
@@ -149,6 +156,7 @@
             zone,
             known: HashMap::new(),
             revisions: RevisionLog::default(),
+            era: EraController::default(),
             incarnation_changes: Vec::new(),
         }
     }
@@ -204,9 +212,33 @@
         std::mem::take(&mut self.incarnation_changes)
     }
 
+    /// Returns the era of the store's list, and what follows from a restore.
+    pub fn era(&self) -> &EraController {
+        &self.era
+    }
+
+    /// Records the highest era that the store's answers have shown. A restore starts a new order of revisions. Endpoints
+    /// that are listed stay so until the end of the grace, and others are kept as long.
+    pub fn observe_era(&mut self, era: StoreEra, now: Instant) -> EraChange {
+        let change = self.era.observe(era, now);
+        if let (EraChange::Restored { .. }, Some(until)) = (change, self.era.grace_until()) {
+            self.revisions.start_order();
+            for known in self.known.values_mut() {
+                known.retained_until = known.retained_until.max(until);
+            }
+        }
+        change
+    }
+
+    /// Records an era that another entry has told, and returns whether the store has to be read.
+    pub fn hear_era(&mut self, era: StoreEra, now: Instant) -> bool {
+        self.era.hear(era, now)
+    }
+
     /// Removes endpoints that are neither listed nor report and whose time to return has passed.
     pub fn tick(&mut self, now: Instant) {
         self.revisions.tick(now);
+        self.release_withheld(now);
         self.known
             .retain(|_, known| known.listed || known.is_fresh(now) || now < known.retained_until);
     }
@@ -335,6 +367,7 @@
             endpoint,
             listed: true,
             set_aside: false,
+            withheld: false,
             retained_until: now + LAPSED_TIME,
             last: None,
             reports: 0,
@@ -394,6 +427,13 @@
         (keepalive, interval)
     }
 
+    /// Returns whether `record` may be an account of the endpoint from before what is known.
+    fn is_preceded_by(&self, record: &ListedEndpoint) -> bool {
+        let other_service = record.service != self.endpoint.service;
+        let known = self.endpoint.incarnation;
+        other_service || (record.incarnation != UNKNOWN_INCARNATION && record.incarnation < known)
+    }
+
     fn is_fresh(&self, now: Instant) -> bool {
         self.last.as_ref().is_some_and(|last| now < last.expires)
     }
--- a/crates/core/src/relay/fleet/records.rs
+++ b/crates/core/src/relay/fleet/records.rs
@@ -2,6 +2,7 @@
 
 use super::{FleetController, KnownEndpoint, LAPSED_TIME};
 use crate::ids::EndpointId;
+use crate::relay::era::UNKNOWN_ERA;
 use crate::relay::identity::IncarnationSource;
 use crate::relay::list::{ListChange, ListEffect, ListRead, ListState, ListedEndpoint};
 use crate::relay::revisions::RecordAge;
@@ -12,6 +13,9 @@
 /// Seed of the fingerprint of the list.
 const LIST_SEED: u64 = 0x0011_5700;
 
+/// Seed of the part of a fingerprint that stands for the era.
+const ERA_SEED: u64 = 0x0011_5702;
+
 impl FleetController {
     /// Adds or updates an endpoint from the store's list, whatever the revision of its record.
     pub fn add_listed(&mut self, endpoint: ListedEndpoint, now: Instant) {
@@ -21,8 +25,11 @@
             return;
         };
         known.listed = true;
-        // A current report is newer than what the agent wrote to the store before.
-        known.set_aside = known.is_fresh(now);
+        known.withheld = false;
+        // A current report is newer than what the agent wrote to the store before, and what was known before a restore
+        // may be newer than a record of the copy.
+        let may_be_restored = self.era.is_grace(now) && known.is_preceded_by(&endpoint);
+        known.set_aside = known.is_fresh(now) || may_be_restored;
         if known.set_aside {
             return;
         }
@@ -34,8 +41,11 @@
     }
 
     /// Applies a change of the store's list, unless a later one of the same endpoint was applied: several entries pass
-    /// on the same changes.
+    /// on the same changes. A change of another era is ignored.
     pub fn apply_change(&mut self, change: ListChange, now: Instant) {
+        if self.era.is_foreign(change.era) {
+            return;
+        }
         let id = match &change.effect {
             ListEffect::Written(endpoint) => endpoint.id,
             ListEffect::Removed(id) => *id,
@@ -51,7 +61,7 @@
             }
             ListEffect::Removed(id) => {
                 self.revisions.record_removed(id, revision, now);
-                self.remove_listed(id, now);
+                self.withhold_or_remove(id, now);
             }
         }
     }
@@ -62,15 +72,47 @@
             return;
         };
         known.listed = false;
+        known.withheld = false;
         known.set_aside = false;
         known.retained_until = now + LAPSED_TIME;
         self.doubt(id, now);
     }
 
-    /// Applies a read of the whole list. Changes that are newer than the read may have been applied before, so each
+    /// Marks the endpoint as removed, unless the store was restored so recently that its agent may not have registered
+    /// again yet.
+    fn withhold_or_remove(&mut self, id: EndpointId, now: Instant) {
+        if !self.era.is_grace(now) {
+            return self.remove_listed(id, now);
+        }
+        if let Some(known) = self.known.get_mut(&id) {
+            known.withheld = known.listed;
+            self.doubt(id, now);
+        }
+    }
+
+    /// Removes the endpoints that the restored store still lacks after the grace.
+    pub(super) fn release_withheld(&mut self, now: Instant) {
+        if self.era.is_grace(now) {
+            return;
+        }
+        let mut removed = Vec::new();
+        for (id, known) in &self.known {
+            if known.withheld {
+                removed.push(*id);
+            }
+        }
+        for id in removed {
+            self.remove_listed(id, now);
+        }
+    }
+
+    /// Applies a read of the whole list, unless it is of another era. Changes that are newer than the read may have been applied before, so each
     /// record is compared by its revision, and an endpoint that the read lacks is removed only if the read is not older
     /// than the endpoint's record.
     pub fn replace_list(&mut self, read: ListRead, now: Instant) {
+        if self.era.is_foreign(read.era) {
+            return;
+        }
         let mut listed = HashSet::with_capacity(read.records.len());
         for record in read.records {
             let id = record.endpoint.id;
@@ -94,14 +136,20 @@
         }
         for id in removed {
             self.revisions.record_missing(id);
-            self.remove_listed(id, now);
+            self.withhold_or_remove(id, now);
         }
         self.revisions.record_read(read.revision);
     }
 
-    /// Returns the state of the list, by which entries compare their lists record by record.
+    /// Returns the state of the list, by which entries compare their lists record by record. Lists of different eras
+    /// differ.
     pub fn list_state(&self) -> ListState {
-        self.revisions.state()
+        let mut state = self.revisions.state();
+        let era = self.era.era();
+        if era != UNKNOWN_ERA {
+            state.fingerprint ^= xxh3_64_with_seed(&era.to_be_bytes(), ERA_SEED);
+        }
+        state
     }
 
     /// Returns a fingerprint of the endpoints that are listed, which is equal for lists of the same endpoints. It leaves
--- a/crates/core/src/relay/freshness.rs
+++ b/crates/core/src/relay/freshness.rs
@@ -113,6 +113,14 @@
         });
     }
 
+    /// Records at `now` that the store was restored: what was told of the era before says nothing any more, and the own
+    /// state has to be read again.
+    pub fn record_restore(&mut self, now: Instant) {
+        self.pending = None;
+        self.last = None;
+        self.read_due = now;
+    }
+
     /// Records at `now` that a read has failed, which has to be repeated soon: the entry may have missed a change.
     pub fn record_failed_read(&mut self, now: Instant) {
         let retry_time = match std::mem::replace(&mut self.failed, true) {
--- a/crates/core/src/relay/list.rs
+++ b/crates/core/src/relay/list.rs
@@ -1,6 +1,6 @@
 //! The store's list of endpoints and its changes.
 
-use crate::ids::{EndpointId, IncarnationNumber, ServiceName, StoreRevision, ZoneName};
+use crate::ids::{EndpointId, IncarnationNumber, ServiceName, StoreEra, StoreRevision, ZoneName};
 
 /// An endpoint as it is written in the store's list.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -29,6 +29,8 @@
 /// A read of the whole list, which may have been answered later than changes that were made after it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ListRead {
+    /// Era of the store that answered; 0 if it is not known.
+    pub era: StoreEra,
     /// Store revision that every page of the read shows at least; a page may be newer.
     pub revision: StoreRevision,
     /// The endpoints that were listed.
@@ -47,7 +49,9 @@
 /// A change of the store's list.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListChange {
-    /// Store revision of the change; changes of one endpoint count in the order of their revisions.
+    /// Era of the store that made the change; 0 if it is not known.
+    pub era: StoreEra,
+    /// Store revision of the change; changes of one endpoint in one era count in the order of their revisions.
     pub revision: StoreRevision,
     /// What the change did.
     pub effect: ListEffect,
--- a/crates/core/src/relay/registration.rs
+++ b/crates/core/src/relay/registration.rs
@@ -2,8 +2,13 @@
 //!
 //! An entry that has just started reads the list, and uses it to tell whether an endpoint is missing. The list holds
 //! no load and no state, so an idle agent only renews its lease.
+//!
+//! A store that was restored from an older copy has lost leases, and grants their numbers again to other owners. So the
+//! agent drops its lease when it notices a restore, and, where the store tells its era, removes its own key instead of
+//! revoking a lease that may be another's by the time the call is executed. See docs/design/store-restore.md.
 
-use crate::ids::LeaseId;
+use crate::ids::{EndpointId, LeaseId, StoreEra};
+use crate::relay::era::{EraChange, EraController, UNKNOWN_ERA};
 use crate::relay::fleet::ListedEndpoint;
 use std::time::{Duration, Instant};
 
@@ -13,7 +18,15 @@
 
 /// Interval between renewals, a third of the lease's lifetime. A renewal also detects that the lease has ended, which
 /// removes the endpoint from the list, so the endpoint is listed again after about this time.
-const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+pub const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Longest time that an agent waits after it has noticed a restore of the store, so that the writes of all agents are spread.
+pub const REGISTER_SPREAD: Duration = Duration::from_secs(1);
+
+/// Time after which the endpoint is written or removed once more, if a call that changes its key had no answer: the store
+/// may execute that call after later ones, and after a restore under a lease that is not the agent's. A lease that nobody
+/// renews has expired by then.
+const REPEAT_TIME: Duration = LEASE_TTL;
 
 /// Backoff after the first failed call; doubles with each further failure. Jitter shortens it by up to half.
 const RETRY_MIN: Duration = Duration::from_millis(100);
@@ -35,6 +48,8 @@
     Renew(LeaseId),
     /// Revoke the lease, which removes the endpoint from the list.
     Revoke(LeaseId),
+    /// Remove the endpoint's own key, whatever lease it is under, and let the lease expire.
+    Remove(EndpointId),
 }
 
 /// Result of a call to the store.
@@ -48,6 +63,8 @@
     Renewed,
     /// The lease was revoked.
     Revoked,
+    /// The endpoint's key was removed.
+    Removed,
     /// The lease has expired or was revoked by others.
     LeaseLost,
     /// The call failed, or its effect is unknown; all calls are safe to repeat.
@@ -66,8 +83,19 @@
     target: Option<ListedEndpoint>,
     written: Option<ListedEndpoint>,
     lease: Option<HeldLease>,
+    /// Endpoint that this agent has written last, with or without an answer.
+    own: Option<EndpointId>,
+    /// Whether the list may hold `own`.
+    may_be_listed: bool,
     retry_at: Option<Instant>,
     failures: u32,
+    era: EraController,
+    /// Point in time before which no call is made after a restore.
+    spread_until: Option<Instant>,
+    /// Whether a write had no answer, so that the store may still execute it.
+    is_write_uncertain: bool,
+    /// Point in time at which the endpoint is written or removed once more.
+    repeat_at: Option<Instant>,
 }
 
 impl RegistrationController {
@@ -77,8 +105,14 @@
             target: None,
             written: None,
             lease: None,
+            own: None,
+            may_be_listed: false,
             retry_at: None,
             failures: 0,
+            era: EraController::default(),
+            spread_until: None,
+            is_write_uncertain: false,
+            repeat_at: None,
         }
     }
 
@@ -91,24 +125,57 @@
         self.retry_at = None;
     }
 
+    /// Records the highest era that the store's answers have shown, before the outcome of the call that showed it. After a
+    /// restore the endpoint is registered again; `jitter`, from 0 to 1, spreads the agents.
+    pub fn observe_era(&mut self, era: StoreEra, jitter: f64, now: Instant) -> EraChange {
+        let change = self.era.observe(era, now);
+        if let EraChange::Restored { .. } = change {
+            self.lease = None;
+            self.written = None;
+            self.spread_until = Some(now + REGISTER_SPREAD.mul_f64(jitter));
+            if std::mem::take(&mut self.is_write_uncertain) {
+                self.repeat_at = Some(now + REPEAT_TIME);
+            }
+        }
+        change
+    }
+
+    /// Returns whether the list holds the endpoint that it should, as far as the store's answers show.
+    pub fn is_registered(&self) -> bool {
+        self.target.is_some() && self.written == self.target
+    }
+
     /// Returns the call that is due at `now`, or how long to wait.
     pub fn next_action(&self, now: Instant) -> RegistrationAction {
-        if let Some(retry_at) = self.retry_at.filter(|retry_at| now < *retry_at) {
-            return RegistrationAction::Wait(retry_at);
+        let pause = self.retry_at.max(self.spread_until);
+        if let Some(until) = pause.filter(|until| now < *until) {
+            return RegistrationAction::Wait(until);
         }
-        let idle = RegistrationAction::Wait(now + RENEW_INTERVAL);
+        let is_repeat = self.repeat_at.is_some_and(|repeat_at| repeat_at <= now);
+        let idle = now + RENEW_INTERVAL;
+        let tells_era = self.era.era() != UNKNOWN_ERA;
         match (&self.target, self.lease) {
-            (None, None) => idle,
-            (None, Some(lease)) => RegistrationAction::Revoke(lease.id),
+            (None, Some(lease)) if !tells_era => RegistrationAction::Revoke(lease.id),
+            (None, _) => match self.own {
+                Some(id) if tells_era && (self.may_be_listed || is_repeat) => {
+                    RegistrationAction::Remove(id)
+                }
+                _ => RegistrationAction::Wait(self.next_repeat(idle)),
+            },
             (Some(_), None) => RegistrationAction::Grant,
-            (Some(target), Some(lease)) if self.written.as_ref() != Some(target) => {
+            (Some(target), Some(lease)) if is_repeat || self.written.as_ref() != Some(target) => {
                 RegistrationAction::Write(target.clone(), lease.id)
             }
             (Some(_), Some(lease)) if lease.renew_at <= now => RegistrationAction::Renew(lease.id),
-            (Some(_), Some(lease)) => RegistrationAction::Wait(lease.renew_at),
+            (Some(_), Some(lease)) => RegistrationAction::Wait(self.next_repeat(lease.renew_at)),
         }
     }
 
+    /// Returns `due`, or the time of the repetition if that is earlier.
+    fn next_repeat(&self, due: Instant) -> Instant {
+        self.repeat_at.map_or(due, |repeat_at| repeat_at.min(due))
+    }
+
     /// Records the outcome of the call that [`RegistrationController::next_action`] returned.
     ///
     /// `jitter`, from 0 to 1, spreads the retries of many agents.
@@ -119,7 +186,17 @@
         jitter: f64,
         now: Instant,
     ) {
+        if let RegistrationAction::Write(endpoint, _) = action {
+            self.own = Some(endpoint.id);
+            self.may_be_listed = true;
+        }
         if outcome == RegistrationOutcome::Failed {
+            match action {
+                RegistrationAction::Write(..) => self.is_write_uncertain = true,
+                // Executed late, it would remove what was written after it.
+                RegistrationAction::Remove(_) => self.repeat_at = Some(now + REPEAT_TIME),
+                _ => {}
+            }
             let pause = RETRY_MIN * 2_u32.saturating_pow(self.failures.min(8));
             self.failures += 1;
             self.retry_at = Some(now + pause.min(RETRY_MAX).mul_f64(0.5 + jitter / 2.0));
@@ -136,8 +213,14 @@
                 });
             }
             RegistrationOutcome::Written => {
-                if let RegistrationAction::Write(endpoint, _) = action {
-                    self.written = Some(endpoint.clone());
+                self.end_repeat(now);
+                // A lease that was dropped meanwhile belongs to the era before a restore, and the record may be under the
+                // lease of another owner.
+                match (action, self.lease) {
+                    (RegistrationAction::Write(endpoint, id), Some(lease)) if lease.id == *id => {
+                        self.written = Some(endpoint.clone());
+                    }
+                    _ => {}
                 }
             }
             RegistrationOutcome::Renewed => {
@@ -145,6 +228,12 @@
                     lease.renew_at = now + RENEW_INTERVAL;
                 }
             }
+            RegistrationOutcome::Removed => {
+                self.end_repeat(now);
+                self.may_be_listed = false;
+                self.lease = None;
+                self.written = None;
+            }
             RegistrationOutcome::Revoked | RegistrationOutcome::LeaseLost => {
                 self.lease = None;
                 self.written = None;
@@ -152,6 +241,10 @@
             RegistrationOutcome::Failed => {}
         }
     }
+
+    fn end_repeat(&mut self, now: Instant) {
+        self.repeat_at = self.repeat_at.filter(|repeat_at| now < *repeat_at);
+    }
 }
 
 impl Default for RegistrationController {
--- a/crates/core/src/relay/revisions.rs
+++ b/crates/core/src/relay/revisions.rs
@@ -4,6 +4,8 @@
 //! an older account of a record may arrive after a newer one. A removed record has no revision in the store any more;
 //! its removal is kept until a read of the list shows that it took effect, or for a while. Accounts of records that are
 //! not known are refused if they may be older than what is not kept any longer.
+//!
+//! A store that was restored from an older copy assigns revisions again, so that each of its eras has its own order.
 
 use crate::ids::{EndpointId, StoreRevision};
 use crate::relay::list::ListState;
@@ -108,6 +110,18 @@
         }
     }
 
+    /// Starts the order of another era, in which any account is newer than what is known. Removals of the era before
+    /// are forgotten: the restored store may have the records again.
+    pub fn start_order(&mut self) {
+        self.records.retain(|_, record| !record.removed);
+        for record in self.records.values_mut() {
+            record.revision = 0;
+        }
+        self.removals.clear();
+        self.covered = 0;
+        self.latest = 0;
+    }
+
     /// Forgets removals whose time has passed.
     pub fn tick(&mut self, now: Instant) {
         while self
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -273,10 +273,12 @@
     let mut fleet = FleetController::new("a".into());
     fleet.add_listed(listed(1, 5), now);
     let written = ListChange {
+        era: 0,
         revision: 12,
         effect: ListEffect::Written(listed(1, 6)),
     };
     let removed = ListChange {
+        era: 0,
         revision: 10,
         effect: ListEffect::Removed(id(1)),
     };
--- a/crates/core/tests/relay/freshness.rs
+++ b/crates/core/tests/relay/freshness.rs
@@ -199,6 +199,7 @@
     let mut reader = FleetController::new("a".into());
     for (revision, effect) in &changes {
         let change = ListChange {
+            era: 0,
             revision: *revision,
             effect: effect.clone(),
         };
@@ -216,6 +217,7 @@
         endpoint: listed(1, 6),
     };
     let read = ListRead {
+        era: 0,
         revision: 20,
         records: vec![record],
     };
@@ -265,13 +267,21 @@
     ];
     let mut follower = FleetController::new("a".into());
     for (revision, effect) in changes {
-        follower.apply_change(ListChange { revision, effect }, start);
+        follower.apply_change(
+            ListChange {
+                era: 0,
+                revision,
+                effect,
+            },
+            start,
+        );
     }
     let record = ListRecord {
         revision: 10,
         endpoint: listed(1, 5),
     };
     let read = ListRead {
+        era: 0,
         revision: 20,
         records: vec![record],
     };
--- a/crates/core/tests/relay/list.rs
+++ b/crates/core/tests/relay/list.rs
@@ -36,6 +36,7 @@
 
 fn written(revision: StoreRevision, number: u8, incarnation: u64) -> ListChange {
     ListChange {
+        era: 0,
         revision,
         effect: ListEffect::Written(listed(number, incarnation)),
     }
@@ -43,6 +44,7 @@
 
 fn removed(revision: StoreRevision, number: u8) -> ListChange {
     ListChange {
+        era: 0,
         revision,
         effect: ListEffect::Removed(id(number)),
     }
@@ -55,6 +57,7 @@
         endpoint: listed(*number, *incarnation),
     };
     ListRead {
+        era: 0,
         revision,
         records: records.iter().map(record).collect(),
     }
--- a/crates/entry/src/reader.rs
+++ b/crates/entry/src/reader.rs
@@ -254,7 +254,7 @@
             deletes: Vec::new(),
         };
         match self.store.commit(&transaction).await {
-            Ok(TransactionOutcome::Committed(_)) => Ok(Some(lease)),
+            Ok(TransactionOutcome::Committed { .. }) => Ok(Some(lease)),
             Ok(TransactionOutcome::Conflict(_)) => {
                 // If this call fails, the unused lease expires.
                 let _ = self.store.revoke(lease).await;
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry of the relay: follows routes and endpoints, publishes the view, answers readiness probes.
 
 mod endpoints;
+mod era;
 mod range;
 mod routes;
 
@@ -205,8 +206,11 @@
                 Ok(Some(TrafficEvent::Report(report))) => {
                     control.borrow_mut().handle_report(report, Instant::now());
                 }
-                Ok(Some(TrafficEvent::ListChange(notice))) => {
-                    control.borrow_mut().handle_list_change(notice, Instant::now());
+                Ok(Some(TrafficEvent::ListChange(era, notice))) => {
+                    control.borrow_mut().handle_list_change(era, notice, Instant::now());
+                }
+                Ok(Some(TrafficEvent::StoreEra(era))) => {
+                    control.borrow_mut().handle_store_era(era, Instant::now());
                 }
                 Ok(Some(TrafficEvent::ListState(state))) => {
                     control.borrow_mut().handle_list_state(state, Instant::now());
@@ -300,7 +304,7 @@
     fleet: FleetController,
     endpoints_range: RangeState,
     endpoints_progress: RangeProgress,
-    /// Highest store revision of the list that is known.
+    /// Highest store revision of the list that is known, in the store's current era.
     list_revision: StoreRevision,
     peers: PeerController,
     routes_freshness: FreshnessController,
@@ -395,7 +399,9 @@
             former,
             holders_known: self.fleet.holders_known(),
             services: self.fleet.services(now),
-            synced: self.routes_range.current && self.endpoints_range.current,
+            synced: self.routes_range.current
+                && self.endpoints_range.current
+                && !self.fleet.era().is_grace(now),
             routes_read: self.routes_range.read,
             routes_confirmed: self.routes_progress.confirmed(),
             endpoints_read: self.endpoints_range.read,
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -1,9 +1,11 @@
 //! How the control thread keeps in touch with agents and with the other entries of its zone, and follows the list of endpoints.
 
+use super::range::ENDPOINTS_NAME;
 use super::{RelayControl, LOAD_AGE, SETTLE_TIME};
 use crate::relay::traffic::ArrivedReport;
-use quetzalhill_core::ids::{address_of, id_of, EndpointId, EntryId};
+use quetzalhill_core::ids::{address_of, id_of, EndpointId, EntryId, StoreEra};
 use quetzalhill_core::relay::confirm::{ConfirmAction, ConfirmClient, ConfirmId, ConfirmOutcome};
+use quetzalhill_core::relay::era::UNKNOWN_ERA;
 use quetzalhill_core::relay::fleet::{
     DueKeepalive, ListChange, ListEffect, ListRead, ListRecord, ListState, ListedEndpoint,
     ReportOutcome,
@@ -80,16 +82,18 @@
 
     /// Applies an event of the list of endpoints.
     pub(super) fn handle_endpoints_event(&mut self, event: FollowEvent, now: Instant) {
+        self.observe_era(ENDPOINTS_NAME, now);
         let state = Arc::clone(&self.state);
         let counters = &state.counters;
         match event {
             FollowEvent::Loaded {
                 entries,
+                era,
                 revision,
                 read,
                 source,
             } => {
-                let endpoints = self.load_endpoints(&entries, revision, now);
+                let endpoints = self.load_endpoints(&entries, era, revision, now);
                 let confirmed = read.unwrap_or(now);
                 let mut age = self.endpoints_progress.age(now);
                 // A replica may be older than the changes that other entries have passed on, and may lack other changes
@@ -116,11 +120,15 @@
                     self.tell_list_state(now);
                 }
             }
-            FollowEvent::Changed { events, revision } => {
+            FollowEvent::Changed {
+                events,
+                era,
+                revision,
+            } => {
                 let progress = &mut self.endpoints_progress;
                 progress.record_answer(revision, now, now, counters);
                 self.endpoints_range.current = true;
-                self.change_endpoints(events, now);
+                self.change_endpoints(events, era, now);
                 self.list_freshness.record_read(now);
                 self.tell_list_state(now);
             }
@@ -143,6 +151,7 @@
         if self.peers.role(now) != ListRole::Reader || !self.list_freshness.take_notice(now) {
             return;
         }
+        self.tell_era(now);
         let state = self.fleet.list_state();
         let notice = RelayNotice::ListState {
             revision: state.revision,
@@ -229,6 +238,7 @@
     fn load_endpoints(
         &mut self,
         entries: &[KeyValue],
+        era: StoreEra,
         revision: StoreRevision,
         now: Instant,
     ) -> usize {
@@ -241,21 +251,28 @@
             }));
         }
         let count = records.len();
-        self.fleet.replace_list(ListRead { revision, records }, now);
+        let read = ListRead {
+            era,
+            revision,
+            records,
+        };
+        self.fleet.replace_list(read, now);
         count
     }
 
     /// Applies changes from the store, and passes them on to the other entries of the zone.
-    fn change_endpoints(&mut self, events: Vec<WatchEvent>, now: Instant) {
+    fn change_endpoints(&mut self, events: Vec<WatchEvent>, era: StoreEra, now: Instant) {
         let mut changes = Vec::new();
         for event in events {
             changes.extend(match event {
                 WatchEvent::Put(entry) => self.read_record(&entry).map(|endpoint| ListChange {
+                    era,
                     revision: entry.mod_revision,
                     effect: ListEffect::Written(endpoint),
                 }),
                 WatchEvent::Delete { key, revision } => {
                     endpoint_of_key(ENDPOINT_PREFIX, &key).map(|id| ListChange {
+                        era,
                         revision,
                         effect: ListEffect::Removed(id),
                     })
@@ -263,7 +280,11 @@
             });
         }
         for chunk in changes.chunks(LIST_CHANGES_MAX) {
-            self.pass_on(&RelayNotice::ListChange(ListNotice::new(chunk)));
+            let notice = ListNotice::new(chunk);
+            self.pass_on(&match era {
+                UNKNOWN_ERA => RelayNotice::ListChange(notice),
+                era => RelayNotice::EraListChange(era, notice),
+            });
         }
         self.apply_changes(changes, now);
     }
@@ -276,9 +297,13 @@
         }
     }
 
-    /// Applies changes of the list that another entry passes on.
-    pub(super) fn handle_list_change(&mut self, notice: ListNotice, now: Instant) {
-        self.apply_changes(notice.into_changes(), now);
+    /// Applies changes of the list that another entry passes on, from this era of the store.
+    pub(super) fn handle_list_change(&mut self, era: StoreEra, notice: ListNotice, now: Instant) {
+        if self.fleet.era().is_foreign(era) {
+            // Changes of a later era are in the read that follows.
+            return self.handle_store_era(era, now);
+        }
+        self.apply_changes(notice.into_changes(era), now);
         self.send_keepalives(now);
         self.publish(now);
     }
--- a/crates/entry/src/relay/control/routes.rs
+++ b/crates/entry/src/relay/control/routes.rs
@@ -1,5 +1,6 @@
 //! How the control thread follows the routes, and learns from other entries of its zone that it has missed a change.
 
+use super::range::ROUTES_NAME;
 use super::RelayControl;
 use crate::relay::counters::set;
 use quetzalhill_core::ids::{RevisionNumber, StoreRevision};
@@ -18,6 +19,7 @@
 impl RelayControl {
     /// Applies an event of the routes.
     pub(super) fn handle_routes_event(&mut self, event: FollowEvent, now: Instant) {
+        self.observe_era(ROUTES_NAME, now);
         let before = self.routes_range;
         let state = Arc::clone(&self.state);
         let counters = &state.counters;
@@ -27,6 +29,7 @@
                 revision,
                 read,
                 source,
+                ..
             } => {
                 let confirmed = read.unwrap_or(now);
                 let progress = &mut self.routes_progress;
@@ -39,7 +42,9 @@
                 self.routes_freshness.record_read(confirmed);
                 self.tell_routes_state(before, now);
             }
-            FollowEvent::Changed { events, revision } => {
+            FollowEvent::Changed {
+                events, revision, ..
+            } => {
                 let progress = &mut self.routes_progress;
                 let age = progress.record_answer(revision, now, now, counters);
                 self.routes_range.current = true;
@@ -120,6 +125,10 @@
     /// Compares the own routes with those of an entry that reads for the zone.
     pub(super) fn handle_routes_state(&mut self, revision: RevisionNumber, now: Instant) {
         let own = self.routes.current().revision;
+        // The notice may be from before a restore of the store, and does not show that the entry has what was written since.
+        if revision == own && self.fleet.era().is_grace(now) {
+            return;
+        }
         let freshness = &mut self.routes_freshness;
         freshness.record_state(routes_state(revision), routes_state(own), now);
         if revision == own {
--- a/crates/entry/src/relay/counters.rs
+++ b/crates/entry/src/relay/counters.rs
@@ -6,6 +6,7 @@
 };
 use quetzalhill_core::relay::chain::{DeliverReason, RelayDrop, RelayVerdict, ResetReason};
 use quetzalhill_core::relay::hold::HoldReason;
+use quetzalhill_node::relay::era::EraCounters;
 use quetzalhill_node::relay::notices::NoticeCounters;
 
 /// Upper bounds of the buckets of the decision histogram, in seconds.
@@ -52,6 +53,8 @@
     pub(super) range_age: GaugeVec,
     /// Time from the last answer before an outage to the first answer after it, in seconds, by range.
     pub(super) store_catch_up: HistogramVec,
+    /// Era of the store and its restores.
+    pub(super) era: EraCounters,
     /// Routes from the store that were older than the ones in force, by the call that returned them.
     pub(super) older_routes: IntCounterVec,
 }
@@ -123,6 +126,7 @@
                 "source",
             )?,
             invalid_records,
+            era: EraCounters::new(registry)?,
             notices: NoticeCounters::new(registry)?,
             packets: counter(
                 "quetzalhill_relay_packets_total",
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -7,11 +7,12 @@
 use super::shared::RelayState;
 use crate::traffic::{bind, expect_v4, is_idle, ERROR_PAUSE};
 use anyhow::Result;
-use quetzalhill_core::ids::{address_of, id_of, EndpointId, RevisionNumber};
+use quetzalhill_core::ids::{address_of, id_of, EndpointId, RevisionNumber, StoreEra};
 use quetzalhill_core::relay::chain::{
     DeliverReason, DeliverTarget, DroppedHolder, RelayDrop, RelayVerdict,
 };
 use quetzalhill_core::relay::confirm::{ConfirmClient, ConfirmId};
+use quetzalhill_core::relay::era::UNKNOWN_ERA;
 use quetzalhill_core::relay::hold::HoldReason;
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::list::ListState;
@@ -48,8 +49,10 @@
 pub(super) enum TrafficEvent {
     /// An agent sent a report.
     Report(ArrivedReport),
-    /// Another entry passes on changes of the list of endpoints.
-    ListChange(ListNotice),
+    /// Another entry passes on changes of the list of endpoints, made in this era of the store.
+    ListChange(StoreEra, ListNotice),
+    /// Another entry has told the era of the store.
+    StoreEra(StoreEra),
     /// Another entry has told the state of its list.
     ListState(ListState),
     /// Another entry has told which revision of the routes it has in force.
@@ -277,7 +280,13 @@
                 }));
             }
             Ok(RelayDatagram::Notice(RelayNotice::ListChange(notice))) => {
-                self.send_event(TrafficEvent::ListChange(notice));
+                self.send_event(TrafficEvent::ListChange(UNKNOWN_ERA, notice));
+            }
+            Ok(RelayDatagram::Notice(RelayNotice::EraListChange(era, notice))) => {
+                self.send_event(TrafficEvent::ListChange(era, notice));
+            }
+            Ok(RelayDatagram::Notice(RelayNotice::StoreEra(era))) => {
+                self.send_event(TrafficEvent::StoreEra(era));
             }
             Ok(RelayDatagram::Notice(RelayNotice::ListState {
                 revision,
@@ -303,9 +312,7 @@
             }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
             | Ok(RelayDatagram::Notice(
-                RelayNotice::Keepalive(_)
-                | RelayNotice::OperatorState { .. }
-                | RelayNotice::StoreEra(_),
+                RelayNotice::Keepalive(_) | RelayNotice::OperatorState { .. },
             )) => self.count_malformed("unexpected"),
             Err(error) => self.count_malformed(&format!("{error:?}")),
         }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -108,6 +108,10 @@
     LeaseLost = 4015, Warn, "lease-lost";
     /// An entry began to follow the list of endpoints itself, or to leave that to other entries of its zone.
     ListRole = 4016, Info, "list-role";
+    /// Answers of the store show that it was restored from an older copy.
+    StoreRestored = 4030, Warn, "store-restored";
+    /// An agent registered its endpoint again after the store was restored.
+    EndpointRegisteredAgain = 4031, Info, "endpoint-registered-again";
     /// A task or thread ended with an error.
     TaskFailed = 5001, Error, "task-failed";
     /// Changed control keys came into force.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,5 +1,6 @@
 //! Code that the entries and agents of the relay share.
 
+pub mod era;
 pub mod follow;
 pub mod notices;
 pub mod settings;
--- a/crates/node/src/relay/follow.rs
+++ b/crates/node/src/relay/follow.rs
@@ -4,15 +4,15 @@
 use ntex::time::{sleep, Millis};
 use quetzalhill_core::retry::backoff;
 use quetzalhill_store::api::{
-    CallEnd, CatalogueStore, CatalogueWatch, KeyRange, KeyValue, StoreError, StoreRevision,
-    WatchBatch, WatchEvent,
+    CallEnd, CatalogueStore, CatalogueWatch, KeyRange, KeyValue, StoreEra, StoreError,
+    StoreRevision, WatchBatch, WatchEvent,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{watch, Notify};
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::{sleep_until, timeout, timeout_at};
 
 /// Call from which state or a failure came, in logs and metrics.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,6 +46,8 @@
     Loaded {
         /// All keys of the range with their values.
         entries: Vec<KeyValue>,
+        /// Era of the store that answered; 0 if it is not known.
+        era: StoreEra,
         /// Store revision of the read.
         revision: StoreRevision,
         /// When the read began; changes made after this point in time may be missing. `None` for a read that may miss
@@ -58,6 +60,8 @@
     Changed {
         /// Changes in the order of their revisions; empty if a poll found none.
         events: Vec<WatchEvent>,
+        /// Era of the store that answered; 0 if it is not known.
+        era: StoreEra,
         /// Store revision at the time of the answer.
         revision: StoreRevision,
     },
@@ -143,18 +147,24 @@
                 failures.record_success(result.revision, read);
                 failures.loaded = true;
                 let (records, revision) = (result.entries.len(), result.revision);
+                let era = match result.era {
+                    0 => store.era(),
+                    era => era,
+                };
                 sink(FollowEvent::Loaded {
                     entries: result.entries,
+                    era,
                     revision,
                     read: (mode != FollowMode::Poll).then_some(read),
                     source,
                 });
                 let mut left = WatchEnd::Reopen(revision.saturating_add(1));
                 if mode != FollowMode::Poll {
-                    tokio::time::sleep(plan.settle).await;
+                    pause_unless_restored(&store, era, plan.settle).await;
                 }
                 while let WatchEnd::Reopen(from) = left {
-                    left = watch_range(&store, &mut plan, from, &mut failures, &mut sink).await;
+                    let position = WatchPosition { era, from };
+                    left = watch_range(&store, &mut plan, position, &mut failures, &mut sink).await;
                 }
                 if left == WatchEnd::ModeChanged {
                     wait_for_poll(&mut plan, records, &mut failures.rng).await;
@@ -200,6 +210,7 @@
         match store.range(&range).await {
             Ok(result) => sink(FollowEvent::Loaded {
                 entries: result.entries,
+                era: result.era,
                 revision: result.revision,
                 read: Some(read),
                 source: FollowSource::Confirm,
@@ -222,15 +233,33 @@
     ModeChanged,
 }
 
-/// Watches until the store has compacted the revisions that the watch needs, or does not answer. The caller then reads
-/// the range again, because a read shows sooner than a long poll that the store is back.
+/// Change from which a range is watched.
+#[derive(Clone, Copy, Debug)]
+struct WatchPosition {
+    /// Era in which the revision counts; 0 if it is not known.
+    era: StoreEra,
+    from: StoreRevision,
+}
+
+/// Waits for `pause`, or until the store is known to have been restored since `era`.
+async fn pause_unless_restored<S: CatalogueStore>(store: &S, era: StoreEra, pause: Duration) {
+    // That the time has passed is the usual end.
+    let _ = timeout(pause, store.wait_for_restore(era)).await;
+}
+
+/// Watches until the store has compacted the revisions that the watch needs, was restored from an older copy, or does not
+/// answer. The caller then reads the range again, because a read shows sooner than a long poll that the store is back.
 async fn watch_range<S: CatalogueStore>(
     store: &S,
     plan: &mut FollowPlan,
-    mut from: StoreRevision,
+    position: WatchPosition,
     failures: &mut FailureLog,
     sink: &mut impl FnMut(FollowEvent),
 ) -> WatchEnd {
+    let WatchPosition { era, mut from } = position;
+    if era != 0 && store.era() != era {
+        return WatchEnd::Reread;
+    }
     let opened = Instant::now();
     let mode = *plan.mode.borrow_and_update();
     let watch = match mode {
@@ -254,19 +283,29 @@
             Ok(_) = plan.mode.wait_for(|mode| *mode == FollowMode::Watch), if mode == FollowMode::LongWatch => {
                 return WatchEnd::Reopen(from);
             }
+            // The poll may stay open for long, and its revisions are those of other changes now.
+            () = store.wait_for_restore(era) => return WatchEnd::Reread,
         };
         match batch {
-            Ok(WatchBatch::Events { events, revision }) => {
+            Ok(WatchBatch::Events {
+                era: told,
+                events,
+                revision,
+            }) => {
                 failures.record_success(revision, Instant::now());
                 from = from.max(revision.saturating_add(1));
                 let changed = !events.is_empty();
-                sink(FollowEvent::Changed { events, revision });
+                sink(FollowEvent::Changed {
+                    events,
+                    era: told,
+                    revision,
+                });
                 let wanted = *plan.mode.borrow();
                 if wanted == FollowMode::Poll {
                     return WatchEnd::ModeChanged;
                 }
                 if changed {
-                    tokio::time::sleep(plan.pause).await;
+                    pause_unless_restored(store, era, plan.pause).await;
                 }
                 if wanted != mode {
                     return WatchEnd::Reopen(from);
--- a/crates/node/src/relay/notices.rs
+++ b/crates/node/src/relay/notices.rs
@@ -16,6 +16,8 @@
     ListState,
     /// Revision of the routes at an entry that reads for its zone, to the other entries.
     RoutesState,
+    /// Era of the store after a restore, between entries of a zone.
+    StoreEra,
     /// Request to confirm the list, or its answer, between entries of a zone.
     Confirm,
 }
@@ -31,6 +33,7 @@
             NoticeKind::ListChange => "list-change",
             NoticeKind::RoutesState => "routes-state",
             NoticeKind::ListState => "list-state",
+            NoticeKind::StoreEra => "store-era",
             NoticeKind::Confirm => "confirm",
         }
     }
--- a/crates/node/tests/follow.rs
+++ b/crates/node/tests/follow.rs
@@ -52,6 +52,7 @@
         match self.outage.get() {
             true => Err(unavailable()),
             false => Ok(RangeResult {
+                era: 0,
                 revision: 1,
                 entries: Vec::new(),
             }),
--- a/crates/node/tests/follow_lines.rs
+++ b/crates/node/tests/follow_lines.rs
@@ -66,6 +66,7 @@
         let next = self.0.borrow_mut().pop_front();
         match next {
             Some(Ok(revision)) => Ok(RangeResult {
+                era: 0,
                 revision,
                 entries: Vec::new(),
             }),
--- a/crates/platform/src/standin/store.rs
+++ b/crates/platform/src/standin/store.rs
@@ -1,13 +1,14 @@
 //! Codec for requests and answers from the view of the platform's store.
 
 use crate::store::{
-    CONFLICT, GONE, GRANT_PATH, KEY_PATH, NOT_FOUND, NO_LEASE, OK, RANGE_PATH, RENEW_PREFIX,
-    REVOKE_PREFIX, TRANSACTION_PATH, UNAVAILABLE, WATCH_PATH,
+    CONFLICT, ERA_HEADER, GONE, GRANT_PATH, KEY_PATH, NOT_FOUND, NO_LEASE, OK, RANGE_PATH,
+    RENEW_PREFIX, REVOKE_PREFIX, TRANSACTION_PATH, UNAVAILABLE, WATCH_PATH,
 };
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use quetzalhill_store::api::{
-    Compare, DeleteOp, KeyRange, KeyValue, LeaseId, PutOp, StoreRevision, Transaction, WatchEvent,
+    Compare, DeleteOp, KeyRange, KeyValue, LeaseId, PutOp, StoreEra, StoreRevision, Transaction,
+    WatchEvent,
 };
 use serde_json::{json, Value};
 use std::time::Duration;
@@ -45,6 +46,11 @@
     pub body: String,
 }
 
+/// Returns the header that tells the era of the store: its name and its value.
+pub fn era_header(era: StoreEra) -> (&'static str, String) {
+    (ERA_HEADER, era.to_string())
+}
+
 /// Decodes a request; returns `None` if the method, the path, a parameter or the body is not valid.
 pub fn decode(method: &str, path: &str, query: &str, body: &[u8]) -> Option<StoreCall> {
     let field = |name: &str| query_value(query, name);
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -3,7 +3,7 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use quetzalhill_store::api::{
-    CallEnd, Compare, KeyRange, KeyValue, LeaseGrant, LeaseId, StoreError, StoreRevision,
+    CallEnd, Compare, KeyRange, KeyValue, LeaseGrant, LeaseId, StoreEra, StoreError, StoreRevision,
     Transaction, TransactionOutcome, WatchBatch, WatchEvent,
 };
 use quetzalhill_store::codec::{
@@ -28,6 +28,9 @@
 pub(crate) const RENEW_PREFIX: &str = "/-/kv-keep/";
 pub(crate) const REVOKE_PREFIX: &str = "/-/kv-lease-end/";
 
+/// Header of every answer with the number that the store raises when it is restored from an older copy.
+pub(crate) const ERA_HEADER: &str = "store-era";
+
 /// Largest number of conditions, writes and removals that the store accepts in one transaction.
 const ENTRIES_MAX: usize = 32;
 
@@ -176,6 +179,18 @@
 }
 
 impl StoreCodec for PlatformCodec {
+    fn era_header(&self) -> Option<&'static str> {
+        Some(ERA_HEADER)
+    }
+
+    fn decode_era(&self, value: &str) -> StoreEra {
+        let digits = value.trim();
+        match digits.bytes().all(|byte| byte.is_ascii_digit()) {
+            true => digits.parse().unwrap_or_default(),
+            false => 0,
+        }
+    }
+
     fn encode_range(
         &self,
         range: &KeyRange,
@@ -206,6 +221,7 @@
         }
         let body: RangeBody<'_> = decode_ok(answer)?;
         Ok(RangePage {
+            era: answer.era,
             revision: body.store_revision,
             entries: body.items.into_iter().map(decode_item).collect(),
             more: body.has_more,
@@ -244,6 +260,7 @@
             }
         }
         Ok(WatchBatch::Events {
+            era: answer.era,
             revision: body.store_revision,
             events,
         })
@@ -292,7 +309,10 @@
             return Err(StoreError::LeaseNotFound { id: NO_LEASE });
         }
         let body: CommitBody = decode_ok(answer)?;
-        Ok(TransactionOutcome::Committed(body.revision))
+        Ok(TransactionOutcome::Committed {
+            era: answer.era,
+            revision: body.revision,
+        })
     }
 
     fn encode_grant(&self, ttl: Duration) -> HttpCall {
@@ -317,6 +337,7 @@
         let id = id.ok_or_else(|| unreadable("the answer to a grant has no lease number"))?;
         Ok(LeaseGrant {
             id,
+            era: answer.era,
             ttl: Duration::from_millis(body.ttl_ms),
         })
     }
@@ -342,6 +363,7 @@
         // The body may hold the store revision of the read.
         let body: Option<MissingKeyBody> = serde_json::from_slice(answer.body).ok();
         return Ok(RangePage {
+            era: answer.era,
             revision: body.map_or(0, |body| body.store_revision),
             entries: Vec::new(),
             more: false,
@@ -349,6 +371,7 @@
     }
     let body: ItemBody = decode_ok(answer)?;
     Ok(RangePage {
+        era: answer.era,
         revision: body.store_revision,
         entries: vec![body.decode()?],
         more: false,
--- a/crates/platform/tests/bodies.rs
+++ b/crates/platform/tests/bodies.rs
@@ -109,6 +109,7 @@
 
 fn answer(status: u16, body: &str) -> HttpAnswer<'_> {
     HttpAnswer {
+        era: 0,
         status,
         body: body.as_bytes(),
     }
@@ -127,7 +128,10 @@
     let batch = PlatformCodec
         .decode_watch(&prefix(), 411, answer(200, body))
         .expect("valid");
-    let WatchBatch::Events { revision, events } = batch else {
+    let WatchBatch::Events {
+        revision, events, ..
+    } = batch
+    else {
         panic!("{batch:?}");
     };
     assert_eq!(revision, 413);
@@ -225,7 +229,7 @@
     /// Guards against a panic on an arbitrary body.
     #[test]
     fn any_body_is_decoded_or_refused(status in 100_u16..600, body in proptest::collection::vec(any::<u8>(), 0..200)) {
-        let answer = HttpAnswer { status, body: &body };
+        let answer = HttpAnswer { status, era: 0, body: &body };
         let _ = PlatformCodec.decode_range(&prefix(), answer);
         let _ = PlatformCodec.decode_watch(&prefix(), 1, answer);
         let _ = PlatformCodec.decode_commit(answer);
@@ -273,6 +277,7 @@
     let prefix = KeyRange::Prefix("p/".into());
     let body = format!(r#"{{"items":{items},"hasMore":true,"storeRevision":9}}"#);
     let answer = HttpAnswer {
+        era: 0,
         status: 200,
         body: body.as_bytes(),
     };
@@ -289,13 +294,17 @@
     assert_eq!(found, expected);
     let body = format!(r#"{{"events":{items},"storeRevision":9}}"#);
     let answer = HttpAnswer {
+        era: 0,
         status: 200,
         body: body.as_bytes(),
     };
     let batch = PlatformCodec
         .decode_watch(&prefix, 2, answer)
         .expect("the watch holds two good events");
-    let WatchBatch::Events { revision, events } = batch else {
+    let WatchBatch::Events {
+        revision, events, ..
+    } = batch
+    else {
         panic!("no events: {batch:?}");
     };
     assert_eq!((revision, events.len()), (9, 3));
--- a/crates/platform/tests/standin.rs
+++ b/crates/platform/tests/standin.rs
@@ -29,6 +29,7 @@
 
 fn answer(answer: &store::StoreAnswer) -> HttpAnswer<'_> {
     HttpAnswer {
+        era: 0,
         status: answer.status,
         body: answer.body.as_bytes(),
     }
@@ -79,6 +80,7 @@
     let batch = store::watch(&events, 13);
     let batch = codec.decode_watch(&range, 12, answer(&batch));
     let expected = WatchBatch::Events {
+        era: 0,
         revision: 13,
         events: events.to_vec(),
     };
@@ -107,7 +109,13 @@
     };
     assert_eq!(seen, transaction);
     let done = codec.decode_commit(answer(&store::committed(8)));
-    assert_eq!(done, Ok(TransactionOutcome::Committed(8)));
+    assert_eq!(
+        done,
+        Ok(TransactionOutcome::Committed {
+            era: 0,
+            revision: 8
+        })
+    );
     let refused = codec.decode_commit(answer(&store::unavailable()));
     assert!(matches!(refused, Err(StoreError::NotApplied { .. })));
 
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -11,13 +11,14 @@
 use ntex::time::{sleep, Millis};
 use ntex::web::types::JsonConfig;
 use ntex::web::{App, HttpServer};
+use quetzalhill_core::ids::StoreEra;
 use state::StoreState;
-pub use state::{StandinCounts, StandinMode};
+pub use state::{RestorePolls, StandinCounts, StandinMode};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// Largest number of failed attempts of a restart to bind the address, which the old listener may still hold.
@@ -174,6 +175,18 @@
         lock(&self.state).roll_back(revision);
     }
 
+    /// Makes all answers of [`StoreApi::Polled`] from now on tell this era.
+    pub fn set_era(&self, era: StoreEra) {
+        lock(&self.state).era = era;
+    }
+
+    /// Restores the store from a copy that is `age` old, and raises its era; see [`StoreApi::Polled`].
+    pub fn restore(&self, age: Duration, polls: RestorePolls) {
+        let now = Instant::now();
+        let copied = now.checked_sub(age).unwrap_or(now);
+        lock(&self.state).restore(copied, polls);
+    }
+
     /// Marks the history up to `revision` as compacted, so that watches that start in it are refused.
     pub fn compact(&self, revision: i64) {
         lock(&self.state).compacted = revision;
--- a/crates/standins/src/store/polled.rs
+++ b/crates/standins/src/store/polled.rs
@@ -7,7 +7,9 @@
 use ntex::web::types::State;
 use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
 use quetzalhill_platform::standin::store::{self as codec, StoreAnswer, StoreCall};
-use quetzalhill_store::api::{Compare, KeyRange, KeyValue, StoreRevision, Transaction, WatchEvent};
+use quetzalhill_store::api::{
+    Compare, KeyRange, KeyValue, StoreEra, StoreRevision, Transaction, WatchEvent,
+};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -23,7 +25,7 @@
     let Some(call) = codec::decode(method, uri.path(), query, &body) else {
         return HttpResponse::NotFound().finish();
     };
-    let Some(answer) = execute_call(&state, call).await else {
+    let Some((answer, era)) = execute_call(&state, call).await else {
         if let Some(io) = request.io() {
             io.terminate();
         }
@@ -31,15 +33,20 @@
         return HttpResponse::Ok().finish();
     };
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    HttpResponse::build(status)
-        .content_type("application/json")
-        .body(answer.body)
+    let mut response = HttpResponse::build(status);
+    response.content_type("application/json");
+    if era != 0 {
+        let (name, value) = codec::era_header(era);
+        response.header(name, value);
+    }
+    response.body(answer.body)
 }
 
-/// Delays a call as the mode requires and executes it; returns `None` if the answer has to be lost.
-async fn execute_call(state: &SharedStore, call: StoreCall) -> Option<StoreAnswer> {
+/// Delays a call as the mode requires and executes it; returns the answer with the era in which the call was executed, or
+/// `None` if the answer has to be lost.
+async fn execute_call(state: &SharedStore, call: StoreCall) -> Option<(StoreAnswer, StoreEra)> {
     if !delay_by_mode(state).await {
-        return Some(codec::unavailable());
+        return Some((codec::unavailable(), lock(state).era));
     }
     let StoreCall::Watch {
         prefix,
@@ -49,7 +56,7 @@
     else {
         let mut state = lock(state);
         let answer = execute(&mut state, call);
-        return (!std::mem::take(&mut state.lose_next)).then_some(answer);
+        return (!std::mem::take(&mut state.lose_next)).then_some((answer, state.era));
     };
     Some(watch(state, &prefix, after, wait).await)
 }
@@ -134,13 +141,14 @@
     prefix: &str,
     after: StoreRevision,
     wait: Duration,
-) -> StoreAnswer {
+) -> (StoreAnswer, StoreEra) {
     let (sender, mut receiver) = mpsc::unbounded_channel();
     let range = byte_range(&KeyRange::Prefix(prefix.into()));
     let (id, mut events) = {
         let mut state = lock(state);
-        if after < state.compacted {
-            return codec::compacted();
+        let is_known = after <= state.revision || state.era == 0;
+        if after < state.compacted || !is_known {
+            return (codec::compacted(), state.era);
         }
         state.open_watch(range, after + 1, sender)
     };
@@ -155,14 +163,14 @@
     let mut state = lock(state);
     state.close_watch(id);
     if ended {
-        return codec::unavailable();
+        return (codec::unavailable(), state.era);
     }
     let revision = match events.last() {
         Some(event) => event.revision,
         None => state.revision,
     };
     let events: Vec<WatchEvent> = events.iter().map(watch_event).collect();
-    codec::watch(&events, revision)
+    (codec::watch(&events, revision), state.era)
 }
 
 fn watch_event(event: &StoreEvent) -> WatchEvent {
--- a/crates/standins/src/store/state.rs
+++ b/crates/standins/src/store/state.rs
@@ -1,5 +1,6 @@
 //! Keys, leases, history and watches of the store, independent of the API.
 
+use quetzalhill_core::ids::StoreEra;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedSender;
@@ -46,6 +47,7 @@
 /// One change of a key; `stored` is `None` if the key was removed.
 #[derive(Clone, Debug)]
 pub(super) struct StoreEvent {
+    pub(super) at: Instant,
     pub(super) revision: i64,
     pub(super) key: Vec<u8>,
     pub(super) stored: Option<StoredValue>,
@@ -78,7 +80,19 @@
 #[derive(Debug)]
 struct Lease {
     ttl: Duration,
+    granted: Instant,
     expires: Instant,
+    /// When the lease expired or was revoked. It is kept, because a restore may bring it back.
+    ended: Option<Instant>,
+}
+
+/// Whether polls that wait while the store is restored stay open; they then report changes of the restored store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RestorePolls {
+    /// They stay open.
+    Open,
+    /// They end.
+    Ended,
 }
 
 /// One write of a transaction; `lease` is 0 for none.
@@ -92,6 +106,8 @@
 /// Content and settings of the store.
 #[derive(Debug, Default)]
 pub(crate) struct StoreState {
+    /// Number that rises with each restore; 0 for a store that tells no era.
+    pub(super) era: StoreEra,
     pub(super) revision: i64,
     pub(super) compacted: i64,
     pub(super) lose_next: bool,
@@ -159,10 +175,12 @@
             return;
         }
         self.revision += 1;
+        let at = Instant::now();
         let mut events = Vec::with_capacity(writes.len() + removed.len());
         for key in removed {
             self.values.remove(&key);
             events.push(StoreEvent {
+                at,
                 revision: self.revision,
                 key,
                 stored: None,
@@ -179,6 +197,7 @@
             };
             self.values.insert(write.key.clone(), stored.clone());
             events.push(StoreEvent {
+                at,
                 revision: self.revision,
                 key: write.key,
                 stored: Some(stored),
@@ -217,7 +236,7 @@
         let expired: Vec<i64> = self
             .leases
             .iter()
-            .filter(|(_, lease)| lease.expires <= now)
+            .filter(|(_, lease)| lease.ended.is_none() && lease.expires <= now)
             .map(|(&id, _)| id)
             .collect();
         for id in expired {
@@ -227,9 +246,12 @@
 
     pub(super) fn grant(&mut self, ttl: Duration) -> i64 {
         self.next_lease += 1;
+        let now = Instant::now();
         let lease = Lease {
             ttl,
-            expires: Instant::now() + ttl,
+            granted: now,
+            expires: now + ttl,
+            ended: None,
         };
         self.leases.insert(self.next_lease, lease);
         self.next_lease
@@ -237,19 +259,23 @@
 
     /// Renews a lease and returns its time to live, or `None` if it does not exist.
     pub(super) fn keep_alive(&mut self, id: i64) -> Option<Duration> {
-        let lease = self.leases.get_mut(&id)?;
+        let lease = self.leases.get_mut(&id);
+        let lease = lease.filter(|lease| lease.ended.is_none())?;
         lease.expires = Instant::now() + lease.ttl;
         Some(lease.ttl)
     }
 
     pub(super) fn has_lease(&self, id: i64) -> bool {
-        self.leases.contains_key(&id)
+        let lease = self.leases.get(&id);
+        lease.is_some_and(|lease| lease.ended.is_none())
     }
 
     /// Removes a lease and its keys; returns whether it existed.
     pub(super) fn revoke(&mut self, id: i64) -> bool {
-        if self.leases.remove(&id).is_none() {
-            return false;
+        let now = Instant::now();
+        match self.leases.get_mut(&id) {
+            Some(lease) if lease.ended.is_none() => lease.ended = Some(now),
+            _ => return false,
         }
         let keys: Vec<Vec<u8>> = self
             .values
@@ -265,6 +291,7 @@
         for key in keys {
             self.values.remove(&key);
             events.push(StoreEvent {
+                at: now,
                 revision: self.revision,
                 key,
                 stored: None,
@@ -316,6 +343,31 @@
 
     pub(super) fn roll_back(&mut self, revision: i64) {
         self.close_watches();
+        self.return_to(revision);
+    }
+
+    /// Returns to a copy that was made at `copied`, and raises the era. What was written since is gone, revisions and lease
+    /// numbers are assigned again. Leases of the copy begin a whole lifetime.
+    pub(super) fn restore(&mut self, copied: Instant, polls: RestorePolls) {
+        self.expire();
+        if polls == RestorePolls::Ended {
+            self.close_watches();
+        }
+        let kept = self.history.iter().filter(|event| event.at <= copied);
+        let revision = kept.map(|event| event.revision).max().unwrap_or(0);
+        self.return_to(revision);
+        self.compacted = self.compacted.min(revision);
+        let now = Instant::now();
+        self.leases.retain(|_, lease| lease.granted <= copied);
+        for lease in self.leases.values_mut() {
+            lease.ended = lease.ended.filter(|ended| *ended <= copied);
+            lease.expires = now + lease.ttl;
+        }
+        self.next_lease = self.leases.keys().copied().max().unwrap_or(0);
+        self.era += 1;
+    }
+
+    fn return_to(&mut self, revision: i64) {
         self.history.retain(|event| event.revision <= revision);
         self.values.clear();
         for event in &self.history {
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -5,7 +5,7 @@
 use std::fmt::{Display, Formatter, Result as FormatResult};
 use std::time::Duration;
 
-pub use quetzalhill_core::ids::{LeaseId, StoreRevision};
+pub use quetzalhill_core::ids::{LeaseId, StoreEra, StoreRevision};
 
 /// One key with its value.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -32,6 +32,8 @@
 /// Answer to a read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RangeResult {
+    /// Era of the store that answered; 0 if it is not known.
+    pub era: StoreEra,
     /// Store revision of the read; a watch from the next revision misses no later change.
     pub revision: StoreRevision,
     /// Keys found, in ascending order.
@@ -91,8 +93,13 @@
 /// Answer to a transaction.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TransactionOutcome {
-    /// All writes took effect, at this store revision.
-    Committed(StoreRevision),
+    /// All writes took effect.
+    Committed {
+        /// Era of the store that made them; 0 if it is not known.
+        era: StoreEra,
+        /// Store revision of the writes.
+        revision: StoreRevision,
+    },
     /// A condition did not hold and nothing was written. Holds the store's revision, or 0 if it did not report one.
     Conflict(StoreRevision),
 }
@@ -102,6 +109,9 @@
 pub struct LeaseGrant {
     /// Number by which the store identifies the lease in later calls.
     pub id: LeaseId,
+    /// Era of the store that granted or renewed it; 0 if it is not known. After a restore from an older copy the store may
+    /// grant the number again.
+    pub era: StoreEra,
     /// Time to live, counted from the moment the store handled the call.
     pub ttl: Duration,
 }
@@ -125,13 +135,16 @@
 pub enum WatchBatch {
     /// Changes of one or several store revisions.
     Events {
+        /// Era of the store that made the changes; 0 if it is not known.
+        era: StoreEra,
         /// Store revision at the time of the message; a watch of long polls continues after it.
         revision: StoreRevision,
         /// Changes in the order of their revisions. Empty in the message that confirms a new watch and in the answer
         /// to a long poll that ran out without a change.
         events: Vec<WatchEvent>,
     },
-    /// The store has discarded the history from the requested revision on; the caller must read the range again.
+    /// The store has discarded the history from the requested revision on, or has been restored from an older copy; the
+    /// caller must read the range again.
     Compacted {
         /// First revision from which a watch is possible. A store that does not report it repeats the revision after
         /// which changes were requested.
@@ -166,6 +179,8 @@
     OtherStatus,
     /// The answer could not be decoded or is too large.
     Unreadable,
+    /// The answer is from before a restore of the store that another answer has shown.
+    OlderEra,
 }
 
 impl CallEnd {
@@ -184,6 +199,7 @@
             CallEnd::TooMany => "status-429",
             CallEnd::OtherStatus => "status-other",
             CallEnd::Unreadable => "unreadable",
+            CallEnd::OlderEra => "older-era",
         }
     }
 
@@ -304,6 +320,18 @@
     /// Watch that [`CatalogueStore::watch`] opens; dropping it closes it.
     type Watch: CatalogueWatch;
 
+    /// Returns the highest era of the store that answers to this client and its clones have shown; 0 while it is not
+    /// known, and always for a store without eras.
+    fn era(&self) -> StoreEra {
+        0
+    }
+
+    /// Waits until an answer has shown that the store was restored since `era`, or since the first era that becomes known
+    /// if `era` is 0.
+    async fn wait_for_restore(&self, _era: StoreEra) {
+        std::future::pending().await
+    }
+
     /// Reads keys.
     ///
     /// # Errors
--- a/crates/store/src/catalogue/commit.rs
+++ b/crates/store/src/catalogue/commit.rs
@@ -108,7 +108,7 @@
 ) -> CommitStep {
     let revision = planned.snapshot.revision;
     match store.commit(&planned.transaction).await {
-        Ok(TransactionOutcome::Committed(_)) => {
+        Ok(TransactionOutcome::Committed { .. }) => {
             return CommitStep::Done(CommitOutcome::Committed(revision));
         }
         Ok(TransactionOutcome::Conflict(_)) => {}
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -1,7 +1,7 @@
 //! Interface between the long-polling client and the paths and message formats of one store.
 
 use crate::api::{
-    KeyRange, KeyValue, LeaseGrant, LeaseId, StoreError, StoreRevision, Transaction,
+    KeyRange, KeyValue, LeaseGrant, LeaseId, StoreEra, StoreError, StoreRevision, Transaction,
     TransactionOutcome, WatchBatch,
 };
 use std::fmt::Debug;
@@ -43,6 +43,8 @@
 pub struct HttpAnswer<'a> {
     /// HTTP status code.
     pub status: u16,
+    /// Era of the store that answered, which decoding passes on; 0 if it is not known.
+    pub era: StoreEra,
     /// Whole body, as it arrived.
     pub body: &'a [u8],
 }
@@ -50,6 +52,8 @@
 /// One page of a read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RangePage {
+    /// Era of the store that answered; 0 if it is not known.
+    pub era: StoreEra,
     /// Store revision at which the page was read.
     pub revision: StoreRevision,
     /// Keys found, in ascending order.
@@ -63,6 +67,12 @@
 /// Every decoding method maps an error status to the matching [`StoreError`], and returns [`StoreError::Unknown`] for
 /// an answer that it cannot decode.
 pub trait StoreCodec: Clone + Debug {
+    /// Returns the name of the header by which an answer tells the store's era, or `None` if the store has no eras.
+    fn era_header(&self) -> Option<&'static str>;
+
+    /// Decodes the value of that header; a malformed one is era 0, which is not known.
+    fn decode_era(&self, value: &str) -> StoreEra;
+
     /// Encodes a read of the keys in `range`, or of those after the key `after`, the last key of the previous page.
     fn encode_range(
         &self,
--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -173,6 +173,7 @@
             );
         }
         Ok(RangeResult {
+            era: 0,
             revision: answer.header.revision,
             entries,
         })
@@ -184,7 +185,7 @@
         let answer: TransactionAnswer = self.call("/v3/kv/txn", &body).await?;
         let revision = answer.header.revision;
         match answer.succeeded {
-            true => Ok(TransactionOutcome::Committed(revision)),
+            true => Ok(TransactionOutcome::Committed { era: 0, revision }),
             false => Ok(TransactionOutcome::Conflict(revision)),
         }
     }
@@ -237,7 +238,7 @@
 
 fn lease_grant(id: LeaseId, ttl_s: i64) -> LeaseGrant {
     let ttl = Duration::from_secs(u64::try_from(ttl_s).unwrap_or(0));
-    LeaseGrant { id, ttl }
+    LeaseGrant { id, era: 0, ttl }
 }
 
 fn error_from_response(status: u16, body: &[u8]) -> StoreError {
--- a/crates/store/src/etcd/message.rs
+++ b/crates/store/src/etcd/message.rs
@@ -135,6 +135,7 @@
             });
         }
         Ok(WatchBatch::Events {
+            era: 0,
             revision: self.header.revision,
             events,
         })
--- a/crates/store/src/polled.rs
+++ b/crates/store/src/polled.rs
@@ -1,7 +1,7 @@
 //! Client of a store whose watches are long polls over HTTP.
 
 use crate::api::{
-    CallEnd, CatalogueStore, CatalogueWatch, KeyRange, LeaseGrant, LeaseId, RangeResult,
+    CallEnd, CatalogueStore, CatalogueWatch, KeyRange, LeaseGrant, LeaseId, RangeResult, StoreEra,
     StoreError, StoreRevision, Transaction, TransactionOutcome, WatchBatch,
 };
 use crate::budget::{BudgetLimits, CallBudget, CallCounts, CallKind};
@@ -11,7 +11,7 @@
     classify_body_error, classify_error, millis, not_applied, unknown, unknown_to_not_applied,
 };
 use ntex::client::{Client, ClientRequest, Connector};
-use ntex::http::header::CONTENT_TYPE;
+use ntex::http::header::{HeaderMap, CONTENT_TYPE};
 use ntex::http::Method;
 use ntex::time::timeout;
 use ntex::util::Bytes;
@@ -21,6 +21,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 
 /// Largest response body that is accepted, in bytes; the platform's pages hold at most 1 MB.
 const ANSWER_MAX_BYTES: usize = 4 << 20;
@@ -44,7 +45,7 @@
     pub limits: BudgetLimits,
 }
 
-/// Client of a store with long polls, for use on one thread. Clones share the connections and the call budget.
+/// Client of a store with long polls, for use on one thread. Clones share the connections, the call budget and the era.
 #[derive(Clone, Debug)]
 pub struct PolledStore<C> {
     settings: PolledSettings,
@@ -52,6 +53,26 @@
     /// HTTP client with the connections for the next calls; replaced when a call gets no answer.
     client: Rc<RefCell<Client>>,
     budget: Rc<RefCell<CallBudget>>,
+    /// Highest era that an answer has shown; 0 while it is not known.
+    era: Rc<watch::Sender<StoreEra>>,
+}
+
+/// Status, era and body of an answer.
+#[derive(Debug)]
+struct ReceivedAnswer {
+    status: u16,
+    era: StoreEra,
+    body: Bytes,
+}
+
+impl ReceivedAnswer {
+    fn encoded(&self) -> HttpAnswer<'_> {
+        HttpAnswer {
+            status: self.status,
+            era: self.era,
+            body: &self.body,
+        }
+    }
 }
 
 /// Makes an HTTP client without connections.
@@ -81,6 +102,7 @@
             codec,
             client: Rc::new(RefCell::new(client)),
             budget: Rc::new(RefCell::new(budget)),
+            era: Rc::new(watch::Sender::new(0)),
         })
     }
 
@@ -102,8 +124,37 @@
         client.request(method, url).address(address.into())
     }
 
-    /// Sends a call and returns status and body of the answer; does not charge the budget.
-    async fn send(&self, call: HttpCall, limit: Duration) -> Result<(u16, Bytes), StoreError> {
+    /// Records the era of an answer. An answer from before a restore that is known counts as an error, because its
+    /// revisions and leases are none of the store that answers now.
+    ///
+    /// An unavailable store has not executed the call, so that its answer says nothing about the content.
+    fn record_era(&self, answer: &ReceivedAnswer) -> Result<(), StoreError> {
+        if answer.status == UNAVAILABLE || answer.era == 0 {
+            return Ok(());
+        }
+        let known = *self.era.borrow();
+        if answer.era < known {
+            let cause = format!("the answer is of era {}, before {known}", answer.era);
+            return Err(unknown(CallEnd::OlderEra, cause));
+        }
+        self.era
+            .send_if_modified(|era| std::mem::replace(era, answer.era) != answer.era);
+        Ok(())
+    }
+
+    /// Returns whether an answer has shown a restore since `era`, if that is known.
+    fn is_restored(&self, era: StoreEra) -> bool {
+        era != 0 && *self.era.borrow() != era
+    }
+
+    fn era_of(&self, headers: &HeaderMap) -> StoreEra {
+        let value = self.codec.era_header().and_then(|name| headers.get(name));
+        let value = value.and_then(|value| value.to_str().ok());
+        value.map_or(0, |value| self.codec.decode_era(value))
+    }
+
+    /// Sends a call and returns the answer; does not charge the budget.
+    async fn send(&self, call: HttpCall, limit: Duration) -> Result<ReceivedAnswer, StoreError> {
         let request = self.request(&call);
         let exchange = async {
             let sent = match call.body {
@@ -115,14 +166,17 @@
             };
             let response = sent.map_err(|error| classify_error(&error))?;
             let status = response.status().as_u16();
+            let era = self.era_of(response.headers());
             let body = response.body().await;
             let body = body.map_err(|error| classify_body_error(&error))?;
-            Ok((status, body))
+            Ok::<_, StoreError>(ReceivedAnswer { status, era, body })
         };
-        match timeout(millis(limit), exchange).await {
-            Ok(outcome) => outcome,
-            Err(()) => Err(self.abandon_connections().await),
-        }
+        let answer = match timeout(millis(limit), exchange).await {
+            Ok(outcome) => outcome?,
+            Err(()) => return Err(self.abandon_connections().await),
+        };
+        self.record_era(&answer)?;
+        Ok(answer)
     }
 
     /// Opens new connections for the calls that follow, and returns the error of the call that had no answer.
@@ -149,12 +203,13 @@
         PolledWatch {
             store: self.clone(),
             range: range.clone(),
+            era: *self.era.borrow(),
             after: from.saturating_sub(1),
             poll_timeout,
         }
     }
 
-    async fn call(&self, kind: CallKind, call: HttpCall) -> Result<(u16, Bytes), StoreError> {
+    async fn call(&self, kind: CallKind, call: HttpCall) -> Result<ReceivedAnswer, StoreError> {
         self.budget.borrow_mut().charge(kind, Instant::now())?;
         let limit = self.settings.call_timeout;
         self.send(call, limit).await
@@ -166,6 +221,7 @@
         freshness: ReadFreshness,
     ) -> Result<RangeResult, StoreError> {
         let mut result = RangeResult {
+            era: 0,
             revision: StoreRevision::MAX,
             entries: Vec::new(),
         };
@@ -173,15 +229,16 @@
         loop {
             let call = self.codec.encode_range(range, freshness, after.as_deref());
             let answer = self.call(CallKind::Read, call).await;
-            let (status, body) = answer.map_err(unknown_to_not_applied)?;
-            let answer = HttpAnswer {
-                status,
-                body: &body,
-            };
+            let answer = answer.map_err(unknown_to_not_applied)?;
             let page = self
                 .codec
-                .decode_range(range, answer)
+                .decode_range(range, answer.encoded())
                 .map_err(unknown_to_not_applied)?;
+            if page.era != 0 && result.era != 0 && page.era != result.era {
+                let cause = "the store was restored between two pages of the range";
+                return Err(not_applied(CallEnd::OlderEra, cause));
+            }
+            result.era = result.era.max(page.era);
             // The pages are read at different revisions. The lowest is reported, so that a watch from there misses no
             // change to a page that was read earlier.
             result.revision = result.revision.min(page.revision);
@@ -207,6 +264,27 @@
 impl<C: StoreCodec> CatalogueStore for PolledStore<C> {
     type Watch = PolledWatch<C>;
 
+    fn era(&self) -> StoreEra {
+        *self.era.borrow()
+    }
+
+    async fn wait_for_restore(&self, era: StoreEra) {
+        let mut eras = self.era.subscribe();
+        let mut before = era;
+        loop {
+            let known = *eras.borrow_and_update();
+            match before {
+                0 => before = known,
+                _ if known > before => return,
+                _ => {}
+            }
+            // The sender lives as long as `self`.
+            if eras.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     async fn range(&self, range: &KeyRange) -> Result<RangeResult, StoreError> {
         self.read_pages(range, ReadFreshness::Current).await
     }
@@ -217,37 +295,26 @@
 
     async fn commit(&self, transaction: &Transaction) -> Result<TransactionOutcome, StoreError> {
         let call = self.codec.encode_commit(transaction)?;
-        let (status, body) = self.call(CallKind::Write, call).await?;
-        self.codec.decode_commit(HttpAnswer {
-            status,
-            body: &body,
-        })
+        let answer = self.call(CallKind::Write, call).await?;
+        self.codec.decode_commit(answer.encoded())
     }
 
     async fn grant(&self, ttl: Duration) -> Result<LeaseGrant, StoreError> {
         let call = self.codec.encode_grant(ttl);
-        let (status, body) = self.call(CallKind::Write, call).await?;
-        let answer = HttpAnswer {
-            status,
-            body: &body,
-        };
-        self.codec.decode_grant(None, answer)
+        let answer = self.call(CallKind::Write, call).await?;
+        self.codec.decode_grant(None, answer.encoded())
     }
 
     async fn keep_alive(&self, id: LeaseId) -> Result<LeaseGrant, StoreError> {
         let call = self.codec.encode_renewal(id);
-        let (status, body) = self.call(CallKind::Read, call).await?;
-        let answer = HttpAnswer {
-            status,
-            body: &body,
-        };
-        self.codec.decode_grant(Some(id), answer)
+        let answer = self.call(CallKind::Read, call).await?;
+        self.codec.decode_grant(Some(id), answer.encoded())
     }
 
     async fn revoke(&self, id: LeaseId) -> Result<(), StoreError> {
         let call = self.codec.encode_revocation(id);
-        let (status, _) = self.call(CallKind::Write, call).await?;
-        match status {
+        let answer = self.call(CallKind::Write, call).await?;
+        match answer.status {
             200..=299 => Ok(()),
             404 => Err(StoreError::LeaseNotFound { id }),
             UNAVAILABLE => Err(not_applied(
@@ -283,6 +350,8 @@
 pub struct PolledWatch<C> {
     store: PolledStore<C>,
     range: KeyRange,
+    /// Era in which the revisions count; 0 while it is not known.
+    era: StoreEra,
     /// Store revision up to which all changes have been received.
     after: StoreRevision,
     /// Time after which the store answers a poll without changes.
@@ -291,6 +360,12 @@
 
 impl<C: StoreCodec> CatalogueWatch for PolledWatch<C> {
     async fn next(&mut self) -> Result<WatchBatch, StoreError> {
+        let compacted = WatchBatch::Compacted {
+            revision: self.after,
+        };
+        if self.store.is_restored(self.era) {
+            return Ok(compacted);
+        }
         let codec = &self.store.codec;
         let call = codec.encode_watch(&self.range, self.after, self.poll_timeout);
         self.store
@@ -298,17 +373,17 @@
             .borrow_mut()
             .charge(CallKind::Read, Instant::now())?;
         let limit = self.poll_timeout + self.store.settings.call_timeout;
-        let (status, body) = self
-            .store
-            .send(call, limit)
-            .await
-            .map_err(unknown_to_not_applied)?;
-        let answer = HttpAnswer {
-            status,
-            body: &body,
+        let answer = match self.store.send(call, limit).await {
+            Err(error) if error.end() == CallEnd::OlderEra => return Ok(compacted),
+            answer => answer.map_err(unknown_to_not_applied)?,
         };
+        // The revisions before and after a restore are those of different changes, whether the answer has changes or not.
+        if self.store.is_restored(self.era) {
+            return Ok(compacted);
+        }
+        self.era = self.store.era();
         let batch = codec
-            .decode_watch(&self.range, self.after, answer)
+            .decode_watch(&self.range, self.after, answer.encoded())
             .map_err(unknown_to_not_applied)?;
         if let WatchBatch::Events { revision, .. } = &batch {
             self.after = self.after.max(*revision);
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -56,7 +56,7 @@
     assert_eq!(standin.keys("h/").len(), 3);
     transaction.compares.clear();
     let done = store.commit(&transaction).await;
-    assert!(matches!(done, Ok(TransactionOutcome::Committed(_))));
+    assert!(matches!(done, Ok(TransactionOutcome::Committed { .. })));
     assert_eq!(standin.keys("h/"), ["h/3"]);
 }
 
@@ -66,7 +66,7 @@
     let standin = standin();
     let store = client(&standin).await;
     let first = store.commit(&write("a", "1", 0)).await;
-    assert!(matches!(first, Ok(TransactionOutcome::Committed(_))));
+    assert!(matches!(first, Ok(TransactionOutcome::Committed { .. })));
     let second = store.commit(&write("a", "2", 0)).await;
     assert!(matches!(second, Ok(TransactionOutcome::Conflict(_))));
     let read = store.range(&KeyRange::Key("a".into())).await.expect("read");
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -232,6 +232,9 @@
     },
     /// From an entry to another one of its zone: the highest era of the store that the sender has seen.
     StoreEra(StoreEra),
+    /// A [`RelayNotice::ListChange`] with the era of the store that made the changes, where the store tells it: after a
+    /// restore from an older copy the store assigns their revisions again.
+    EraListChange(StoreEra, ListNotice),
 }
 
 /// Changes of the list of endpoints, in the order of the store.
@@ -264,8 +267,8 @@
         notice
     }
 
-    /// Converts the notice to changes.
-    pub fn into_changes(self) -> Vec<ListChange> {
+    /// Converts the notice to changes of this era of the store, 0 if it is not known.
+    pub fn into_changes(self, era: StoreEra) -> Vec<ListChange> {
         let mut changes = Vec::with_capacity(self.changes.len());
         for change in self.changes {
             let (revision, effect) = match change {
@@ -274,7 +277,11 @@
                 }
                 StoredChange::Removed(revision, id) => (revision, ListEffect::Removed(id)),
             };
-            changes.push(ListChange { revision, effect });
+            changes.push(ListChange {
+                era,
+                revision,
+                effect,
+            });
         }
         changes
     }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -172,7 +172,11 @@
             0 => ListEffect::Removed(endpoint().id),
             _ => ListEffect::Written(endpoint()),
         };
-        changes.push(ListChange { revision, effect });
+        changes.push(ListChange {
+            era: 0,
+            revision,
+            effect,
+        });
     }
     let notice = RelayNotice::ListChange(ListNotice::new(&changes));
     let mut datagram = notice.encode().expect("encodes");
@@ -182,7 +186,7 @@
     else {
         panic!("not a list of changes");
     };
-    assert_eq!(received.into_changes(), changes);
+    assert_eq!(received.into_changes(0), changes);
     assert_eq!(
         endpoint_of_key("p/", "p/10.1.0.12:8172"),
         Some(endpoint().id)
