Tests of decisions after a restore, soak draws restores, late writes repeated

Cause: a write that had no answer may be executed after the agent has a new lease and leave the record under the old one. Change: it is written once more after the lifetime of a lease; records of reads during the grace do not bring back an incarnation; the list is read once more at the end of the grace; soak mix store draws restores, with the other faults of a seed unchanged.

--- a/crates/core/src/relay/era.rs
+++ b/crates/core/src/relay/era.rs
@@ -112,6 +112,15 @@
         self.grace_until.is_some_and(|until| now < until)
     }
 
+    /// Returns once after each grace whether it has ended.
+    pub fn take_grace_end(&mut self, now: Instant) -> bool {
+        let has_ended = self.grace_until.is_some_and(|until| until <= now);
+        if has_ended {
+            self.grace_until = None;
+        }
+        has_ended
+    }
+
     /// Returns whether the other entries of the zone have to be told of a restore.
     pub fn is_told(&self, now: Instant) -> bool {
         self.told_until.is_some_and(|until| now < until)
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -235,6 +235,12 @@
         self.era.hear(era, now)
     }
 
+    /// Returns once after each grace whether it has ended, so that the list has to be read: records of reads during the
+    /// grace may have been set aside.
+    pub fn take_grace_end(&mut self, now: Instant) -> bool {
+        self.era.take_grace_end(now)
+    }
+
     /// Removes endpoints that are neither listed nor report and whose time to return has passed.
     pub fn tick(&mut self, now: Instant) {
         self.revisions.tick(now);
--- a/crates/core/src/relay/fleet/records.rs
+++ b/crates/core/src/relay/fleet/records.rs
@@ -16,9 +16,22 @@
 /// Seed of the part of a fingerprint that stands for the era.
 const ERA_SEED: u64 = 0x0011_5702;
 
+/// Whether a record may come from the copy from which the store was restored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RecordOrigin {
+    /// The record was written in the store's current era, or is still there after the grace.
+    Written,
+    /// The record is in a read during the grace.
+    MayBeCopied,
+}
+
 impl FleetController {
     /// Adds or updates an endpoint from the store's list, whatever the revision of its record.
     pub fn add_listed(&mut self, endpoint: ListedEndpoint, now: Instant) {
+        self.add_record(endpoint, RecordOrigin::Written, now);
+    }
+
+    fn add_record(&mut self, endpoint: ListedEndpoint, origin: RecordOrigin, now: Instant) {
         let Some(known) = self.known.get_mut(&endpoint.id) else {
             let id = endpoint.id;
             self.known.insert(id, KnownEndpoint::new(endpoint, now));
@@ -28,8 +41,8 @@
         known.withheld = false;
         // A current report is newer than what the agent wrote to the store before, and what was known before a restore
         // may be newer than a record of the copy.
-        let may_be_restored = self.era.is_grace(now) && known.is_preceded_by(&endpoint);
-        known.set_aside = known.is_fresh(now) || may_be_restored;
+        let precedes = origin == RecordOrigin::MayBeCopied && known.is_preceded_by(&endpoint);
+        known.set_aside = known.is_fresh(now) || precedes;
         if known.set_aside {
             return;
         }
@@ -113,6 +126,10 @@
         if self.era.is_foreign(read.era) {
             return;
         }
+        let origin = match self.era.is_grace(now) {
+            true => RecordOrigin::MayBeCopied,
+            false => RecordOrigin::Written,
+        };
         let mut listed = HashSet::with_capacity(read.records.len());
         for record in read.records {
             let id = record.endpoint.id;
@@ -120,10 +137,12 @@
             match self.revisions.compare(id, record.revision, read.revision) {
                 RecordAge::Newer => {
                     self.revisions.record_written(id, record.revision);
-                    self.add_listed(record.endpoint, now);
+                    self.add_record(record.endpoint, origin, now);
                 }
                 // The report for which the account was set aside may have expired.
-                RecordAge::Same if self.is_set_aside(id) => self.add_listed(record.endpoint, now),
+                RecordAge::Same if self.is_set_aside(id) => {
+                    self.add_record(record.endpoint, origin, now);
+                }
                 RecordAge::Same | RecordAge::Older => {}
             }
         }
--- a/crates/core/src/relay/registration.rs
+++ b/crates/core/src/relay/registration.rs
@@ -133,9 +133,7 @@
             self.lease = None;
             self.written = None;
             self.spread_until = Some(now + REGISTER_SPREAD.mul_f64(jitter));
-            if std::mem::take(&mut self.is_write_uncertain) {
-                self.repeat_at = Some(now + REPEAT_TIME);
-            }
+            self.plan_repeat(now);
         }
         change
     }
@@ -206,6 +204,7 @@
         self.retry_at = None;
         match outcome {
             RegistrationOutcome::Granted(id) => {
+                self.plan_repeat(now);
                 self.written = None;
                 self.lease = Some(HeldLease {
                     id,
@@ -230,6 +229,7 @@
             }
             RegistrationOutcome::Removed => {
                 self.end_repeat(now);
+                self.plan_repeat(now);
                 self.may_be_listed = false;
                 self.lease = None;
                 self.written = None;
@@ -242,6 +242,14 @@
         }
     }
 
+    /// Plans a repetition after the lease was replaced or the key removed, if a write may still be executed: it would put
+    /// the record under the lease before. A store without eras gets no further calls; there the lease has been revoked.
+    fn plan_repeat(&mut self, now: Instant) {
+        if self.era.era() != UNKNOWN_ERA && std::mem::take(&mut self.is_write_uncertain) {
+            self.repeat_at = Some(now + REPEAT_TIME);
+        }
+    }
+
     fn end_repeat(&mut self, now: Instant) {
         self.repeat_at = self.repeat_at.filter(|repeat_at| now < *repeat_at);
     }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod chain;
 mod confirm;
 mod digest;
+mod era;
 mod fleet;
 mod freshness;
 mod health;
@@ -16,6 +17,7 @@
 mod place;
 mod presence;
 mod registration;
+mod restore;
 mod routes;
 mod search;
 mod site;
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -370,6 +370,9 @@
     fn tick(&mut self, now: Instant) {
         self.next_tick = now + TICK_INTERVAL;
         self.fleet.tick(now);
+        if self.fleet.take_grace_end(now) {
+            self.confirm_endpoints.notify_one();
+        }
         self.update_role(now);
         self.check_list_age(now);
         self.check_routes_age(now);
--- a/crates/standins/src/soak/outage.rs
+++ b/crates/standins/src/soak/outage.rs
@@ -1,4 +1,5 @@
-//! The rounds of [`super::plan::FaultMix::Store`]: machines lose answers of the store while operators change the routes.
+//! The rounds of [`super::plan::FaultMix::Store`]: machines lose answers of the store, and the store is restored from older
+//! copies, while operators change the routes.
 //!
 //! Each round has changes before, during and just after its faults, and changes once all bounds hold again, so that an
 //! entry which has missed an answer shows its old routes.
@@ -7,7 +8,7 @@
     draw_route_change, PlannedFault, ProcessFault, SoakFault, StoreFault, QUIET_TIME,
 };
 use crate::link::LinkFault;
-use crate::store::StandinMode;
+use crate::store::{RestorePolls, StandinMode};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
@@ -39,6 +40,24 @@
 /// Range of the delay of [`OutageWay::Late`]. A call ends without an answer after one second.
 const LATE_MS: (u64, u64) = (200, 4_000);
 
+/// Added to the seed for the restores, so that the other faults of a seed stay the same.
+const RESTORES_SEED: u64 = 0x4e57_04e5;
+
+/// Largest number of restores in a round.
+const RESTORES_MAX: u32 = 3;
+
+/// Range of the age of the copy from which the store is restored.
+const COPY_AGE_MS: (u64, u64) = (200, 10_000);
+
+/// Range of the time after a restore at which operators write again what was lost.
+const REWRITE_MS: (u64, u64) = (100, 1_500);
+
+/// Range of the time for which the store is away before a restore.
+const AWAY_MS: (u64, u64) = (300, 2_000);
+
+/// Greatest distance of a fault of a process or of leases from a restore.
+const NEAR_RESTORE_MS: u64 = 1_000;
+
 /// HTTP statuses by which the store turns a machine away.
 const STATUSES: [u16; 2] = [503, 429];
 
@@ -80,10 +99,19 @@
     fault_time: Duration,
 ) -> Vec<PlannedFault> {
     let mut rng = SmallRng::seed_from_u64(seed);
+    let mut restores_rng = SmallRng::seed_from_u64(seed ^ RESTORES_SEED);
     let mut plan = Vec::new();
     let mut at = Duration::ZERO;
     while at < fault_time {
         let outage = draw_round(&mut rng, entries, agents, at, &mut plan);
+        let start = at + Duration::from_millis(LEAD_MS);
+        add_restores(
+            &mut restores_rng,
+            entries,
+            agents,
+            (start, outage),
+            &mut plan,
+        );
         at += Duration::from_millis(LEAD_MS) + outage + QUIET_TIME;
     }
     plan.sort_by_key(|planned| planned.at);
@@ -239,3 +267,60 @@
         });
     }
 }
+
+/// Adds the restores of a round with an outage that begins at the first of `outage` and lasts for the second, and what
+/// happens near them: the store is away before, leases are lost, processes are killed.
+fn add_restores(
+    rng: &mut SmallRng,
+    entries: usize,
+    agents: usize,
+    outage: (Duration, Duration),
+    plan: &mut Vec<PlannedFault>,
+) {
+    if rng.random_ratio(1, 4) {
+        return;
+    }
+    let millis = |rng: &mut SmallRng, (shortest, longest): (u64, u64)| {
+        Duration::from_millis(rng.random_range(shortest..longest))
+    };
+    for _ in 0..rng.random_range(1..=RESTORES_MAX) {
+        let at = outage.0 + outage.1.mul_f64(rng.random_range(0.0..1.0));
+        let mut add = |at, duration, fault| {
+            plan.push(PlannedFault {
+                at,
+                duration,
+                fault,
+            });
+        };
+        let polls = match rng.random_ratio(1, 2) {
+            true => RestorePolls::Open,
+            false => RestorePolls::Ended,
+        };
+        let restore = StoreFault::Restore(millis(rng, COPY_AGE_MS), polls);
+        add(at, millis(rng, REWRITE_MS), SoakFault::Store(restore));
+        if rng.random_ratio(1, 3) {
+            let mode = match rng.random_ratio(1, 2) {
+                true => StandinMode::Silent,
+                false => StandinMode::Unavailable,
+            };
+            let away = millis(rng, AWAY_MS).min(at);
+            let mode = SoakFault::Store(StoreFault::Mode(mode));
+            add(at - away, away, mode);
+        }
+        let near = |rng: &mut SmallRng| {
+            let distance = millis(rng, (0, 2 * NEAR_RESTORE_MS));
+            (at + distance).saturating_sub(Duration::from_millis(NEAR_RESTORE_MS))
+        };
+        if rng.random_ratio(1, 3) {
+            let lapse = SoakFault::Store(StoreFault::RevokeLeases);
+            add(near(rng), Duration::ZERO, lapse);
+        }
+        for (first, count) in [(0, entries), (entries, agents)] {
+            if rng.random_ratio(1, 3) {
+                let index = first + rng.random_range(0..count);
+                let kill = SoakFault::Process(index, ProcessFault::Kill);
+                add(near(rng), millis(rng, REWRITE_MS), kill);
+            }
+        }
+    }
+}
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -1,7 +1,7 @@
 //! The faults of a run, drawn from its seed.
 
 use crate::link::LinkFault;
-use crate::store::StandinMode;
+use crate::store::{RestorePolls, StandinMode};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
@@ -93,6 +93,9 @@
     RevokeLeases,
     /// Another client writes an endpoint record that cannot be decoded.
     InvalidRecord,
+    /// It is restored from a copy of this age. At the end of the fault, operators write the last routes again if the store
+    /// has lost them.
+    Restore(Duration, RestorePolls),
 }
 
 /// A fault and the part of the site that it affects.
--- a/crates/standins/src/soak/run.rs
+++ b/crates/standins/src/soak/run.rs
@@ -55,6 +55,9 @@
 /// Route changes of a [`RouteChange::Burst`].
 const BURST_CHANGES: u8 = 5;
 
+/// Era of the store in a run of [`FaultMix::Store`] before the first restore; the store tells none in other runs.
+const FIRST_ERA: u64 = 7;
+
 /// Result of a run.
 #[derive(Clone, Debug)]
 pub struct SoakReport {
@@ -98,6 +101,8 @@
     ReplaceUpstream(usize),
     RestoreStore,
     RestoreLink(usize),
+    /// Writes the last routes again, as operators do after a restore of the store.
+    RewriteRoutes,
 }
 
 struct SoakRun {
@@ -152,6 +157,9 @@
     };
     let started = Instant::now();
     let site = SoakSite::start(block, &folder, size, seed, pace).await?;
+    if mix == FaultMix::Store {
+        site.store.set_era(FIRST_ERA);
+    }
     let mut run = SoakRun {
         pending_undos: Vec::new(),
         disrupted: vec![false; size.entries + size.agents],
@@ -301,6 +309,10 @@
             StoreFault::LoseAnswer => store.lose_next_answer(),
             StoreFault::Compact => store.compact(store.revision()),
             StoreFault::RevokeLeases => store.revoke_leases(|key| key.len() % 2 == 0),
+            StoreFault::Restore(age, polls) => {
+                store.restore(age, polls);
+                self.pending_undos.push((end, UndoAction::RewriteRoutes));
+            }
             StoreFault::InvalidRecord => {
                 store.put(
                     &format!("{ENDPOINT_PREFIX}foreign"),
@@ -377,6 +389,7 @@
                     .push((now, UndoAction::StartUpstream(index, 0)));
             }
             UndoAction::RestoreStore => self.site.store.set_mode(StandinMode::Normal),
+            UndoAction::RewriteRoutes => self.site.rewrite_routes(),
             UndoAction::RestoreLink(index) => self.site.links[index].set_fault(LinkFault::None),
         }
         Ok(())
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -229,6 +229,14 @@
         self.ledger.borrow_mut().record_routes(routes, now);
     }
 
+    /// Writes the routes that were published last once more, if the store has lost them.
+    pub fn rewrite_routes(&self) {
+        let manifest = call::manifest(&self.ledger.borrow().routes());
+        if self.store.value(MANIFEST_KEY).as_ref() != Some(&manifest) {
+            self.store.put(MANIFEST_KEY, &manifest);
+        }
+    }
+
     fn node_settings(&self, name: String, index: usize, host: SocketAddrV4) -> RelayNode {
         RelayNode {
             name,
