--- a/crates/core/tests/relay/era.rs
+++ b/crates/core/tests/relay/era.rs
@@ -189,6 +189,7 @@
     fleet.apply_change(removed(7, 40, 2), now);
     fleet.replace_list(read(5, 103, &[]), now);
     let later = now + RESTORE_GRACE;
+    fleet.tick(later);
     assert_eq!(
         listing(&mut fleet, later + LAPSED),
         [(1, 10), (2, 20)].into()
