--- a/crates/standins/tests/store_restore.rs
+++ b/crates/standins/tests/store_restore.rs
@@ -138,22 +138,31 @@
         sleep(MS * 300).await;
         let client = common(&store).open_followed_store(APPLY).await;
         let client = client.expect("a client");
+        let lost_from = Instant::now();
+        if !settle.is_zero() {
+            for _ in 0..20 {
+                store.put("other", b"lost");
+            }
+        }
         let (seen, _mode) = start_follower(client.clone(), mode, settle);
         assert!(wait_until(APPLY, || seen.borrow().loads == 1).await);
+        let mut age = lost_from.elapsed() + MS * 100;
         if settle.is_zero() {
             sleep(MS * 200).await;
             store.put(KEY, b"second");
             assert!(wait_until(APPLY, || seen.borrow().last() == Some(b"second")).await);
-        } else {
-            for _ in 0..20 {
-                store.put("other", b"lost");
-            }
+            age = MS * 150;
         }
-        store.restore(MS * 150, RestorePolls::Open);
+        store.restore(age, RestorePolls::Open);
         store.put(KEY, b"third");
         for _ in 0..30 {
             store.put("other", b"x");
         }
+        if !settle.is_zero() {
+            // Another call shows the restore before the first poll is sent.
+            let other = KeyRange::Key("other".into());
+            client.range(&other).await.expect("an answer");
+        }
         if mode == FollowMode::LongWatch {
             // The long poll is sent after the restore; an entry that uses long polls hears of it from one that does not.
             sleep(MS * 1_500).await;
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -187,6 +187,19 @@
         panic!("not a list of changes");
     };
     assert_eq!(received.into_changes(0), changes);
+    // With the era of the store, which may be any number.
+    for change in &mut changes {
+        change.era = u64::MAX;
+    }
+    let notice = RelayNotice::EraListChange(u64::MAX, ListNotice::new(&changes));
+    let mut datagram = notice.encode().expect("encodes");
+    assert!(datagram.len() < 1_200, "{} bytes", datagram.len());
+    let Ok(RelayDatagram::Notice(RelayNotice::EraListChange(era, received))) =
+        decode_datagram(&mut datagram)
+    else {
+        panic!("not a list of changes with an era");
+    };
+    assert_eq!((era, received.into_changes(era)), (u64::MAX, changes));
     assert_eq!(
         endpoint_of_key("p/", "p/10.1.0.12:8172"),
         Some(endpoint().id)
