--- a/crates/agent/src/relay/counters.rs
+++ b/crates/agent/src/relay/counters.rs
@@ -5,6 +5,7 @@
     Result,
 };
 use quetzalhill_core::relay::pace::EndpointPace;
+use quetzalhill_node::relay::era::EraCounters;
 use quetzalhill_node::relay::notices::NoticeCounters;
 
 /// Upper bounds of the buckets of the answer time histogram, in seconds.
@@ -21,6 +22,8 @@
     pub(super) malformed: IntCounterVec,
     /// Time from the delivery of a request's first packet to the first packet of its answer, in seconds.
     pub(super) answers: Histogram,
+    /// Era of the store and its restores.
+    pub(super) era: EraCounters,
     /// Reports to entries.
     pub(super) notices: NoticeCounters,
     /// Open flows of the upstream.
@@ -87,6 +90,7 @@
                 "reason",
             )?,
             answers,
+            era: EraCounters::new(registry)?,
             notices: NoticeCounters::new(registry)?,
             flows: gauge("quetzalhill_relay_flows", "Open flows of the upstream.")?,
             busy: gauge(
--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -244,7 +244,8 @@
                 | RelayNotice::PacedReport(..)
                 | RelayNotice::OperatorState { .. }
                 | RelayNotice::StoreEra(_)
-                | RelayNotice::OpenFlows(_),
+                | RelayNotice::OpenFlows(_)
+                | RelayNotice::EraListChange(..),
             )) => {
                 self.count_malformed("unexpected");
             }
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -10,8 +10,9 @@
     ListChange, ListEffect, ListRead, ListRecord, ListState, ListedEndpoint,
 };
 
-use crate::ids::{service_digest, EndpointId, IncarnationNumber, ServiceName, ZoneName};
+use crate::ids::{service_digest, EndpointId, IncarnationNumber, ServiceName, StoreEra, ZoneName};
 use crate::relay::digest::FlowDigest;
+use crate::relay::era::{EraChange, EraController};
 use crate::relay::evacuation::EvacuationController;
 use crate::relay::identity::{
     merge_accounts, IncarnationChange, IncarnationSource, UNKNOWN_INCARNATION,
@@ -112,8 +113,11 @@
 struct KnownEndpoint {
     endpoint: ListedEndpoint,
     listed: bool,
-    /// Whether the last account of the list was set aside for a report that was current.
+    /// Whether the last account of the list was set aside for a report that was current, or for what was known before a
+    /// restore of the store.
     set_aside: bool,
+    /// Whether the restored store lacks the endpoint, which stays listed until the end of the grace.
+    withheld: bool,
     /// Point in time until which an unlisted endpoint without reports is kept.
     retained_until: Instant,
     last: Option<LastReport>,
@@ -142,8 +146,9 @@
     /// Whether views have the pace of endpoints.
     pace: bool,
     known: HashMap<EndpointId, KnownEndpoint>,
-    /// Store revisions of the records of the list that were applied.
+    /// Store revisions of the records of the list that were applied, in the era of `era`.
     revisions: RevisionLog,
+    era: EraController,
     /// Changes of incarnations since they were taken last.
     incarnation_changes: Vec<IncarnationChange>,
 }
@@ -156,6 +161,7 @@
             pace: false,
             known: HashMap::new(),
             revisions: RevisionLog::default(),
+            era: EraController::default(),
             incarnation_changes: Vec::new(),
         }
     }
@@ -216,9 +222,39 @@
         std::mem::take(&mut self.incarnation_changes)
     }
 
+    /// Returns the era of the store's list, and what follows from a restore.
+    pub fn era(&self) -> &EraController {
+        &self.era
+    }
+
+    /// Records the highest era that the store's answers have shown. A restore starts a new order of revisions. Endpoints
+    /// that are listed stay so until the end of the grace, and others are kept as long.
+    pub fn observe_era(&mut self, era: StoreEra, now: Instant) -> EraChange {
+        let change = self.era.observe(era, now);
+        if let (EraChange::Restored { .. }, Some(until)) = (change, self.era.grace_until()) {
+            self.revisions.start_order();
+            for known in self.known.values_mut() {
+                known.retained_until = known.retained_until.max(until);
+            }
+        }
+        change
+    }
+
+    /// Records an era that another entry has told, and returns whether the store has to be read.
+    pub fn hear_era(&mut self, era: StoreEra, now: Instant) -> bool {
+        self.era.hear(era, now)
+    }
+
+    /// Returns once after each grace whether it has ended, so that the list has to be read: records of reads during the
+    /// grace may have been set aside.
+    pub fn take_grace_end(&mut self, now: Instant) -> bool {
+        self.era.take_grace_end(now)
+    }
+
     /// Removes endpoints that are neither listed nor report and whose time to return has passed.
     pub fn tick(&mut self, now: Instant) {
         self.revisions.tick(now);
+        self.release_withheld(now);
         self.known
             .retain(|_, known| known.listed || known.is_fresh(now) || now < known.retained_until);
     }
@@ -398,6 +434,7 @@
             endpoint,
             listed: true,
             set_aside: false,
+            withheld: false,
             retained_until: now + LAPSED_TIME,
             last: None,
             reports: 0,
@@ -462,6 +499,13 @@
         last.report.pace.as_ref()
     }
 
+    /// Returns whether `record` may be an account of the endpoint from before what is known.
+    fn is_preceded_by(&self, record: &ListedEndpoint) -> bool {
+        let other_service = record.service != self.endpoint.service;
+        let known = self.endpoint.incarnation;
+        other_service || (record.incarnation != UNKNOWN_INCARNATION && record.incarnation < known)
+    }
+
     fn is_fresh(&self, now: Instant) -> bool {
         self.last.as_ref().is_some_and(|last| now < last.expires)
     }
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -1,6 +1,7 @@
 //! The control thread of an entry of the relay: follows routes and endpoints, publishes the view, answers readiness probes.
 
 mod endpoints;
+mod era;
 mod evacuations;
 mod open_flows;
 mod range;
@@ -222,8 +223,11 @@
                 Ok(Some(TrafficEvent::Report(report))) => {
                     control.borrow_mut().handle_report(report, Instant::now());
                 }
-                Ok(Some(TrafficEvent::ListChange(notice))) => {
-                    control.borrow_mut().handle_list_change(notice, Instant::now());
+                Ok(Some(TrafficEvent::ListChange(era, notice))) => {
+                    control.borrow_mut().handle_list_change(era, notice, Instant::now());
+                }
+                Ok(Some(TrafficEvent::StoreEra(era))) => {
+                    control.borrow_mut().handle_store_era(era, Instant::now());
                 }
                 Ok(Some(TrafficEvent::ListState(state))) => {
                     control.borrow_mut().handle_list_state(state, Instant::now());
@@ -326,7 +330,7 @@
     fleet: FleetController,
     endpoints_range: RangeState,
     endpoints_progress: RangeProgress,
-    /// Highest store revision of the list that is known.
+    /// Highest store revision of the list that is known, in the store's current era.
     list_revision: StoreRevision,
     peers: PeerController,
     routes_freshness: FreshnessController,
@@ -428,6 +432,10 @@
                 false => LOADING_INTERVAL,
             };
         self.fleet.tick(now);
+        if self.fleet.take_grace_end(now) {
+            self.confirm_endpoints.notify_one();
+        }
+        self.tick_evacuations(now);
         self.update_role(now);
         self.check_list_age(now);
         self.check_routes_age(now);
@@ -474,7 +482,9 @@
             former,
             holders_known: self.fleet.holders_known(),
             services,
-            synced: self.routes_range.current && self.endpoints_range.current,
+            synced: self.routes_range.current
+                && self.endpoints_range.current
+                && !self.fleet.era().is_grace(now),
             routes_read: self.routes_range.read,
             routes_confirmed: self.routes_progress.confirmed(),
             endpoints_read: self.endpoints_range.read,
--- a/crates/entry/src/relay/control/evacuations.rs
+++ b/crates/entry/src/relay/control/evacuations.rs
@@ -94,6 +94,13 @@
         self.record_evacuations(&changes, FollowSource::Poll, age);
     }
 
+    /// Takes back the evacuations of before a restore of the store that are not in the restored store.
+    pub(super) fn tick_evacuations(&mut self, now: Instant) {
+        let changes = self.evacuations.tick(now);
+        let age = self.routes_progress.age(now);
+        self.record_evacuations(&changes, FollowSource::Read, age);
+    }
+
     /// Returns the zone whose evacuation a key requests. An invalid key is logged and ignored.
     fn zone_of(&self, key: &str) -> Option<ZoneName> {
         match operator::evacuated_zone(key) {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -120,6 +120,10 @@
     ZoneEvacuation = 4020, Info, "zone-evacuation";
     /// A key of an evacuation names no availability zone and was ignored.
     EvacuationInvalid = 4021, Warn, "evacuation-invalid";
+    /// Answers of the store show that it was restored from an older copy.
+    StoreRestored = 4030, Warn, "store-restored";
+    /// An agent registered its endpoint again after the store was restored.
+    EndpointRegisteredAgain = 4031, Info, "endpoint-registered-again";
     /// A task or thread ended with an error.
     TaskFailed = 5001, Error, "task-failed";
     /// Changed control keys came into force.
--- a/crates/node/src/relay/notices.rs
+++ b/crates/node/src/relay/notices.rs
@@ -18,6 +18,8 @@
     RoutesState,
     /// The same with the evacuations, where they are followed.
     OperatorState,
+    /// Era of the store after a restore, between entries of a zone.
+    StoreEra,
     /// Request to confirm the list, or its answer, between entries of a zone.
     Confirm,
     /// Open flows of an entry, to the entry that reads for its zone.
@@ -36,6 +38,7 @@
             NoticeKind::RoutesState => "routes-state",
             NoticeKind::OperatorState => "operator-state",
             NoticeKind::ListState => "list-state",
+            NoticeKind::StoreEra => "store-era",
             NoticeKind::Confirm => "confirm",
             NoticeKind::OpenFlows => "open-flows",
         }
