Evacuations are in force within their own bound

Cause: routes and evacuations are read together, and the template set only the time for routes; a deployment with a shorter bound for evacuations would miss it. Change: relay.evacuate_ms, of which and relay.apply_ms the shorter one counts.

--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -149,7 +149,7 @@
     listeners: Vec<TcpListener>,
     mut stopping: watch::Receiver<StopStage>,
 ) -> Result<()> {
-    let apply = Duration::from_millis(setup.settings.relay.apply_ms);
+    let apply = setup.settings.relay.apply_time();
     let store = setup.settings.common().open_followed_store(apply).await?;
     let now = Instant::now();
     let control = Rc::new(RefCell::new(RelayControl::new(&setup, store.clone(), now)));
@@ -368,7 +368,7 @@
 
 impl RelayControl {
     fn new(setup: &ControlSetup, store: PolledStore<PlatformCodec>, now: Instant) -> Self {
-        let apply = Duration::from_millis(setup.settings.relay.apply_ms);
+        let apply = setup.settings.relay.apply_time();
         let routes_pause = routes_pause(apply);
         Self {
             state: Arc::clone(&setup.state),
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use std::ops::RangeInclusive;
+use std::time::Duration;
 
 /// Section `[relay]` of the settings of an entry.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -35,6 +36,8 @@
     /// Whether evacuations of availability zones are followed.
     #[serde(default)]
     pub evacuations: bool,
+    /// Milliseconds within which an evacuation has to be in force at every entry; `apply_ms` if it is not set.
+    pub evacuate_ms: Option<u64>,
     /// Whether open flows of routes whose requests must not be repeated are reset as soon as their upstream is known to
     /// have restarted. The entry that reads for its zone keeps them in the store.
     #[serde(default)]
@@ -109,6 +112,15 @@
     }
 }
 
+impl RelaySection {
+    /// Returns the time within which what operators wrote has to be in force. Routes and evacuations are read together, so
+    /// that the shorter of both times counts.
+    pub fn apply_time(&self) -> Duration {
+        let evacuate_ms = self.evacuate_ms.filter(|_| self.evacuations);
+        Duration::from_millis(evacuate_ms.map_or(self.apply_ms, |ms| ms.min(self.apply_ms)))
+    }
+}
+
 /// Checks the values of a settings file.
 ///
 /// # Errors
@@ -126,6 +138,12 @@
         let allowed = "600 to 60000 milliseconds";
         return Err(SettingError::new("relay.apply_ms", apply_ms, allowed));
     }
+    if let Some(evacuate_ms) = settings.relay.evacuate_ms {
+        if !APPLY_RANGE_MS.contains(&evacuate_ms) {
+            let allowed = "600 to 60000 milliseconds";
+            return Err(SettingError::new("relay.evacuate_ms", evacuate_ms, allowed));
+        }
+    }
     if let Some(overrun) = settings.relay.cold_overrun {
         if !COLD_OVERRUN_RANGE.contains(&overrun) {
             return Err(SettingError::new("relay.cold_overrun", overrun, "1 to 100"));
--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -93,6 +93,7 @@
             pace: false,
             schedule,
             evacuations: false,
+            evacuate_ms: None,
             reset_ended: false,
             cold_overrun: None,
             cold_slack: 0.0,
--- a/crates/platform/tests/templates.rs
+++ b/crates/platform/tests/templates.rs
@@ -1,5 +1,7 @@
 //! The deploy templates, checked with the settings code of the programs.
 
+use std::time::Duration;
+
 /// Guards against a deploy template whose settings the programs reject on startup.
 #[test]
 fn templates_are_valid_settings() {
@@ -13,6 +15,8 @@
     assert_eq!(agent.relay.entry_port, entry.relay.agents.port());
     assert!(entry.relay.evacuations && entry.relay.schedule && agent.relay.schedule);
     assert_eq!(entry.relay.cold_overrun, Some(1.5));
+    // Guards against routes and evacuations that follow the longer of their two bounds.
+    assert_eq!(entry.relay.apply_time(), Duration::from_millis(2_000));
 }
 
 /// Replaces the placeholders of a template as the platform does, with loopback addresses.
@@ -36,6 +40,7 @@
         ("bounds.configApplyMs", "3000"),
         ("/bounds.configApplyMs", ""),
         ("#bounds.evacuateMs", ""),
+        ("bounds.evacuateMs", "2000"),
         ("/bounds.evacuateMs", ""),
         ("#bounds.coldOverrun", ""),
         ("bounds.coldOverrun", "1.5"),
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -287,6 +287,7 @@
                 pace: false,
                 schedule: true,
                 evacuations: true,
+                evacuate_ms: None,
                 reset_ended: true,
                 cold_overrun: None,
                 cold_slack: 0.0,
--- a/crates/standins/tests/settings_page.rs
+++ b/crates/standins/tests/settings_page.rs
@@ -108,6 +108,7 @@
             pace: false,
             schedule: false,
             evacuations: false,
+            evacuate_ms: Some(2_000),
             reset_ended: false,
             cold_overrun: Some(1.5),
             cold_slack: 0.0,
