--- a/crates/agent/src/relay/control.rs
+++ b/crates/agent/src/relay/control.rs
@@ -2,6 +2,7 @@
 //! in the store.
 
 mod probe;
+mod reports;
 
 use self::probe::{probe_once, ProbeOutcome};
 use super::registration::keep_registered;
@@ -13,22 +14,19 @@
 use ntex::time::{sleep, Millis};
 use ntex::SharedCfg;
 use prometheus::Registry;
-use quetzalhill_core::ids::{address_of, id_of, IncarnationNumber, UpstreamName};
-use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint, REPORT_INTERVAL};
+use quetzalhill_core::ids::{id_of, IncarnationNumber, UpstreamName};
+use quetzalhill_core::relay::fleet::{ListedEndpoint, REPORT_INTERVAL};
 use quetzalhill_core::relay::identity::UNKNOWN_INCARNATION;
 use quetzalhill_core::relay::intake::UpstreamState;
-use quetzalhill_core::relay::load::LoadCounts;
 use quetzalhill_core::relay::presence::{
     PresenceController, PresenceOutcome, UpstreamAnnouncement,
 };
 use quetzalhill_core::relay::schedule::RequestScheduler;
-use quetzalhill_core::relay::subscribe::{DueReport, ReportRate, SubscriberController};
+use quetzalhill_core::relay::subscribe::SubscriberController;
 use quetzalhill_node::calls::{self, ArrivedCall, CallReply};
 use quetzalhill_node::event::{emit, EventCode};
-use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_platform::announcement;
 use quetzalhill_platform::server::{self, ServerCall};
-use quetzalhill_wire::relay::{PaceNotice, RelayNotice, ReportNotice};
 use std::cell::RefCell;
 use std::net::{SocketAddrV4, TcpListener};
 use std::rc::Rc;
@@ -447,69 +445,6 @@
         }
     }
 
-    /// Reports a change of the upstream's state to all entries.
-    fn report_change(&mut self, now: Instant) {
-        self.subscribers.record_change(now);
-        self.report(now);
-    }
-
-    /// Sends the reports that are due.
-    fn report(&mut self, now: Instant) {
-        let due = self.subscribers.take_due(now);
-        self.send_reports(&due, now);
-    }
-
-    fn send_reports(&mut self, reports: &[DueReport], now: Instant) {
-        let (load, addresses, digest, pace) = {
-            let mut meter = self.state.meter();
-            let reports_digest = self.presence.reports_digest(now);
-            let digest = reports_digest.then(|| meter.digest()).flatten();
-            let pace = meter.pace().map(|pace| pace.pace(now));
-            (meter.counts(now), meter.addresses(), digest, pace)
-        };
-        let held = self.state.held_requests();
-        let load = LoadCounts {
-            busy: load.busy.saturating_add(held),
-            ..load
-        };
-        let counters = &self.state.counters;
-        counters.held.set(held.into());
-        if let Some(pace) = &pace {
-            counters.set_pace(pace);
-        }
-        counters.flows.set(load.flows.into());
-        counters.busy.set(load.busy.into());
-        self.report_count += 1;
-        let upstream = self.presence.upstream();
-        let report = EndpointReport {
-            endpoint: self.endpoint(),
-            order: (self.started, self.report_count),
-            state: self.presence.state(),
-            stopping: self.stopping,
-            load,
-            addresses,
-            covers_all_flows: self.presence.covers_all_flows(now),
-            cold_until: upstream.and_then(|record| record.announcement.cold_until),
-            digest: digest.map(Arc::new),
-            keepalive_sent: None,
-            pace: pace.filter(|_| self.settings.relay.pace),
-            expires: now,
-        };
-        let peers = self.subscribers.next_peers();
-        for due in reports {
-            let mut notice = ReportNotice::new(&report, due, now);
-            if due.rate == ReportRate::Frequent {
-                notice.peers = peers.to_vec();
-            }
-            let notice = match &report.pace {
-                Some(pace) => RelayNotice::PacedReport(notice, PaceNotice::new(pace)),
-                None => RelayNotice::Report(notice),
-            };
-            let size = self.sockets.notify(&notice, address_of(due.entry));
-            counters.notices.count(NoticeKind::Report(due.rate), size);
-        }
-    }
-
     fn stop(&mut self, now: Instant) {
         self.stopping = true;
         // Callers would otherwise have to send the held requests again to the next agent.
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -3,11 +3,14 @@
 //! One thread receives the packets of callers, the other returned packets and reports of agents. Both are plain threads
 //! with blocking sockets. The relay chain decides on each packet, and the thread that received it executes the verdict.
 
+mod sockets;
 mod text;
 
+pub(super) use sockets::RelaySockets;
+
 use super::counters::verdict_name;
 use super::shared::RelayState;
-use crate::traffic::{bind, expect_v4, is_idle, ERROR_PAUSE};
+use crate::traffic::{expect_v4, is_idle, ERROR_PAUSE};
 use anyhow::Result;
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, RevisionNumber, StoreEra};
 use quetzalhill_core::relay::chain::{
@@ -33,7 +36,7 @@
     RelayNotice, ReportNotice, RELAY_HEADER_MAX,
 };
 use std::fmt::Display;
-use std::net::{SocketAddrV4, UdpSocket};
+use std::net::SocketAddrV4;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread::sleep;
@@ -84,58 +87,6 @@
     ConfirmRoutes,
 }
 
-/// The UDP sockets of an entry: one for callers, one for agents.
-#[derive(Debug)]
-pub(super) struct RelaySockets {
-    callers: UdpSocket,
-    agents: UdpSocket,
-    /// Address of `agents`.
-    agents_address: SocketAddrV4,
-    /// Port on which callers receive packets; the same as the port on which the entry receives theirs.
-    reply_port: u16,
-}
-
-impl RelaySockets {
-    /// Binds the sockets.
-    ///
-    /// # Errors
-    ///
-    /// An address cannot be bound; the error names it.
-    pub(super) fn bind(packets: SocketAddrV4, agents: SocketAddrV4) -> Result<Arc<Self>> {
-        Ok(Arc::new(Self {
-            callers: bind(packets)?,
-            agents: bind(agents)?,
-            agents_address: agents,
-            reply_port: packets.port(),
-        }))
-    }
-
-    /// Sends a notice to an agent or another entry, and returns the size of the datagram in bytes. Notices are sent
-    /// periodically, so a lost one is replaced by the next.
-    pub(super) fn send_notice(&self, notice: &RelayNotice, receiver: SocketAddrV4) -> usize {
-        let Ok(datagram) = notice.encode() else {
-            return 0;
-        };
-        // A send error is treated like a lost datagram.
-        let _ = self.agents.send_to(&datagram, receiver);
-        datagram.len()
-    }
-
-    /// Resets a flow that has ended at its upstream, which the caller does not know yet.
-    pub(super) fn reset_flow(&self, open: &OpenFlow) {
-        let reset = packet::encode_flow_reset(open.flow, open.acknowledged);
-        let caller = SocketAddrV4::new(*open.flow.caller.ip(), self.reply_port);
-        // If the reset is lost, the caller learns of the end with its next packet.
-        let _ = self.callers.send_to(&reset, caller);
-    }
-
-    /// Makes the thread that receives from agents look for held packets that a new view releases, by an empty datagram.
-    pub(super) fn wake_agents_thread(&self) {
-        // If the datagram is lost, the next one of an agent or the read timeout has the same effect.
-        let _ = self.agents.send_to(&[], self.agents_address);
-    }
-}
-
 /// Starts the traffic threads.
 ///
 /// # Errors
