Drop a held first packet once a copy of it is placed

Cause: a copy took the place of the held original only if the copy was held too. If the copy was placed, the original was placed as well when a further endpoint became ready, so that two upstreams could accept the flow.

Change: a later copy takes the place of a held packet as soon as it arrives, whatever becomes of it.

--- a/crates/core/src/relay/chain/opening.rs
+++ b/crates/core/src/relay/chain/opening.rs
@@ -42,7 +42,13 @@
                         place_anew(record);
                         UnansweredList::new()
                     }
-                    _ => record_admitted(record, copies, now),
+                    // The copy takes the place of the held packet, which may still be released.
+                    Some(_) => {
+                        let until = now + HOLD_TIME;
+                        record.held = Some(HeldOpening { copies, until });
+                        record_admitted(record, copies, now)
+                    }
+                    None => record_admitted(record, copies, now),
                 }
             }
         };
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -27,7 +27,7 @@
     pub acknowledged: u32,
 }
 
-/// A first packet that is or was held.
+/// A first packet that is or was held, or the later copy that took its place.
 #[derive(Clone, Copy, Debug)]
 pub struct HeldOpening {
     /// Number of copies that the caller had sent before this one.
@@ -54,7 +54,7 @@
     pub forced: bool,
     /// Whether an endpoint returned the new flow because it had no credit.
     pub cold_returned: bool,
-    /// First packet of the flow that was held last until an endpoint is ready.
+    /// First packet of the flow that was held last until an endpoint is ready, or a later copy of it.
     pub held: Option<HeldOpening>,
     /// Arrival of the last first packet of the flow.
     pub opening_seen: Option<Instant>,
--- a/crates/core/tests/relay/admission.rs
+++ b/crates/core/tests/relay/admission.rs
@@ -242,6 +242,24 @@
     assert_eq!(delivered(&chain.decide(&copy, &view, later)), key(4));
 }
 
+/// Guards against two upstreams that accept a flow because a copy of its first packet was placed while the first packet
+/// was held, and that was placed too when it was released.
+#[test]
+fn held_packet_is_dropped_once_a_copy_is_placed() {
+    let now = Instant::now();
+    let mut view = pending_view();
+    view.services.get_mut(FEED).expect("feed").endpoints[0].status = EndpointStatus::Ready;
+    let mut chain = chain(AdmissionPolicy::On, now);
+    let copy = packet(1, PacketKind::Opening { copies: 1 });
+    let verdict = exhaust(&mut chain, &opening(1), &view, 8, now);
+    assert!(matches!(verdict, RelayVerdict::Hold(_)), "{verdict:?}");
+    let verdict = exhaust(&mut chain, &copy, &view, 8, now + millis(200));
+    assert_eq!(delivered(&verdict), key(1));
+    view.services.get_mut(FEED).expect("feed").endpoints[3].status = EndpointStatus::Ready;
+    let verdict = chain.decide(&opening(1), &view, now + millis(210));
+    assert_eq!(verdict, RelayVerdict::Drop(RelayDrop::Duplicate));
+}
+
 /// Guards against all held packets going to the first endpoint that is ready while most are still to come, and against
 /// first packets that take the room of packets of open flows.
 #[test]
