Do not wait for endpoints of evacuated zones

Cause: ServiceView::is_starting counted silent endpoints of evacuated zones among those that are about to become ready. While most of a service is evacuated and down, a hopeless flow was held for 350 ms instead of refused.

Change: endpoints of evacuated zones do not count, neither as ready nor as awaited. ServiceView::is_evacuated, which nothing used, is removed.

--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -87,11 +87,14 @@
         mark
     }
 
-    /// Returns whether most endpoints have yet to become ready, as after a loss of power. To place all flows on the first ones
-    /// would overload them shortly before the others are ready.
+    /// Returns whether most endpoints that may take new flows have yet to become ready, as after a loss of power. To place
+    /// all flows on the first ones would overload them shortly before the others are ready.
     pub fn is_starting(&self) -> bool {
         let (mut ready, mut awaited) = (0, 0);
         for endpoint in &self.endpoints {
+            if endpoint.evacuated {
+                continue;
+            }
             match endpoint.status {
                 EndpointStatus::Ready => ready += 1,
                 EndpointStatus::Silent | EndpointStatus::Pending => awaited += 1,
@@ -109,12 +112,6 @@
         })
     }
 
-    /// Returns whether the endpoint `key` takes no new flows because its zone is evacuated.
-    pub fn is_evacuated(&self, key: EndpointKey) -> bool {
-        let mut evacuated = self.endpoints.iter().filter(|endpoint| endpoint.evacuated);
-        evacuated.any(|endpoint| endpoint.key().may_be(key))
-    }
-
     /// Returns whether any endpoint takes no new flows because its zone is evacuated.
     pub fn has_evacuated(&self) -> bool {
         self.endpoints.iter().any(|endpoint| endpoint.evacuated)
--- a/crates/core/tests/relay/admission.rs
+++ b/crates/core/tests/relay/admission.rs
@@ -260,6 +260,26 @@
     assert_eq!(verdict, RelayVerdict::Drop(RelayDrop::Duplicate));
 }
 
+/// Guards against a hopeless flow that is held for endpoints which may not take it, because their zone is evacuated.
+#[test]
+fn evacuated_endpoints_are_not_waited_for() {
+    let now = Instant::now();
+    let mut view = split_view(9, 0);
+    timeout(&mut view, millis(1_500));
+    for endpoint in &mut view.services.get_mut(FEED).expect("feed").endpoints[3..] {
+        endpoint.status = EndpointStatus::Silent;
+        endpoint.evacuated = true;
+    }
+    let verdict = exhaust(
+        &mut chain(AdmissionPolicy::On, now),
+        &opening(1),
+        &view,
+        500,
+        now,
+    );
+    assert_eq!(verdict, RelayVerdict::Reset(ResetReason::Hopeless));
+}
+
 /// Guards against all held packets going to the first endpoint that is ready while most are still to come, and against
 /// first packets that take the room of packets of open flows.
 #[test]
