Search once only for a returned first packet without a target

Cause: the chain treated a returned first packet of a route whose weights are all 0 as a new one and forgot which endpoints had returned it. While no endpoint accepted it, it went back and forth between entry and agents without end, at the pace of the round trip.

Change: a returned first packet skips the flow table, so that the endpoints that returned it stay ruled out. A long comment line in fleet/records.rs is wrapped.

--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -7,7 +7,6 @@
 mod search;
 
 pub use self::opening::UnansweredList;
-
 use self::search::is_overdue;
 use crate::ids::{EndpointId, ServiceDigest, ServiceName};
 use crate::relay::admit::{
@@ -210,9 +209,7 @@
     /// Returns the endpoints that the search for a flow leaves out because they returned a packet of it.
     pub fn ruled_out(&self, flow: FlowAddresses) -> TriedList {
         let record = self.flows.get(flow);
-        record
-            .map(|record| record.tried.clone())
-            .unwrap_or_default()
+        record.map_or_else(TriedList::new, |record| record.tried.clone())
     }
 
     /// Decides what to do with a packet that a caller sent.
@@ -296,8 +293,11 @@
             }
             None => {}
         }
-        let verdict = self.place(head, view, now);
-        let verdict = verdict.or_else(|| self.check_flow_table(head, view, now));
+        let mut verdict = self.place(head, view, now);
+        // A returned first packet is no new one; the endpoints that returned it stay ruled out.
+        if verdict.is_none() && !opening {
+            verdict = self.check_flow_table(head, view, now);
+        }
         let verdict = verdict.or_else(|| self.search(head, view, now));
         verdict.unwrap_or(RelayVerdict::Drop(RelayDrop::NoHolder))
     }
--- a/crates/core/src/relay/fleet/records.rs
+++ b/crates/core/src/relay/fleet/records.rs
@@ -119,9 +119,9 @@
         }
     }
 
-    /// Applies a read of the whole list, unless it is of another era. Changes that are newer than the read may have been applied before, so each
-    /// record is compared by its revision, and an endpoint that the read lacks is removed only if the read is not older
-    /// than the endpoint's record.
+    /// Applies a read of the whole list, unless it is of another era. Changes that are newer than the read may have been
+    /// applied before, so each record is compared by its revision, and an endpoint that the read lacks is removed only if
+    /// the read is not older than the endpoint's record.
     pub fn replace_list(&mut self, read: ListRead, now: Instant) {
         if self.era.is_foreign(read.era) {
             return;
--- a/crates/core/tests/relay/chain.rs
+++ b/crates/core/tests/relay/chain.rs
@@ -1,8 +1,9 @@
 //! Tests of an entry's packet filter chain.
 
 use crate::support::*;
+use quetzalhill_core::relay::admit::AdmissionPolicy;
 use quetzalhill_core::relay::chain::{
-    DeliverReason, RelayChain, RelayDrop, RelayVerdict, ResetReason,
+    ChainPolicy, DeliverReason, RelayChain, RelayDrop, RelayVerdict, ResetReason,
 };
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
@@ -419,3 +420,34 @@
     let verdict = chain.decide_returned(&opening(60), least, ReturnReason::NotReady, &view, now);
     assert_eq!(verdict, RelayVerdict::Reset(ResetReason::Refused));
 }
+
+/// Guards against a first packet that goes back and forth between an entry and its agents without end, because its route
+/// gives no service any weight and each return started the search anew.
+#[test]
+fn returned_first_packet_of_a_route_without_weights_is_not_searched_for_again() {
+    for admission in [AdmissionPolicy::Off, AdmissionPolicy::On] {
+        let mut view = view();
+        view.routes = routes(1, &[(FEED, 0)]);
+        let now = Instant::now();
+        let policy = ChainPolicy {
+            admission,
+            ..ChainPolicy::default()
+        };
+        let mut chain = RelayChain::with_policy(policy, now);
+        let mut queried = Vec::new();
+        let mut verdicts = vec![chain.decide(&opening(1), &view, now)];
+        while let Some(verdict) = verdicts.pop() {
+            let RelayVerdict::Deliver { targets, .. } = verdict else {
+                continue;
+            };
+            for target in targets {
+                let key = target.endpoint;
+                assert!(!queried.contains(&key), "{key:?} is queried again");
+                queried.push(key);
+                let reason = ReturnReason::NotReady;
+                verdicts.push(chain.decide_returned(&opening(1), key, reason, &view, now));
+            }
+        }
+        assert_eq!(queried.len(), 7);
+    }
+}
