--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -3,6 +3,7 @@
 //! One thread receives the packets of callers, the other returned packets and reports of agents. Both are plain threads
 //! with blocking sockets. The relay chain decides on each packet, and the thread that received it executes the verdict.
 
+mod log;
 mod sockets;
 mod text;
 
@@ -13,9 +14,7 @@
 use crate::traffic::{expect_v4, is_idle, ERROR_PAUSE};
 use anyhow::Result;
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, RevisionNumber, StoreEra};
-use quetzalhill_core::relay::chain::{
-    DeliverList, DeliverReason, DeliverTarget, DroppedHolder, RelayDrop, RelayVerdict,
-};
+use quetzalhill_core::relay::chain::{DeliverList, DeliverTarget, RelayVerdict};
 use quetzalhill_core::relay::confirm::{ConfirmClient, ConfirmId};
 use quetzalhill_core::relay::era::UNKNOWN_ERA;
 use quetzalhill_core::relay::evacuation::OperatorState;
@@ -23,7 +22,7 @@
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::list::ListState;
 use quetzalhill_core::relay::open_flows::OpenFlow;
-use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
+use quetzalhill_core::relay::packet::PacketHead;
 use quetzalhill_core::relay::place::EndpointKey;
 use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_core::relay::view::RelayView;
@@ -35,13 +34,11 @@
     decode_datagram, ListNotice, OpenFlowNotice, PaceNotice, RelayDatagram, RelayHeader,
     RelayNotice, ReportNotice, RELAY_HEADER_MAX,
 };
-use std::fmt::Display;
 use std::net::SocketAddrV4;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Instant;
-use text::{age_ms, EndpointList, KeyList, KeyText};
 use tokio::sync::mpsc;
 
 /// A report of an agent with the agent's address, for the control thread.
@@ -421,87 +418,6 @@
         let _ = self.sockets.agents.send_to(&buffer[start..], agent);
     }
 
-    fn log_verdict(&self, head: &PacketHead, verdict: &RelayVerdict, name: &str) {
-        let view = self.state.view.load();
-        let revision = view.routes.revision;
-        match verdict {
-            RelayVerdict::Deliver {
-                reason: DeliverReason::TableHit,
-                ..
-            } => {}
-            RelayVerdict::Deliver { targets, reason } => {
-                let code = match reason {
-                    DeliverReason::Placed | DeliverReason::Spilled => EventCode::FlowPlaced,
-                    _ => EventCode::FlowQueried,
-                };
-                let copies = match head.kind {
-                    PacketKind::Opening { copies } => copies,
-                    _ => 0,
-                };
-                let fields: [(&str, &dyn Display); 6] = [
-                    ("flow", &head.flow),
-                    ("endpoints", &EndpointList(targets)),
-                    ("copies", &copies),
-                    ("revision", &revision),
-                    ("routes_age_ms", &age_ms(view.routes_confirmed)),
-                    ("reason", &name),
-                ];
-                // The reason is given only if it is not the usual one.
-                let count = match reason {
-                    DeliverReason::Spilled => fields.len(),
-                    DeliverReason::Placed | DeliverReason::TableHit | DeliverReason::Queried => {
-                        fields.len() - 1
-                    }
-                };
-                emit(code, &fields[..count]);
-            }
-            RelayVerdict::Reset(_) => {
-                self.log_undelivered(EventCode::FlowReset, head, name, &view);
-            }
-            RelayVerdict::Hold(_) => self.log_undelivered(EventCode::FlowHeld, head, name, &view),
-            RelayVerdict::Drop(RelayDrop::Duplicate) => {}
-            RelayVerdict::Drop(_) => {
-                self.log_undelivered(EventCode::FlowDropped, head, name, &view);
-            }
-        }
-    }
-
-    /// Logs a packet that was not delivered, with the revision of the routes, the age of the list of endpoints that the
-    /// decision used, and the endpoints that were ruled out because they returned a packet of the flow.
-    fn log_undelivered(&self, code: EventCode, head: &PacketHead, reason: &str, view: &RelayView) {
-        let ruled_out = self.state.chain().ruled_out(head.flow);
-        emit(
-            code,
-            &[
-                ("flow", &head.flow),
-                ("reason", &reason),
-                ("revision", &view.routes.revision),
-                ("routes_age_ms", &age_ms(view.routes_confirmed)),
-                ("synced", &view.synced),
-                ("list_age_ms", &age_ms(view.endpoints_read)),
-                ("ruled_out", &KeyList(ruled_out)),
-            ],
-        );
-    }
-
-    fn log_dropped_holder(&self, dropped: DroppedHolder) {
-        let (state, incarnation) = match dropped.current {
-            Some(current) => ("replaced", current.incarnation),
-            None => ("absent", 0),
-        };
-        let counter = &self.state.counters.dropped_holders;
-        counter.with_label_values(&[state]).inc();
-        emit(
-            EventCode::HolderDropped,
-            &[
-                ("flow", &dropped.flow),
-                ("holder", &KeyText(dropped.holder)),
-                ("state", &state),
-                ("incarnation", &incarnation),
-            ],
-        );
-    }
-
     fn count_malformed(&self, reason: &str) {
         self.state
             .counters
