Count routes as read only once they are in force

Cause: a read of the operators' keys recorded its time, then applied the evacuations, whose change publishes the view, and only then the routes. In between, the view said that the routes of before were read now, so that a held packet of an open flow to a new route could be reset as without a route.

Change: the read is recorded after the evacuations, which still come before the routes, so that no flow is placed in an evacuated zone. Named flows are ignored without relay.reset_ended.

Measured: nothing; found by reading.

--- a/crates/entry/src/relay/control/open_flows.rs
+++ b/crates/entry/src/relay/control/open_flows.rs
@@ -156,9 +156,11 @@
         }
     }
 
-    /// Records flows that another entry of the zone has named.
+    /// Records flows that another entry of the zone has named. Without `relay.reset_ended` nothing would remove them.
     pub(super) fn handle_open_flows(&mut self, flows: Vec<OpenFlow>, now: Instant) {
-        self.zone_flows.record(flows, now);
+        if self.reset_ended {
+            self.zone_flows.record(flows, now);
+        }
     }
 
     /// Returns the flows of the zone if this entry has to write them.
--- a/crates/entry/src/relay/control/routes.rs
+++ b/crates/entry/src/relay/control/routes.rs
@@ -34,9 +34,11 @@
                 let confirmed = read.unwrap_or(now);
                 let progress = &mut self.routes_progress;
                 let age = progress.record_answer(revision, confirmed, now, counters);
-                self.routes_range.record_loaded(read);
                 let before = self.operator_state();
+                // Changed evacuations publish the view, which must not count the routes as read before they are in force:
+                // a flow to a new route would be reset.
                 self.load_evacuations(&entries, revision, source, age);
+                self.routes_range.record_loaded(read);
                 for entry in entries {
                     if self.is_manifest(&entry) {
                         self.apply_routes(&entry, source, age);
