--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Flows in each of the two generations, at 100 bytes per flow.
+/// Flows in each of the two generations, at 300 bytes per flow.
 const GENERATION_MAX: usize = 50_000;
 
 /// Endpoints that receive the packets of a flow at the same time; one for most flows.
--- a/crates/core/src/relay/open_flows.rs
+++ b/crates/core/src/relay/open_flows.rs
@@ -12,9 +12,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Time for which a flow has to be at the same endpoint before it counts as held by it. An endpoint that does not hold a
-/// flow returns its packets within milliseconds.
-const HELD_TIME: Duration = Duration::from_millis(300);
+/// Time for which a flow has to be at the same incarnation before it counts as held by it. The restart of an upstream is
+/// known only with its next announcement and the report of it, which takes 2.7 s if two announcements are lost; a flow
+/// that the new incarnation has taken meanwhile looks like one of the former.
+const HELD_TIME: Duration = Duration::from_secs(3);
 
 /// Time without packets after which a flow is no longer remembered; upstreams close idle flows sooner.
 const UNUSED_TIME: Duration = Duration::from_secs(30);
@@ -48,6 +49,8 @@
     holder: EndpointKey,
     acknowledged: u32,
     held_since: Instant,
+    /// Whether the caller has acknowledged more since then, so that the holder answers.
+    answered: bool,
     expires: Instant,
 }
 
@@ -78,12 +81,15 @@
             holder,
             acknowledged: head.acknowledged,
             held_since: now,
+            answered: false,
             expires: now,
         });
         if state.holder != holder {
             state.holder = holder;
             state.held_since = now;
+            state.answered = false;
         }
+        state.answered |= state.acknowledged != head.acknowledged;
         state.acknowledged = head.acknowledged;
         state.expires = now + UNUSED_TIME;
     }
@@ -128,7 +134,7 @@
 }
 
 fn open_flow(flow: FlowAddresses, state: &FlowState, now: Instant) -> Option<OpenFlow> {
-    let is_held = state.held_since + HELD_TIME <= now;
+    let is_held = state.answered && state.held_since + HELD_TIME <= now;
     is_held.then_some(OpenFlow {
         flow,
         holder: state.holder,
--- a/crates/entry/src/relay/control/open_flows.rs
+++ b/crates/entry/src/relay/control/open_flows.rs
@@ -95,8 +95,7 @@
 impl RelayControl {
     /// Resets the flows of this entry whose upstream has restarted.
     pub(super) fn reset_flows_of(&self, change: &IncarnationChange, now: Instant) {
-        let is_later = change.before != UNKNOWN_INCARNATION && change.after > change.before;
-        if !self.reset_ended || !is_later {
+        if !self.reset_ended || change.after == UNKNOWN_INCARNATION {
             return;
         }
         let ended = self
@@ -156,9 +155,11 @@
         }
     }
 
-    /// Records flows that another entry of the zone has named.
+    /// Records flows that another entry of the zone has named. Without `relay.reset_ended` nothing would remove them.
     pub(super) fn handle_open_flows(&mut self, flows: Vec<OpenFlow>, now: Instant) {
-        self.zone_flows.record(flows, now);
+        if self.reset_ended {
+            self.zone_flows.record(flows, now);
+        }
     }
 
     /// Returns the flows of the zone if this entry has to write them.
