Drafts of a manifest: what is wrong with them and what differs

Cause: entries reject a manifest only when it is in the store, and serve one that contradicts itself without a word.

Change: core/relay/draft holds a draft with all that is missing or not valid in it; draft/check returns findings and draft/change differences, both without encoding. platform/manifest/draft decodes a draft, manifest/describe has names, units and allowed values. Routes of one address: the last one counts, as in manifest::decode.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -11,6 +11,7 @@
 pub mod confirm;
 pub mod credits;
 pub mod digest;
+pub mod draft;
 pub mod era;
 pub mod evacuation;
 pub mod fleet;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod confirm;
 mod crest;
 mod digest;
+mod draft;
 mod era;
 mod evacuation;
 mod evacuation_placement;
--- a/crates/platform/src/manifest.rs
+++ b/crates/platform/src/manifest.rs
@@ -1,5 +1,8 @@
 //! Decoding of the manifest, in which the platform's operators define routes and limits.
 
+pub mod describe;
+pub mod draft;
+
 use quetzalhill_core::relay::routes::{RouteSet, RouteTarget, TargetList};
 use quetzalhill_core::relay::terms::FlowTerms;
 use serde::Deserialize;
@@ -132,9 +135,18 @@
 }
 
 fn address_of(route: &RouteBody) -> Option<SocketAddrV4> {
-    let ip: Ipv4Addr = route.host.parse().ok()?;
-    let port: u16 = route.prefix.trim_matches('/').parse().ok()?;
-    Some(SocketAddrV4::new(ip, port))
+    Some(SocketAddrV4::new(
+        ip_of(&route.host)?,
+        port_of(&route.prefix)?,
+    ))
+}
+
+fn ip_of(host: &str) -> Option<Ipv4Addr> {
+    host.parse().ok()
+}
+
+fn port_of(prefix: &str) -> Option<u16> {
+    prefix.trim_matches('/').parse().ok()
 }
 
 /// Returns the requirements of a route; what it does not state keeps its default.
--- a/crates/platform/src/standin.rs
+++ b/crates/platform/src/standin.rs
@@ -5,5 +5,6 @@
 //! package it makes no decisions.
 
 pub mod call;
+pub mod draft;
 pub mod packet;
 pub mod store;
