Command check-manifest

Change: quetzalhill check-manifest NEW [--in-force OLD] [--json] prints findings and differences and exits with 0, 1 or 2.

--- a/crates/entry/src/cmd.rs
+++ b/crates/entry/src/cmd.rs
@@ -1,6 +1,7 @@
 //! The commands of the binary `quetzalhill`, one module each.
 
 pub mod catalogue;
+pub mod check_manifest;
 pub mod check_settings;
 pub mod operator;
 pub mod relay;
@@ -24,6 +25,7 @@
     catalogue       Read and change the catalogue of services.
     status          Show the status of the nodes.
     check-settings  Check a settings file without starting anything.
+    check-manifest  Check a manifest before it is sent.
 ";
 
 /// Exit code for an invalid command line, by the usual convention.
@@ -36,6 +38,7 @@
     Catalogue,
     Status,
     CheckSettings,
+    CheckManifest,
 }
 
 impl CommandName {
@@ -46,6 +49,7 @@
             "catalogue" => Some(CommandName::Catalogue),
             "status" => Some(CommandName::Status),
             "check-settings" => Some(CommandName::CheckSettings),
+            "check-manifest" => Some(CommandName::CheckManifest),
             _ => None,
         }
     }
@@ -77,6 +81,7 @@
         CommandName::Catalogue => catalogue::run(argv),
         CommandName::Status => status::run(argv),
         CommandName::CheckSettings => check_settings::run(argv),
+        CommandName::CheckManifest => check_manifest::run(argv),
     }
 }
 
