The last route of an address says whether its requests may be repeated

Cause: a hidden route of the type non_idempotent still counted for its address, as the review of the check command found. Change: the decoder takes it from the last route, as it does for targets and terms.

--- a/crates/platform/src/manifest.rs
+++ b/crates/platform/src/manifest.rs
@@ -119,9 +119,11 @@
             return Err(ManifestError::Address { route: route.name });
         };
         terms.insert(address, terms_of(&route));
-        if route.route_type.as_deref() == Some(UNREPEATABLE_TYPE) {
-            unrepeatable.insert(address);
-        }
+        // The last route of an address counts.
+        match route.route_type.as_deref() == Some(UNREPEATABLE_TYPE) {
+            true => unrepeatable.insert(address),
+            false => unrepeatable.remove(&address),
+        };
         by_address.insert(address, targets_of(route)?);
     }
     Ok(RouteSet {
--- a/crates/platform/tests/bodies.rs
+++ b/crates/platform/tests/bodies.rs
@@ -1,6 +1,7 @@
 //! Decoding of announcements, manifests and request paths, and the codec of the store.
 
 use proptest::prelude::*;
+use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_platform::server::{decode as decode_call, ServerCall};
 use quetzalhill_platform::store::PlatformCodec;
 use quetzalhill_platform::{announcement, manifest};
@@ -309,3 +310,34 @@
     };
     assert_eq!((revision, events.len()), (9, 3));
 }
+
+/// Guards against terms that are lost or belong to another route of the address: agents would order requests by them, and
+/// entries would reset flows of requests that may be repeated.
+#[test]
+fn last_route_of_an_address_states_its_terms() {
+    let route = |name: &str, port: u16, kind: &str, priority: u64| {
+        format!(
+            r#"{{"name":"{name}","host":"198.18.0.1","prefix":"/{port}/","routeType":"{kind}","timeoutMs":1500,
+            "targetLatencyMs":300,"priority":{priority},"service":"feed"}}"#
+        )
+    };
+    let routes = [
+        route("hidden", 8080, "non_idempotent", 1),
+        route("counts", 8080, "idempotent", 2),
+        route("edits", 8443, "non_idempotent", 900),
+    ];
+    let text = format!(
+        r#"{{"version":3,"routes":[{}],"services":[{{"name":"feed","coldPerS":0.0}},{{"name":"batch","coldPerS":8}}],
+        "limits":{{"idleTimeoutMs":15000}}}}"#,
+        routes.join(",")
+    );
+    let decoded = manifest::decode(text.as_bytes()).expect("a manifest");
+    let feed = "198.18.0.1:8080".parse().expect("address");
+    let edits = "198.18.0.1:8443".parse().expect("address");
+    assert_eq!(decoded.terms(feed).priority, 2);
+    assert_eq!(decoded.terms(feed).target, Duration::from_millis(300));
+    assert_eq!(decoded.terms(edits).priority, FlowTerms::LOWEST_PRIORITY);
+    assert_eq!(decoded.terms(edits).timeout, Duration::from_millis(1_500));
+    assert_eq!(decoded.unrepeatable, [edits].into());
+    assert_eq!(decoded.cold_rates, [("batch".to_string(), 8.0)].into());
+}
