A starting entry adopts the grace also before its first answer, and when it asks for a confirmation

Change: a notice that arrives before the era is known starts the grace, and an entry that knows of a restore tells it to one that asks it for a confirmation before a reset.

--- a/crates/core/src/relay/era.rs
+++ b/crates/core/src/relay/era.rs
@@ -82,7 +82,10 @@
     /// Records an era that another entry has told, and returns whether the store has to be read: only its own answers
     /// raise the era, so that a wrong notice does no harm.
     pub fn hear(&mut self, era: StoreEra, now: Instant) -> bool {
-        if era == self.era && self.adopted_until.is_some_and(|until| now < until) {
+        // Other entries tell of an era only for a while after a restore.
+        let is_started =
+            self.era == UNKNOWN_ERA || self.adopted_until.is_some_and(|until| now < until);
+        if is_started && era >= self.era {
             self.grace_until = self.grace_until.max(Some(now + RESTORE_GRACE));
         }
         if era <= self.era {
--- a/crates/core/tests/relay/era.rs
+++ b/crates/core/tests/relay/era.rs
@@ -133,6 +133,11 @@
     }
     assert!(!era.is_grace(start + RESTORE_GRACE * 2));
     assert!(era.is_grace(start + RESTORE_GRACE));
+    // The notice may arrive before the first answer of the store.
+    let mut era = EraController::default();
+    assert!(era.hear(6, start));
+    assert_eq!(era.observe(6, start), EraChange::First);
+    assert!(era.is_grace(start) && !era.is_told(start));
 }
 
 /// Guards against an entry that keeps the newer revisions of the era before, and so refuses what is written after a
--- a/crates/entry/src/relay/control.rs
+++ b/crates/entry/src/relay/control.rs
@@ -222,7 +222,7 @@
                     control.borrow_mut().doubt(id, Instant::now());
                 }
                 Ok(Some(TrafficEvent::ConfirmRequest(client))) => {
-                    control.borrow_mut().handle_confirm_request(client);
+                    control.borrow_mut().handle_confirm_request(client, Instant::now());
                 }
                 Ok(Some(TrafficEvent::ConfirmAnswer { id, list })) => {
                     control.borrow_mut().handle_confirm_answer(id, list, Instant::now());
--- a/crates/entry/src/relay/control/endpoints.rs
+++ b/crates/entry/src/relay/control/endpoints.rs
@@ -195,7 +195,12 @@
     }
 
     /// Reads the list for another entry.
-    pub(super) fn handle_confirm_request(&mut self, client: ConfirmClient) {
+    pub(super) fn handle_confirm_request(&mut self, client: ConfirmClient, now: Instant) {
+        // The entry may have started since the restore, and is about to reset a flow because of what the store lacks.
+        if self.fleet.era().is_told(now) {
+            let notice = RelayNotice::StoreEra(self.fleet.era().era());
+            self.send_to_peer(&notice, client.entry, NoticeKind::StoreEra);
+        }
         self.confirm_clients.push(client);
         self.confirm_endpoints.notify_one();
     }
