The scheduler knows a flow before its caller gets the upstream's packet

The agent sent the upstream's packet to the caller before it recorded it in the scheduler; a request that came back in between belonged to a flow that the scheduler did not know, and was not held. Change: recorded first, sent then. A comment on the rate of digests no longer states a processor share that no run showed.

--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -352,10 +352,11 @@
                 if let Some(filled) = filled {
                     self.state.log_filled(&filled);
                 }
+                // The caller may send its next request at once, which the scheduler has to know as one of this flow.
+                self.release_after(|scheduler| scheduler.record_sent(&head, now));
                 let caller = SocketAddrV4::new(*head.flow.caller.ip(), self.sockets.reply_port);
                 // A failed send is treated as a lost packet; the upstream retransmits it.
                 let _ = self.sockets.packets.send_to(bytes, caller);
-                self.release_after(|scheduler| scheduler.record_sent(&head, now));
             }
             Ok(UpstreamPacket::Returned { head, mark }) => {
                 packet::restore(bytes);
--- a/crates/core/src/relay/confirm.rs
+++ b/crates/core/src/relay/confirm.rs
@@ -16,8 +16,8 @@
 /// Shortest time between two requests; one covers all flows that became unresolved before it.
 const ASK_GAP: Duration = Duration::from_millis(40);
 
-/// Requests for digests per second to all agents together. The answers, of some hundred bytes each, take a sixth of the
-/// link and a twentieth of the processor of the smallest instances.
+/// Requests for digests per second to all agents together. Answers of 300 bytes take a fifth of the smallest link, which
+/// has 10 Mbit/s.
 const DIGEST_REQUESTS_PER_S: f64 = 750.0;
 
 /// Shortest time between two rounds of requests for digests. The list, which has to be read too, is read every 100 ms.
