--- a/crates/standins/src/flows/ledger.rs
+++ b/crates/standins/src/flows/ledger.rs
@@ -313,6 +313,11 @@
         }
     }
 
+    /// Returns whether operators have evacuated `zone`.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.contains_key(zone)
+    }
+
     /// Checks the send time of a first packet that reached an upstream in `zone`.
     pub fn check_evacuation(
         &mut self,
--- a/crates/standins/src/soak/run.rs
+++ b/crates/standins/src/soak/run.rs
@@ -101,8 +101,8 @@
     ReplaceUpstream(usize),
     RestoreStore,
     RestoreLink(usize),
-    /// Writes the last routes again, as operators do after a restore of the store.
-    RewriteRoutes,
+    /// Writes the last routes and evacuations again, as operators do after a restore of the store.
+    RewriteOperatorKeys,
 }
 
 struct SoakRun {
@@ -315,7 +315,8 @@
             StoreFault::RevokeLeases => store.revoke_leases(|key| key.len() % 2 == 0),
             StoreFault::Restore(age, polls) => {
                 store.restore(age, polls);
-                self.pending_undos.push((end, UndoAction::RewriteRoutes));
+                self.pending_undos
+                    .push((end, UndoAction::RewriteOperatorKeys));
             }
             StoreFault::InvalidRecord => {
                 store.put(
@@ -393,7 +394,7 @@
                     .push((now, UndoAction::StartUpstream(index, 0)));
             }
             UndoAction::RestoreStore => self.site.store.set_mode(StandinMode::Normal),
-            UndoAction::RewriteRoutes => self.site.rewrite_routes(),
+            UndoAction::RewriteOperatorKeys => self.site.rewrite_operator_keys(),
             UndoAction::RestoreLink(index) => self.site.links[index].set_fault(LinkFault::None),
         }
         Ok(())
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -249,12 +249,21 @@
         ledger.record_evacuation(&zone.into(), evacuated, now);
     }
 
-    /// Writes the routes that were published last once more, if the store has lost them.
-    pub fn rewrite_routes(&self) {
+    /// Writes the routes and evacuations that operators wrote last once more, if the store has lost them.
+    pub fn rewrite_operator_keys(&self) {
         let manifest = call::manifest(&self.ledger.borrow().routes());
         if self.store.value(MANIFEST_KEY).as_ref() != Some(&manifest) {
             self.store.put(MANIFEST_KEY, &manifest);
         }
+        for zone in ZONES {
+            let key = evacuation_key(zone);
+            let is_listed = self.store.value(&key).is_some();
+            match self.ledger.borrow().is_evacuated(zone) {
+                true if !is_listed => self.store.put(&key, b"{}"),
+                false if is_listed => self.store.remove(&key),
+                _ => {}
+            }
+        }
     }
 
     fn node_settings(&self, name: String, index: usize, host: SocketAddrV4) -> RelayNode {
