--- a/review/standins2.py
+++ b/review/standins2.py
@@ -71,6 +71,11 @@
         return packet
 
 
+def entry_address(packet):
+    """The agents write the address of the entry into `echo`; used only to tell which machine took a packet."""
+    return socket.inet_ntoa(struct.pack(">I", packet.echo))
+
+
 async def read_http(reader):
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode().split("\r\n")
@@ -253,6 +258,7 @@
         self.flows, self.runs, self.sequence = {}, [], 0
         self.state, self.alive, self.holds_pings = "ready", False, False
         self.forged = 0
+        self.own, self.foreign = [], []  # (time, caller's port, entry) of packets of flows that it holds and does not hold
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -326,7 +332,9 @@
             self.send(key, SYN | ACK, flow["seq"], flow["next"])
             return
         if flow is None:
+            self.foreign.append((time.monotonic(), key[0][1], entry_address(packet)))
             return self.bounce(packet)
+        self.own.append((time.monotonic(), key[0][1], entry_address(packet)))
         if packet.flags & RST:
             self.flows.pop(key)
             return
@@ -334,6 +342,18 @@
             flow["open"] = True
             flow["seq"] = (flow["seq"] + 1) & 0xFFFFFFFF
             self.record(f"{self.name}: flow {key[0][1]} is open")
+        stream = flow.get("stream")
+        if stream is not None and packet.flags & ACK:
+            stream.acknowledge(packet.ack)
+        if packet.data.startswith(b"GET "):
+            if stream is None or stream.asked_at != packet.seq:
+                text = packet.data.decode()
+                request = re.search(r"X-Request-Id: (\S+)", text).group(1)
+                size = int(re.search(r"GET /(\d+)", text).group(1))
+                self.runs.append(request)
+                flow["next"] = (packet.seq + len(packet.data)) & 0xFFFFFFFF
+                flow["stream"] = Stream(self, key, flow, packet.seq, size)
+            return
         if packet.data:
             if packet.seq not in flow["answers"]:
                 text = packet.data.decode()
@@ -360,6 +380,60 @@
         self.transport.sendto(packet.encode(keep_sum=True), self.machine["outbound"])
 
 
+class Stream:
+    """A long answer of an upstream: 16 packets in flight, retransmitted after 200 ms, doubling up to 1.6 s, 8 times."""
+
+    def __init__(self, upstream, key, flow, asked_at, size):
+        self.upstream, self.key, self.flow, self.asked_at = upstream, key, flow, asked_at
+        body = b"x" * size
+        text = http_answer(200, body, "X-Response-Signature: s\r\n")
+        self.segments, seq = [], flow["seq"]
+        for start in range(0, len(text), 1200):
+            self.segments.append((seq, text[start:start + 1200]))
+            seq = (seq + len(text[start:start + 1200])) & 0xFFFFFFFF
+        flow["seq"] = self.end = seq
+        self.first, self.next, self.tries = 0, 0, 0
+        self.timer = None
+        self.push()
+
+    def push(self):
+        while self.next < len(self.segments) and self.next - self.first < 16:
+            self.send(self.next)
+            self.next += 1
+        self.arm()
+
+    def send(self, index):
+        seq, data = self.segments[index]
+        if self.upstream.alive:
+            self.upstream.send(self.key, ACK, seq, self.flow["next"], data)
+
+    def arm(self):
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = None
+        if self.first < len(self.segments) and self.tries < 8 and self.upstream.alive:
+            wait = min(1.6, 0.2 * 2 ** self.tries)
+            self.timer = asyncio.get_running_loop().call_later(wait, self.retransmit)
+
+    def retransmit(self):
+        self.tries += 1
+        for index in range(self.first, self.next):
+            self.send(index)
+        self.arm()
+
+    def acknowledge(self, ack):
+        before = self.first
+        while self.first < self.next:
+            seq, data = self.segments[self.first]
+            end = (seq + len(data)) & 0xFFFFFFFF
+            if ((ack - end) & 0xFFFFFFFF) >= 2**31:
+                break
+            self.first += 1
+        if self.first != before:
+            self.tries = 0
+            self.push()
+
+
 class Callers(asyncio.DatagramProtocol):
     """Clients of one address, behind the platform's router."""
 
@@ -409,12 +483,47 @@
             flow["open"], flow["ack"] = True, (packet.seq + 1) & 0xFFFFFFFF
             self.send((packet.dst, packet.src), ACK, flow["seq"], flow["ack"])
             flow["event"].set()
+        elif packet.data and flow.get("wanted") is not None:
+            self.receive_part(flow, packet)
         elif packet.data and packet.seq == flow["ack"]:
             flow["ack"] = (packet.seq + len(packet.data)) & 0xFFFFFFFF
             flow["answer"] = packet.data
             self.send((packet.dst, packet.src), ACK, flow["seq"], flow["ack"])
             flow["event"].set()
 
+    def receive_part(self, flow, packet):
+        """Takes a packet of a long answer: acknowledges every second one, and each that is not the expected one."""
+        key = (packet.dst, packet.src)
+        if packet.seq != flow["ack"]:
+            self.send(key, ACK, flow["seq"], flow["ack"])
+            return
+        flow["ack"] = (packet.seq + len(packet.data)) & 0xFFFFFFFF
+        flow["got"] += packet.data
+        flow["parts"] += 1
+        head, _, body = flow["got"].partition(b"\r\n\r\n")
+        done = len(body) >= flow["wanted"]
+        if done or flow["parts"] % 2 == 0:
+            self.send(key, ACK, flow["seq"], flow["ack"])
+        if done:
+            flow["wanted"], flow["answer"] = None, flow["got"]
+            flow["event"].set()
+
+    async def download(self, key, request, size, limit_s=8.0):
+        """Fetches a long answer; returns whether it came whole within the time limit."""
+        flow = self.flows[key]
+        data = f"GET /{size} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\n\r\n".encode()
+        seq, until, wait = flow["seq"], time.monotonic() + limit_s, 0.2
+        flow["seq"] = (seq + len(data)) & 0xFFFFFFFF
+        flow.update(answer=None, wanted=size, got=b"", parts=0)
+        flow["event"].clear()
+        while time.monotonic() < until and not flow["ended"] and flow["answer"] is None:
+            if not flow["got"]:
+                self.send(key, ACK, seq, flow["ack"], data)
+            await self.wait(flow, min(wait, max(0.0, until - time.monotonic())))
+            wait = min(1.6, wait * 2)
+        (self.answered if flow["answer"] is not None else self.unanswered).append(request)
+        return flow["answer"] is not None
+
     async def open(self, service, port=None):
         if port is None:
             port = self.next_port
@@ -575,6 +684,18 @@
         await asyncio.sleep(0.5)
 
 
+async def keep_zone_rotation(callers, own, nearest):
+    """The same for callers in a zone: its entries, or those of the nearest zone while none of them is in rotation."""
+    misses = {}
+    while True:
+        for machine in own:
+            ready = await is_ready(machine)
+            misses[machine["ip"]] = 0 if ready else misses.get(machine["ip"], 2) + 1
+        rotation = [machine["datagram"] for machine in own if misses[machine["ip"]] < 2]
+        callers.rotation = rotation or [machine["datagram"] for machine in nearest]
+        await asyncio.sleep(0.5)
+
+
 def free_ports(count):
     while True:
         base = random.randrange(20000, 31000)
@@ -605,12 +726,37 @@
                        "idleTimeoutMs": idle_ms}}
 
 
+def flows_astray(upstreams, in_touch, window_s=2.0):
+    """Returns, for each open flow that a living upstream holds, a span of `window_s` in which three or more of its packets
+    reached other endpoints and none its own: FLOW (b). Counts only packets that the entries `in_touch` took."""
+    found = {}
+    for holder in upstreams:
+        for (caller, _), flow in holder.flows.items():
+            if not holder.alive or not flow["open"]:
+                continue
+            own = sorted(at for at, port, _ in holder.own if port == caller[1])
+            other = sorted(at for up in upstreams if up is not holder
+                           for at, port, entry in up.foreign if port == caller[1] and entry in in_touch)
+            for start in other:
+                astray = sum(1 for at in other if start <= at < start + window_s)
+                near = any(start <= at < start + window_s for at in own)
+                if astray >= 3 and not near and own and own[0] < start and time.monotonic() > start + window_s:
+                    found[caller[1]] = (holder.name, start, astray)
+                    break
+    return found
+
+
 def main(folder, case, limit_s=115):
     """Plays `case(record)`, which returns a list of what broke the rule, and exits with the result."""
     record = Record(folder)
     record(f"trouble is {'on' if TROUBLE else 'off'}")
+    async def play():
+        # Connections that are still served at the end are cancelled, which is no error.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        return await asyncio.wait_for(case(record), limit_s)
+
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record), limit_s))
+        broken = asyncio.run(play())
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         record(f"RESULT could not run: {type(error).__name__} {error}")
         sys.exit(2)
