--- a/review/standins2.py
+++ b/review/standins2.py
@@ -258,7 +258,9 @@
         self.flows, self.runs, self.sequence = {}, [], 0
         self.state, self.alive, self.holds_pings = "ready", False, False
         self.forged = 0
-        self.own, self.foreign = [], []  # (time, caller's port, entry) of packets of flows that it holds and does not hold
+        # Time, caller's port and entry of the packets of flows that it holds, and of those that it does not hold, the latter
+        # with what tells packets of one flow apart.
+        self.own, self.foreign = [], []
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -332,7 +334,8 @@
             self.send(key, SYN | ACK, flow["seq"], flow["next"])
             return
         if flow is None:
-            self.foreign.append((time.monotonic(), key[0][1], entry_address(packet)))
+            self.foreign.append((time.monotonic(), key[0][1], entry_address(packet),
+                                 (packet.seq, packet.ack, len(packet.data))))
             return self.bounce(packet)
         self.own.append((time.monotonic(), key[0][1], entry_address(packet)))
         if packet.flags & RST:
@@ -728,17 +731,18 @@
 
 def flows_astray(upstreams, in_touch, window_s=2.0):
     """Returns, for each open flow that a living upstream holds, a span of `window_s` in which three or more of its packets
-    reached other endpoints and none its own: FLOW (b). Counts only packets that the entries `in_touch` took."""
+    reached other endpoints and none its own: FLOW (b). Counts only packets that the entries `in_touch` took, and copies of
+    a packet, at one endpoint or several, once."""
     found = {}
     for holder in upstreams:
         for (caller, _), flow in holder.flows.items():
             if not holder.alive or not flow["open"]:
                 continue
             own = sorted(at for at, port, _ in holder.own if port == caller[1])
-            other = sorted(at for up in upstreams if up is not holder
-                           for at, port, entry in up.foreign if port == caller[1] and entry in in_touch)
-            for start in other:
-                astray = sum(1 for at in other if start <= at < start + window_s)
+            other = sorted((at, packet) for up in upstreams if up is not holder
+                           for at, port, entry, packet in up.foreign if port == caller[1] and entry in in_touch)
+            for start, _ in other:
+                astray = len({packet for at, packet in other if start <= at < start + window_s})
                 near = any(start <= at < start + window_s for at in own)
                 if astray >= 3 and not near and own and own[0] < start and time.monotonic() > start + window_s:
                     found[caller[1]] = (holder.name, start, astray)
