Relay: a report says when it names only some addresses of its flows

Cause: a report has room for 64 addresses of open flows, and the agent said of this part that it is the whole. The entry then searched the new service only and took its answers as proof that the flow had ended. In the log, the reset rules out the endpoint of the new service alone, and the holder never returned a packet of the flow.

Change: reports have a coverage, `partial`, `truncated` or `complete`, in the byte of the former truth value. Entries search the services of endpoints whose reports are not complete after all others, and reset a flow only if these have returned it too. First packets never go there. So neither a truncated report resets a living flow, nor do callers of ended flows wait as long as it is truncated. Two more ways to the same flaw are closed: flows beyond the 8,192 that an agent counts, and the addresses that an agent has not named since its start.

With the fault put back in a scratch copy, two tests of moved_routes and one of load fail; without the search of unnamed services, four of moved_routes.

--- a/crates/agent/src/relay/control/reports.rs
+++ b/crates/agent/src/relay/control/reports.rs
@@ -3,7 +3,7 @@
 use super::AgentControl;
 use quetzalhill_core::ids::address_of;
 use quetzalhill_core::relay::fleet::EndpointReport;
-use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadCounts};
 use quetzalhill_core::relay::subscribe::{DueReport, ReportRate};
 use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_wire::relay::{PaceNotice, RelayNotice, ReportNotice};
@@ -51,8 +51,8 @@
             state: self.presence.state(),
             stopping: self.stopping,
             load,
-            addresses,
-            covers_all_flows: self.presence.covers_all_flows(now),
+            coverage: FlowCoverage::new(self.presence.covers_all_flows(now), addresses.complete),
+            addresses: addresses.list,
             cold_until: upstream.and_then(|record| record.announcement.cold_until),
             digest: digest.map(Arc::new),
             keepalive_sent: None,
--- a/crates/core/src/relay/chain/search.rs
+++ b/crates/core/src/relay/chain/search.rs
@@ -1,12 +1,12 @@
 //! Rounds of the search for the holder of a flow that the flow table does not know. See docs/relay.md.
 
 use super::{DeliverList, DeliverReason, DeliverTarget, RelayChain, RelayVerdict, ResetReason};
-use crate::relay::digest::fingerprint_of;
-use crate::relay::flows::RoundRecord;
+use crate::relay::digest::{fingerprint_of, FlowFingerprint};
+use crate::relay::flows::{FlowRecord, RoundRecord};
 use crate::relay::hold::HoldReason;
 use crate::relay::packet::{PacketHead, PacketKind};
-use crate::relay::place::SearchOrder;
-use crate::relay::view::{EndpointStatus, RelayView};
+use crate::relay::place::{rank, IndexList, SearchOrder};
+use crate::relay::view::{EndpointStatus, RelayView, ServiceView, ViewEndpoint};
 use std::time::{Duration, Instant};
 
 /// Endpoints queried at the same time once the candidates of new flows have been queried.
@@ -28,6 +28,8 @@
     Near,
     Far,
     Rest,
+    /// Endpoints of a service that may hold the flow although nothing names it for the address of the flow.
+    Unnamed,
 }
 
 /// Next round of a search.
@@ -97,80 +99,149 @@
     }
 
     /// Returns the endpoints of the next round of a search: candidates of the entry's zone, then those of other zones,
-    /// then the others. Most flows are found in the first round, without a copy of the packet in another zone.
+    /// then the others, then those of services that reports do not rule out. Most flows are found in the first round,
+    /// without a copy of the packet in another zone.
     fn next_round(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> SearchRound {
         let record = self.flows.record(head.flow);
         // The flow was open before this time, so reports and lists read after it show whether the flow still exists.
         let unresolved_since = *record.unresolved_since.get_or_insert(now);
         let opening = matches!(head.kind, PacketKind::Opening { .. });
-        let fingerprint = fingerprint_of(head.flow);
-        let mut round = SearchRound {
-            targets: DeliverList::new(),
+        let mut plan = RoundPlan {
+            record,
+            fingerprint: fingerprint_of(head.flow),
+            opening,
+            unresolved_since,
+            lists: RoundLists::default(),
             complete: view.synced && view.holders_known,
             needs_confirmation: view.endpoints_read < Some(unresolved_since),
         };
-        let (mut near, mut far) = (DeliverList::new(), DeliverList::new());
-        let (mut rest, mut silent) = (DeliverList::new(), DeliverList::new());
         for name in view.holder_services(head.flow) {
             let Some(service) = view.services.get(name) else {
-                round.complete = false;
+                plan.complete = false;
                 continue;
             };
-            round.complete &= service.complete;
             let order = SearchOrder::new(service, head.flow);
-            let tiers = [
-                (SearchTier::Near, order.near),
-                (SearchTier::Far, order.far),
-                (SearchTier::Rest, order.rest),
-            ];
-            for (tier, index) in tiers
-                .into_iter()
-                .flat_map(|(tier, list)| list.into_iter().map(move |index| (tier, index)))
-            {
-                let endpoint = &service.endpoints[index];
-                let key = endpoint.key();
-                let is_queried = record.queried.iter().any(|queried| queried.may_be(key));
-                // A first packet, which is searched for only if all weights of its route are 0, could open the flow.
-                let is_closed = endpoint.evacuated && opening;
-                if is_queried || is_closed || record.tried.contains(&key) {
+            plan.add(service, SearchTier::Near, order.near);
+            plan.add(service, SearchTier::Far, order.far);
+            plan.add(service, SearchTier::Rest, order.rest);
+            plan.complete &= service.complete;
+        }
+        // An upstream would accept a first packet, also one of a service that the route never led to.
+        if !opening {
+            for name in view.unnamed_services(head.flow) {
+                let Some(service) = view.services.get(name) else {
+                    plan.complete = false;
                     continue;
-                }
-                let digest = endpoint.digest.as_ref();
-                if digest.is_some_and(|digest| !digest.contains(fingerprint)) {
-                    if endpoint.keepalive_sent >= Some(unresolved_since) {
-                        continue;
-                    }
-                    // The digest is older than the search. A flow opened since the last report is probably at a
-                    // candidate of the own zone, so these are queried anyway; the others report once more.
-                    if tier != SearchTier::Near {
-                        round.needs_confirmation = true;
-                        continue;
-                    }
-                }
-                let (list, limit) = match (endpoint.status, tier) {
-                    (EndpointStatus::Silent, _) => (&mut silent, SILENT_MAX),
-                    (_, SearchTier::Near) => (&mut near, QUERY_MAX),
-                    (_, SearchTier::Far) => (&mut far, QUERY_MAX),
-                    (_, SearchTier::Rest) => (&mut rest, QUERY_MAX),
                 };
-                if list.len() < limit {
-                    list.push(DeliverTarget {
-                        endpoint: key,
-                        service: service.digest,
-                        forced: false,
-                        cold_limit: None,
-                    });
-                }
+                plan.add(service, SearchTier::Unnamed, rank(service, head.flow));
+                plan.complete &= service.complete;
             }
         }
+        plan.into_round()
+    }
+}
+
+/// Endpoints that are left to query, by the round in which it is their turn.
+#[derive(Debug, Default)]
+struct RoundLists {
+    near: DeliverList,
+    far: DeliverList,
+    rest: DeliverList,
+    unnamed: DeliverList,
+    silent: DeliverList,
+}
+
+/// Collects the endpoints that are left to query for a flow.
+#[derive(Debug)]
+struct RoundPlan<'a> {
+    record: &'a FlowRecord,
+    fingerprint: FlowFingerprint,
+    opening: bool,
+    /// Only reports and lists from later than this can rule out an endpoint.
+    unresolved_since: Instant,
+    lists: RoundLists,
+    complete: bool,
+    needs_confirmation: bool,
+}
+
+impl RoundPlan<'_> {
+    /// Adds the endpoints of `service` with these indices, unless they were queried or cannot hold the flow.
+    fn add(&mut self, service: &ServiceView, tier: SearchTier, indices: IndexList) {
+        for index in indices {
+            let endpoint = &service.endpoints[index];
+            if !self.is_left(endpoint, tier) {
+                continue;
+            }
+            let lists = &mut self.lists;
+            let (list, limit) = match (endpoint.status, tier) {
+                (EndpointStatus::Silent, _) => (&mut lists.silent, SILENT_MAX),
+                (_, SearchTier::Near) => (&mut lists.near, QUERY_MAX),
+                (_, SearchTier::Far) => (&mut lists.far, QUERY_MAX),
+                (_, SearchTier::Rest) => (&mut lists.rest, QUERY_MAX),
+                (_, SearchTier::Unnamed) => (&mut lists.unnamed, QUERY_MAX),
+            };
+            if list.len() >= limit {
+                continue;
+            }
+            list.push(DeliverTarget {
+                endpoint: endpoint.key(),
+                service: service.digest,
+                forced: false,
+                cold_limit: None,
+            });
+        }
+    }
+
+    /// Returns whether the endpoint has to be queried, now or in a later round.
+    fn is_left(&mut self, endpoint: &ViewEndpoint, tier: SearchTier) -> bool {
+        let key = endpoint.key();
+        let mut queried = self.record.queried.iter();
+        // A first packet, which is searched for only if all weights of its route are 0, could open the flow.
+        let is_closed = endpoint.evacuated && self.opening;
+        if is_closed
+            || queried.any(|queried| queried.may_be(key))
+            || self.record.tried.contains(&key)
+        {
+            return false;
+        }
+        let digest = endpoint.digest.as_ref();
+        if digest.is_none_or(|digest| digest.contains(self.fingerprint)) {
+            return true;
+        }
+        if endpoint.keepalive_sent >= Some(self.unresolved_since) {
+            return false;
+        }
+        // The digest is older than the search. A flow opened since the last report is probably at a candidate of the own
+        // zone, so these are queried anyway; the others report once more.
+        if tier == SearchTier::Near {
+            return true;
+        }
+        self.needs_confirmation = true;
+        false
+    }
+
+    fn into_round(self) -> SearchRound {
+        let RoundLists {
+            mut near,
+            mut far,
+            rest,
+            unnamed,
+            silent,
+        } = self.lists;
         if near.len() < NEAR_MIN {
             near.extend(far.drain(..));
         }
-        // Silent endpoints are queried last, since the packet is probably lost there.
-        let rounds = [near, far, rest, silent];
+        // Silent endpoints are queried last, since the packet is probably lost there. They may not answer, so that the
+        // endpoints of unnamed services do not wait for them.
+        let mut last = silent;
+        last.extend(unnamed);
+        let rounds = [near, far, rest, last];
         let next = rounds.into_iter().find(|targets| !targets.is_empty());
-        round.targets = next.unwrap_or_default();
-        round
+        SearchRound {
+            targets: next.unwrap_or_default(),
+            complete: self.complete,
+            needs_confirmation: self.needs_confirmation,
+        }
     }
 }
 
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -17,13 +17,13 @@
 use crate::relay::evacuation::EvacuationController;
 use crate::relay::identity::{IncarnationChange, IncarnationSource, UNKNOWN_INCARNATION};
 use crate::relay::intake::UpstreamState;
-use crate::relay::load::{AddressList, LoadCounts};
+use crate::relay::load::{AddressList, FlowCoverage, LoadCounts};
 use crate::relay::pace::EndpointPace;
 use crate::relay::pace_factor::compare_paces;
 use crate::relay::revisions::RevisionLog;
 use crate::relay::routes::FormerServices;
 use crate::relay::subscribe::{sparse_interval, ReportRate};
-use crate::relay::view::{EndpointStatus, ServiceView};
+use crate::relay::view::{EndpointStatus, ServiceView, UnnamedServices};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -75,8 +75,8 @@
     pub load: LoadCounts,
     /// Service addresses to which the open flows were opened.
     pub addresses: AddressList,
-    /// Whether the agent has seen all open flows of the upstream, so that `addresses` is complete.
-    pub covers_all_flows: bool,
+    /// How many of the open flows the report accounts for.
+    pub coverage: FlowCoverage,
     /// End of the time for which the upstream is slow after its start.
     pub cold_until: Option<Instant>,
     /// Digest of all flows that the upstream may hold; `None` if the agent does not know them or they are too many.
@@ -361,14 +361,25 @@
         }
     }
 
-    /// Returns whether the last reports cover all open flows of every endpoint.
+    /// Returns whether the agents of all endpoints have seen all open flows, according to their last reports.
     pub fn holders_known(&self) -> bool {
-        self.known.values().all(|known| {
-            let report = known.last.as_ref().map(|last| &last.report);
-            report.is_some_and(|report| {
-                report.covers_all_flows || report.state == UpstreamState::Gone
-            })
-        })
+        let mut coverages = self.known.values().map(KnownEndpoint::coverage);
+        coverages.all(|coverage| coverage != FlowCoverage::Partial)
+    }
+
+    /// Returns the services that may hold flows to addresses which the last reports do not name, in the order of their
+    /// names.
+    pub fn unnamed_services(&self) -> UnnamedServices {
+        let mut names = UnnamedServices::new();
+        for known in self.known.values() {
+            let name = &known.endpoint.service;
+            if known.coverage() == FlowCoverage::Complete || names.contains(name) {
+                continue;
+            }
+            names.push(name.clone());
+        }
+        names.sort_unstable();
+        names
     }
 
     /// Returns the view of each service as of `now`, without endpoints whose upstream has ended.
--- a/crates/core/src/relay/fleet/known.rs
+++ b/crates/core/src/relay/fleet/known.rs
@@ -9,6 +9,7 @@
     merge_accounts, IncarnationChange, IncarnationSource, UNKNOWN_INCARNATION,
 };
 use crate::relay::intake::UpstreamState;
+use crate::relay::load::FlowCoverage;
 use crate::relay::pace::EndpointPace;
 use crate::relay::subscribe::ReportRate;
 use crate::relay::view::{EndpointStatus, ViewEndpoint};
@@ -92,6 +93,17 @@
         other_service || (record.incarnation != UNKNOWN_INCARNATION && record.incarnation < known)
     }
 
+    /// Returns how many of the open flows the last report accounts for; an upstream that has ended has none.
+    pub(super) fn coverage(&self) -> FlowCoverage {
+        let Some(last) = &self.last else {
+            return FlowCoverage::Partial;
+        };
+        match last.report.state {
+            UpstreamState::Gone => FlowCoverage::Complete,
+            _ => last.report.coverage,
+        }
+    }
+
     pub(super) fn is_fresh(&self, now: Instant) -> bool {
         self.last.as_ref().is_some_and(|last| now < last.expires)
     }
--- a/crates/core/src/relay/load.rs
+++ b/crates/core/src/relay/load.rs
@@ -22,13 +22,55 @@
 /// handshake.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(50);
 
-/// Limit of addresses in a report; a service has a few.
+/// Limit of addresses in a report, which has to fit into one datagram with a digest. A service has a few; a report that
+/// lacks some says so.
 const ADDRESSES_MAX: usize = 64;
 
 /// Service addresses of open flows.
 pub type AddressList = SmallVec<[SocketAddrV4; 4]>;
 
-/// Limit of counted flows; an upstream holds some thousands.
+/// Service addresses that a report names.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AddressSummary {
+    /// Addresses to which open flows were opened.
+    pub list: AddressList,
+    /// Whether `list` has the address of every counted flow.
+    pub complete: bool,
+}
+
+/// How much a report says of the open flows of an upstream. An entry that takes a part for the whole resets living flows.
+/// See docs/relay.md.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FlowCoverage {
+    /// The agent may not have seen all flows.
+    Partial,
+    /// The agent has seen all flows, but the report names only some of their addresses.
+    Truncated,
+    /// The agent has seen all flows, and the report names all of their addresses.
+    Complete,
+}
+
+impl FlowCoverage {
+    /// Returns the coverage of a report from an agent that has seen all flows or not, and names all addresses or not.
+    pub fn new(seen_all: bool, named_all: bool) -> Self {
+        match (seen_all, named_all) {
+            (false, _) => FlowCoverage::Partial,
+            (true, false) => FlowCoverage::Truncated,
+            (true, true) => FlowCoverage::Complete,
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            FlowCoverage::Partial => "partial",
+            FlowCoverage::Truncated => "truncated",
+            FlowCoverage::Complete => "complete",
+        }
+    }
+}
+
+/// Limit of counted flows; an upstream holds some thousands. Reports say that they lack flows beyond it.
 const FLOWS_MAX: usize = 8_192;
 
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +110,8 @@
 #[derive(Debug, Default)]
 pub struct LoadMeter {
     flows: HashMap<FlowAddresses, FlowActivity>,
+    /// End of the time for which a flow beyond [`FLOWS_MAX`] may be open that is not counted.
+    uncounted_until: Option<Instant>,
     pace: Option<PaceMeter>,
 }
 
@@ -75,8 +119,8 @@
     /// Makes a meter that also measures the pace of the upstream.
     pub fn with_pace(pace: PaceMeter) -> Self {
         Self {
-            flows: HashMap::new(),
             pace: Some(pace),
+            ..Self::default()
         }
     }
 
@@ -144,6 +188,7 @@
             PacketKind::Opening { .. } | PacketKind::Accepting | PacketKind::Established => {}
         }
         if self.flows.len() >= FLOWS_MAX && !self.flows.contains_key(&head.flow) {
+            self.uncounted_until = Some(now + IDLE_MAX);
             return None;
         }
         let activity = self.flows.entry(head.flow).or_insert(FlowActivity {
@@ -182,6 +227,7 @@
     /// Removes the flows that have been idle for too long, and returns the counts of the rest.
     pub fn counts(&mut self, now: Instant) -> LoadCounts {
         self.flows.retain(|_, activity| now < activity.expires);
+        self.uncounted_until = self.uncounted_until.filter(|until| now < *until);
         let busy = self
             .flows
             .values()
@@ -194,9 +240,10 @@
         }
     }
 
-    /// Returns the digest of all flows that the upstream may hold, or `None` if there are too many for one.
+    /// Returns the digest of all flows that the upstream may hold, or `None` if there are too many for one or some are
+    /// not counted.
     pub fn digest(&self) -> Option<FlowDigest> {
-        if self.flows.len() > DIGEST_MAX {
+        if self.flows.len() > DIGEST_MAX || self.uncounted_until.is_some() {
             return None;
         }
         let flows = self.flows.keys().copied();
@@ -207,16 +254,21 @@
     ///
     /// A route may have moved to another service since, so the routes alone do not tell which service holds the
     /// flows.
-    pub fn addresses(&self) -> AddressList {
-        let mut addresses = AddressList::new();
+    pub fn addresses(&self) -> AddressSummary {
+        let mut summary = AddressSummary {
+            list: AddressList::new(),
+            complete: self.uncounted_until.is_none(),
+        };
         for flow in self.flows.keys() {
-            if addresses.len() >= ADDRESSES_MAX {
-                break;
+            if summary.list.contains(&flow.service) {
+                continue;
             }
-            if !addresses.contains(&flow.service) {
-                addresses.push(flow.service);
+            if summary.list.len() >= ADDRESSES_MAX {
+                summary.complete = false;
+                break;
             }
+            summary.list.push(flow.service);
         }
-        addresses
+        summary
     }
 }
--- a/crates/core/src/relay/view.rs
+++ b/crates/core/src/relay/view.rs
@@ -125,7 +125,10 @@
     pub routes: RouteSet,
     /// Services that held the route of an address before, or report flows to it.
     pub former: FormerServices,
-    /// Whether `former` names every service that holds flows; only then may a flow be declared ended.
+    /// Services with an endpoint whose reports do not name the addresses of all its flows.
+    pub unnamed: UnnamedServices,
+    /// Whether the agents have seen all open flows, so that `former` and `unnamed` have every service that holds flows.
+    /// Only then may a flow be declared ended.
     pub holders_known: bool,
     /// Endpoints by service.
     pub services: HashMap<ServiceName, ServiceView>,
@@ -144,6 +147,9 @@
     pub loaded: bool,
 }
 
+/// Services that may hold flows to any address.
+pub type UnnamedServices = SmallVec<[ServiceName; 4]>;
+
 /// Names of services; a route has a few.
 pub type ServiceNames<'a> = SmallVec<[&'a ServiceName; 4]>;
 
@@ -165,6 +171,18 @@
         names
     }
 
+    /// Returns the services that no route or report names for the address of the flow, but that may hold it all the same.
+    pub fn unnamed_services(&self, flow: FlowAddresses) -> ServiceNames<'_> {
+        let named = self.holder_services(flow);
+        let mut names = ServiceNames::new();
+        for name in &self.unnamed {
+            if !named.contains(&name) {
+                names.push(name);
+            }
+        }
+        names
+    }
+
     /// Returns the key of the endpoint `id` in this view, if the endpoint may hold the flow.
     pub fn key_of(&self, flow: FlowAddresses, id: EndpointId) -> Option<EndpointKey> {
         let endpoints = self.holders(flow).flat_map(|service| &service.endpoints);
@@ -174,7 +192,8 @@
 
     /// Returns the services that may hold the flow, the most probable first.
     pub(super) fn holders(&self, flow: FlowAddresses) -> impl Iterator<Item = &ServiceView> {
-        let names = self.holder_services(flow).into_iter();
+        let named = self.holder_services(flow).into_iter();
+        let names = named.chain(self.unnamed_services(flow));
         names.filter_map(|name| self.services.get(name))
     }
 }
--- a/crates/core/tests/relay/evacuation_placement.rs
+++ b/crates/core/tests/relay/evacuation_placement.rs
@@ -7,7 +7,7 @@
 use quetzalhill_core::relay::evacuation::{EvacuationController, ZoneChange};
 use quetzalhill_core::relay::fleet::{EndpointReport, FleetController, ListedEndpoint};
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
-use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadCounts};
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_core::relay::place::EndpointKey;
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
@@ -159,7 +159,7 @@
         stopping: false,
         load: LoadCounts::default(),
         addresses: [service_address()].into_iter().collect(),
-        covers_all_flows: true,
+        coverage: FlowCoverage::Complete,
         cold_until: None,
         digest: None,
         keepalive_sent: Some(now),
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -6,7 +6,7 @@
     SILENT_AFTER,
 };
 use quetzalhill_core::relay::intake::UpstreamState;
-use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadCounts};
 use quetzalhill_core::relay::routes::FormerServices;
 use quetzalhill_core::relay::view::EndpointStatus;
 use std::time::{Duration, Instant};
@@ -35,7 +35,7 @@
         stopping: false,
         load: LoadCounts::default(),
         addresses: [service_address()].into_iter().collect(),
-        covers_all_flows: true,
+        coverage: FlowCoverage::Complete,
         cold_until: None,
         digest: None,
         keepalive_sent: None,
@@ -171,7 +171,7 @@
     fleet.add_listed(listed(1, 5), now);
     assert!(!fleet.holders_known());
     let mut partial = report(1, 5, 1, UpstreamState::Ready, now);
-    partial.covers_all_flows = false;
+    partial.coverage = FlowCoverage::Partial;
     fleet.report(partial, now);
     assert!(!fleet.holders_known());
     fleet.report(report(1, 5, 2, UpstreamState::Ready, now), now);
--- a/crates/core/tests/relay/herd.rs
+++ b/crates/core/tests/relay/herd.rs
@@ -11,7 +11,7 @@
 use quetzalhill_core::relay::intake::{
     decide, IntakeContext, IntakeVerdict, ReturnReason, UpstreamState,
 };
-use quetzalhill_core::relay::load::LoadMeter;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadMeter};
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
 use quetzalhill_core::relay::subscribe::{EntryKeepalive, ReportRate, SubscriberController};
 use quetzalhill_core::relay::view::RelayView;
@@ -347,7 +347,7 @@
                 stopping: false,
                 load,
                 addresses: [service_address()].into_iter().collect(),
-                covers_all_flows: true,
+                coverage: FlowCoverage::Complete,
                 cold_until: None,
                 digest: None,
                 keepalive_sent: None,
--- a/crates/core/tests/relay/list.rs
+++ b/crates/core/tests/relay/list.rs
@@ -7,7 +7,7 @@
     SILENT_AFTER,
 };
 use quetzalhill_core::relay::intake::UpstreamState;
-use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadCounts};
 use quetzalhill_core::relay::revisions::{RecordAge, RevisionLog};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
@@ -226,7 +226,7 @@
         stopping: false,
         load: LoadCounts::default(),
         addresses: Default::default(),
-        covers_all_flows: true,
+        coverage: FlowCoverage::Complete,
         cold_until: None,
         digest: None,
         keepalive_sent: None,
--- a/crates/core/tests/relay/load.rs
+++ b/crates/core/tests/relay/load.rs
@@ -33,7 +33,9 @@
         Some(RequestOutcome::Answered(Duration::from_millis(30)))
     );
     assert_eq!(meter.counts(later).busy, 0);
-    assert_eq!(meter.addresses().as_slice(), [service_address()]);
+    let addresses = meter.addresses();
+    assert_eq!(addresses.list.as_slice(), [service_address()]);
+    assert!(addresses.complete);
 }
 
 /// Guards against ended, reset or idle flows that are counted for ever.
@@ -111,3 +113,29 @@
     meter.record_delivered(&data(1), now);
     assert_eq!(meter.pending_requests(now), 1);
 }
+
+/// Guards against flows that are neither counted nor named in a report which claims to account for all of them: an entry
+/// would reset them.
+#[test]
+fn flows_beyond_the_maximum_make_a_report_incomplete() {
+    let now = Instant::now();
+    let mut meter = LoadMeter::default();
+    let accepting = |number| packet(number, PacketKind::Accepting);
+    for number in 0..8_192 {
+        meter.record_sent(&accepting(number), now);
+    }
+    assert!(meter.addresses().complete);
+    meter.record_sent(&accepting(8_192), now);
+    let later = now + Duration::from_secs(1);
+    for number in 100..=8_191 {
+        meter.record_delivered(&packet(number, PacketKind::Reset), later);
+    }
+    // The digest would fit, but lacks the last flow.
+    assert_eq!(meter.counts(later).flows, 100);
+    assert!(!meter.addresses().complete);
+    assert!(meter.digest().is_none());
+    meter.record_sent(&established(1), now + IDLE_MAX);
+    meter.counts(now + IDLE_MAX);
+    assert!(meter.addresses().complete);
+    assert!(meter.digest().is_some());
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -19,6 +19,7 @@
 mod intake;
 mod list;
 mod load;
+mod moved_routes;
 mod open_flows;
 mod overload;
 mod pace;
--- a/crates/core/tests/relay/pace_site/reports.rs
+++ b/crates/core/tests/relay/pace_site/reports.rs
@@ -4,6 +4,7 @@
 use crate::support::{service_address, FEED};
 use quetzalhill_core::relay::fleet::{EndpointReport, ListedEndpoint};
 use quetzalhill_core::relay::intake::UpstreamState;
+use quetzalhill_core::relay::load::FlowCoverage;
 use quetzalhill_core::relay::subscribe::{EntryKeepalive, ReportRate, SubscriberController};
 use std::time::{Duration, Instant};
 
@@ -49,7 +50,7 @@
             stopping: false,
             load: upstream.meter.counts(now),
             addresses: [service_address()].into_iter().collect(),
-            covers_all_flows: true,
+            coverage: FlowCoverage::Complete,
             cold_until: Some(upstream.cold_until).filter(|until| now < *until),
             digest: None,
             keepalive_sent: None,
--- a/crates/core/tests/relay/site.rs
+++ b/crates/core/tests/relay/site.rs
@@ -7,7 +7,7 @@
     EndpointReport, FleetController, ListedEndpoint, SILENT_AFTER,
 };
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
-use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadCounts};
 use quetzalhill_core::relay::packet::PacketHead;
 use quetzalhill_core::relay::place::EndpointKey;
 use quetzalhill_core::relay::registration::LEASE_TTL;
@@ -115,7 +115,7 @@
             stopping: false,
             load: LoadCounts::default(),
             addresses: [service_address()].into_iter().collect(),
-            covers_all_flows: member.covers,
+            coverage: FlowCoverage::new(member.covers, true),
             cold_until: None,
             digest: None,
             keepalive_sent: Some(self.now),
--- a/crates/core/tests/relay/surge.rs
+++ b/crates/core/tests/relay/surge.rs
@@ -20,7 +20,7 @@
 use quetzalhill_core::relay::intake::{
     decide, IntakeContext, IntakeVerdict, ReturnReason, UpstreamState,
 };
-use quetzalhill_core::relay::load::LoadMeter;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadMeter};
 use quetzalhill_core::relay::pace::{EndpointPace, ServiceTime};
 use quetzalhill_core::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use quetzalhill_core::relay::view::RelayView;
@@ -451,7 +451,7 @@
             stopping: false,
             load: upstream.meter.counts(now),
             addresses: [service_address()].into_iter().collect(),
-            covers_all_flows: true,
+            coverage: FlowCoverage::Complete,
             cold_until: Some(upstream.cold_until),
             digest: None,
             keepalive_sent: None,
--- a/crates/entry/src/relay/control/publish.rs
+++ b/crates/entry/src/relay/control/publish.rs
@@ -39,6 +39,7 @@
         let view = RelayView {
             routes: self.routes.current().clone(),
             former,
+            unnamed: self.fleet.unnamed_services(),
             holders_known: self.fleet.holders_known(),
             services,
             synced: self.routes_range.current
--- a/crates/entry/src/relay/traffic/log.rs
+++ b/crates/entry/src/relay/traffic/log.rs
@@ -1,6 +1,6 @@
 //! Log lines of the decisions on packets.
 
-use super::text::{age_ms, EndpointList, KeyList, KeyText};
+use super::text::{age_ms, EndpointList, KeyList, KeyText, ServiceList};
 use super::PacketRelay;
 use quetzalhill_core::relay::chain::{DeliverReason, DroppedHolder, RelayDrop, RelayVerdict};
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
@@ -55,7 +55,8 @@
     }
 
     /// Logs a packet that was not delivered, with the revision of the routes, the age of the list of endpoints that the
-    /// decision used, and the endpoints that were ruled out because they returned a packet of the flow.
+    /// decision used, the services that may hold the flow, as routes and reports name them and as reports do not rule them
+    /// out, and the endpoints that were ruled out because they returned a packet of the flow.
     pub(super) fn log_undelivered(
         &self,
         code: EventCode,
@@ -73,6 +74,8 @@
                 ("routes_age_ms", &age_ms(view.routes_confirmed)),
                 ("synced", &view.synced),
                 ("list_age_ms", &age_ms(view.endpoints_read)),
+                ("services", &ServiceList(view.holder_services(head.flow))),
+                ("unnamed", &ServiceList(view.unnamed_services(head.flow))),
                 ("ruled_out", &KeyList(ruled_out)),
             ],
         );
--- a/crates/entry/src/relay/traffic/text.rs
+++ b/crates/entry/src/relay/traffic/text.rs
@@ -3,6 +3,7 @@
 use quetzalhill_core::ids::address_of;
 use quetzalhill_core::relay::chain::DeliverTarget;
 use quetzalhill_core::relay::place::{EndpointKey, TriedList};
+use quetzalhill_core::relay::view::ServiceNames;
 use std::fmt::{Display, Formatter, Result as FormatResult};
 use std::time::Instant;
 
@@ -42,6 +43,19 @@
     }
 }
 
+/// Formats the names of services, separated by commas.
+pub(super) struct ServiceList<'a>(pub(super) ServiceNames<'a>);
+
+impl Display for ServiceList<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FormatResult {
+        for (index, name) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{name}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Returns the time since `confirmed` in milliseconds, or 0 if there is no such time.
 pub(super) fn age_ms(confirmed: Option<Instant>) -> u128 {
     confirmed.map_or(0, |confirmed| confirmed.elapsed().as_millis())
--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -18,7 +18,8 @@
 use quetzalhill_standins::store::{StoreApi, StoreStandin};
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use quetzalhill_wire::relay::{
-    decode_datagram, RelayDatagram, RelayHeader, RelayNotice, ReportNotice, StateNotice,
+    decode_datagram, CoverageNotice, RelayDatagram, RelayHeader, RelayNotice, ReportNotice,
+    StateNotice,
 };
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
 use std::time::{Duration, Instant};
@@ -150,7 +151,7 @@
         busy: 0,
         cold_left_ms: 0,
         addresses: Vec::new(),
-        covers_all_flows: true,
+        coverage: CoverageNotice::Complete,
         fingerprints: None,
         keepalive_ms: 0,
         lifetime_ms: 1_500,
--- a/crates/standins/examples/capacity/relay.rs
+++ b/crates/standins/examples/capacity/relay.rs
@@ -5,7 +5,7 @@
 use quetzalhill_core::ids::id_of;
 use quetzalhill_core::relay::fleet::{EndpointReport, FleetController, ListedEndpoint};
 use quetzalhill_core::relay::intake::UpstreamState;
-use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadCounts};
 use quetzalhill_core::relay::pace::{EndpointPace, ServiceTime};
 use quetzalhill_core::relay::packet::FlowAddresses;
 use quetzalhill_core::relay::place::{choose_endpoint, TriedList};
@@ -107,7 +107,7 @@
             busy: number % 5,
         },
         addresses: [service_address()].into_iter().collect(),
-        covers_all_flows: true,
+        coverage: FlowCoverage::Complete,
         cold_until: None,
         digest: None,
         keepalive_sent: None,
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -27,7 +27,7 @@
     DueKeepalive, EndpointReport, ListChange, ListEffect, ListedEndpoint,
 };
 use quetzalhill_core::relay::intake::UpstreamState;
-use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadCounts};
 use quetzalhill_core::relay::subscribe::{DueReport, EntryKeepalive, ReportRate};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -209,6 +209,20 @@
     Gone,
 }
 
+/// Coverage of the open flows in a report.
+///
+/// The encoding is one byte. Agents of earlier versions send 0 or 1; entries of earlier versions drop reports with 2, so
+/// that the endpoint looks silent to them.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CoverageNotice {
+    /// The agent may not have seen all flows.
+    Partial,
+    /// All flows were seen, and the addresses of all of them are named.
+    Complete,
+    /// All flows were seen, and the addresses of some of them are named.
+    Truncated,
+}
+
 /// State of an endpoint, reported by its agent.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReportNotice {
@@ -236,8 +250,8 @@
     pub cold_left_ms: u32,
     /// Service addresses of the open flows, packed by [`id_of`].
     pub addresses: Vec<u64>,
-    /// Whether `addresses` includes those of all open flows.
-    pub covers_all_flows: bool,
+    /// How many of the open flows the report accounts for.
+    pub coverage: CoverageNotice,
     /// Fingerprints of all flows that the upstream may hold, two bytes each in network byte order; `None` if the agent
     /// reports none.
     pub fingerprints: Option<Vec<u8>>,
@@ -314,6 +328,24 @@
     }
 }
 
+impl CoverageNotice {
+    fn from_coverage(coverage: FlowCoverage) -> Self {
+        match coverage {
+            FlowCoverage::Partial => CoverageNotice::Partial,
+            FlowCoverage::Truncated => CoverageNotice::Truncated,
+            FlowCoverage::Complete => CoverageNotice::Complete,
+        }
+    }
+
+    fn to_coverage(self) -> FlowCoverage {
+        match self {
+            CoverageNotice::Partial => FlowCoverage::Partial,
+            CoverageNotice::Truncated => FlowCoverage::Truncated,
+            CoverageNotice::Complete => FlowCoverage::Complete,
+        }
+    }
+}
+
 impl ReportNotice {
     /// Creates the notice of `report` that is `due`, sent at `now`.
     pub fn new(report: &EndpointReport, due: &DueReport, now: Instant) -> Self {
@@ -333,7 +365,7 @@
             busy: report.load.busy,
             cold_left_ms,
             addresses: report.addresses.iter().copied().map(id_of).collect(),
-            covers_all_flows: report.covers_all_flows,
+            coverage: CoverageNotice::from_coverage(report.coverage),
             fingerprints: report.digest.as_deref().map(encode_digest),
             keepalive_ms: due.clock_ms,
             lifetime_ms: millis_between(now, due.expires),
@@ -362,7 +394,7 @@
             },
             cold_until: (!cold.is_zero()).then_some(now + cold),
             addresses: self.addresses.into_iter().map(address_of).collect(),
-            covers_all_flows: self.covers_all_flows,
+            coverage: self.coverage.to_coverage(),
             digest: self
                 .fingerprints
                 .as_deref()
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -8,7 +8,7 @@
     DueKeepalive, EndpointReport, ListChange, ListEffect, ListedEndpoint,
 };
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
-use quetzalhill_core::relay::load::LoadCounts;
+use quetzalhill_core::relay::load::{FlowCoverage, LoadCounts};
 use quetzalhill_core::relay::subscribe::{DueReport, ReportRate};
 use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_wire::relay::{
@@ -96,7 +96,20 @@
 #[test]
 fn report_round_trip() {
     let now = Instant::now();
-    let report = EndpointReport {
+    let report = full_report(now);
+    let due = due_report(now);
+    let notice = RelayNotice::Report(ReportNotice::new(&report, &due, now));
+    let mut datagram = notice.encode().expect("encodes");
+    let Ok(RelayDatagram::Notice(RelayNotice::Report(received))) = decode_datagram(&mut datagram)
+    else {
+        panic!("not a report");
+    };
+    assert_eq!(received.into_report(report.endpoint.id, now, now), report);
+}
+
+/// Returns a report in which no field has its default value.
+fn full_report(now: Instant) -> EndpointReport {
+    EndpointReport {
         endpoint: endpoint(),
         order: (7, 9),
         state: UpstreamState::Draining,
@@ -105,26 +118,67 @@
         addresses: ["198.18.0.1:443".parse().expect("address")]
             .into_iter()
             .collect(),
-        covers_all_flows: true,
+        coverage: FlowCoverage::Complete,
         cold_until: Some(now + Duration::from_millis(500)),
         digest: Some(Arc::new(FlowDigest::new(vec![9, 65_535, 256]))),
         keepalive_sent: Some(now + Duration::from_millis(70_000)),
         pace: None,
         expires: now + Duration::from_millis(5_000),
-    };
-    let due = DueReport {
+    }
+}
+
+fn due_report(now: Instant) -> DueReport {
+    DueReport {
         entry: 1,
         clock_ms: 70_000,
         rate: ReportRate::Sparse,
-        expires: report.expires,
-    };
-    let notice = RelayNotice::Report(ReportNotice::new(&report, &due, now));
-    let mut datagram = notice.encode().expect("encodes");
-    let Ok(RelayDatagram::Notice(RelayNotice::Report(received))) = decode_datagram(&mut datagram)
-    else {
-        panic!("not a report");
-    };
-    assert_eq!(received.into_report(report.endpoint.id, now, now), report);
+        expires: now + Duration::from_millis(5_000),
+    }
+}
+
+/// Guards against an agent or entry of an earlier version, which has a truth value in place of the coverage, that takes a
+/// part of the addresses for all of them.
+#[yare::parameterized(
+    partial = { FlowCoverage::Partial, 0 },
+    complete = { FlowCoverage::Complete, 1 },
+    truncated = { FlowCoverage::Truncated, 2 },
+)]
+fn coverage_extends_the_former_truth_value(coverage: FlowCoverage, byte: u8) {
+    let now = Instant::now();
+    let mut notice = ReportNotice::new(&full_report(now), &due_report(now), now);
+    let mut complete = RelayNotice::Report(notice.clone())
+        .encode()
+        .expect("encodes");
+    notice = ReportNotice::new(
+        &EndpointReport {
+            coverage,
+            ..full_report(now)
+        },
+        &due_report(now),
+        now,
+    );
+    let mut datagram = RelayNotice::Report(notice).encode().expect("encodes");
+    let changed: Vec<usize> = (0..datagram.len())
+        .filter(|index| datagram[*index] != complete[*index])
+        .collect();
+    match coverage {
+        FlowCoverage::Complete => assert!(changed.is_empty()),
+        _ => assert_eq!(changed.len(), 1),
+    }
+    for index in changed {
+        assert_eq!((complete[index], datagram[index]), (1, byte));
+    }
+    for (datagram, sent) in [
+        (&mut datagram, coverage),
+        (&mut complete, FlowCoverage::Complete),
+    ] {
+        let Ok(RelayDatagram::Notice(RelayNotice::Report(received))) = decode_datagram(datagram)
+        else {
+            panic!("not a report");
+        };
+        let received = received.into_report(endpoint().id, now, now);
+        assert_eq!(received.coverage, sent);
+    }
 }
 
 /// Guards against a record of another version, or one that is cut off, that is decoded as an endpoint.
