Relay: agents claim the flows that entries search for, and no search waits for good

Callers' downloads stopped for seconds or for good: an entry was stopped as planned, and the machine beside another upstream lost power 0.2 s later.

Cause: the holder of a flow does not answer an entry's query, as its upstream answers the caller directly. An entry took any other acknowledgement of the caller for that answer. Those under way when the flow moved differ too, and from then on the search never went on. The log of the entry shows one round with the lost endpoint and nothing after it.

Change: an agent claims a flow that its upstream holds (FlowClaim) when the entry asks for it, which ends the search. A round without a claim goes on after 150 ms with the packet that the entry has kept, twice, and then with each packet of the caller. Where an agent cannot claim yet, only progress that the holder alone can have caused counts, for a second. Silent endpoints hold up no round, and endpoints that are listed later are queried. The request for a claim is the bit that forces first packets, which agents of earlier versions ignore on packets of open flows.

The test search_does_not_go_on_for_a_flow_that_is_answered took an acknowledgement of 2,000 more bytes for an answer. It is replaced by three cases with signs that are proof, each checked for longer than before. Two tests compare endpoints and services in place of whole targets, and the flag that asks for a claim apart from them.

--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -7,17 +7,19 @@
 
 use super::shared::AgentState;
 use anyhow::{Context, Result};
-use quetzalhill_core::ids::{service_digest, ServiceDigest};
+use quetzalhill_core::ids::{service_digest, IncarnationNumber, ServiceDigest};
 use quetzalhill_core::relay::intake::{decide, IntakeContext, IntakeVerdict, ReturnReason};
 use quetzalhill_core::relay::load::RequestOutcome;
-use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
+use quetzalhill_core::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_node::event::{emit, EventCode};
+use quetzalhill_node::relay::notices::NoticeKind;
 use quetzalhill_node::relay::threads::TrafficThreads;
 use quetzalhill_platform::packet::{self, PacketSender, UpstreamPacket};
 use quetzalhill_wire::packet::DATAGRAM_MAX;
 use quetzalhill_wire::relay::{
-    decode_datagram, KeepaliveNotice, RelayDatagram, RelayHeader, RelayNotice, RELAY_HEADER_MAX,
+    decode_datagram, ClaimNotice, KeepaliveNotice, RelayDatagram, RelayHeader, RelayNotice,
+    RELAY_HEADER_MAX,
 };
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket};
@@ -245,7 +247,8 @@
                 | RelayNotice::OperatorState { .. }
                 | RelayNotice::StoreEra(_)
                 | RelayNotice::OpenFlows(_)
-                | RelayNotice::EraListChange(..),
+                | RelayNotice::EraListChange(..)
+                | RelayNotice::FlowClaim(_),
             )) => {
                 self.count_malformed("unexpected");
             }
@@ -290,6 +293,9 @@
         match decide(&context) {
             IntakeVerdict::Return(reason) => self.return_packet(buffer, &head, reason, *entry.ip()),
             IntakeVerdict::Deliver => {
+                if delivery.forced && !opening {
+                    self.claim(head.flow, status.incarnation, entry);
+                }
                 packet::set_mark(bytes, u32::from(*entry.ip()));
                 self.schedule(bytes, &head, delivery.terms);
                 if opening && delivery.cold_limit.is_some() {
@@ -299,6 +305,17 @@
         }
     }
 
+    /// Tells an entry that searches for a flow if the upstream is known to hold it.
+    fn claim(&self, flow: FlowAddresses, incarnation: IncarnationNumber, entry: SocketAddrV4) {
+        if !self.state.meter().holds(flow) {
+            return;
+        }
+        let notice = RelayNotice::FlowClaim(ClaimNotice::new(flow, incarnation));
+        let size = self.sockets.notify(&notice, entry);
+        let notices = &self.state.counters.notices;
+        notices.count(NoticeKind::FlowClaim, size);
+    }
+
     fn deliver(&self, packet: &[u8], head: &PacketHead) {
         self.count("delivered");
         self.log_request(packet, head);
--- a/crates/agent/tests/relay.rs
+++ b/crates/agent/tests/relay.rs
@@ -244,6 +244,19 @@
         }
     }
 
+    /// Returns the flow that the agent claims at the entry within [`ARRIVAL_TIME`], if any.
+    fn claimed(&self) -> Option<FlowAddresses> {
+        let mut buffer = [0; DATAGRAM_MAX];
+        loop {
+            let length = self.entry.recv(&mut buffer).ok()?;
+            let decoded = decode_datagram(&mut buffer[..length]);
+            if let Ok(RelayDatagram::Notice(RelayNotice::FlowClaim(claim))) = decoded {
+                assert_eq!(claim.incarnation, 1);
+                return Some(claim.flow());
+            }
+        }
+    }
+
     fn stop(self) {
         self.agent.stop().expect("an orderly stop");
     }
@@ -378,3 +391,21 @@
     assert_eq!(site.arrived(), [1, 2, 3, 4, 5]);
     site.stop();
 }
+
+/// Guards against an entry that searches on for the holder of a flow, because the agent of the holder does not answer: the
+/// upstream answers the caller, past the entry.
+#[test]
+fn agent_claims_the_flows_that_its_upstream_holds() {
+    let site = TestSite::start(false);
+    site.open(1);
+    // The upstream has accepted the flow, which may have opened at another one.
+    site.deliver(1, PacketKind::Established, b"request", None);
+    assert_eq!(site.claimed(), None);
+    site.answer(1, PacketKind::Established, b"answer");
+    site.deliver(1, PacketKind::Established, &[], None);
+    assert_eq!(site.claimed(), Some(site.flow(1)));
+    site.deliver(2, PacketKind::Established, &[], None);
+    assert_eq!(site.claimed(), None);
+    assert_eq!(site.arrived(), [1, 1, 2]);
+    site.stop();
+}
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -33,6 +33,7 @@
 pub mod presence;
 pub mod registration;
 pub mod revisions;
+pub mod rounds;
 pub mod routes;
 pub mod schedule;
 pub mod service_time;
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -5,9 +5,10 @@
 
 mod opening;
 mod search;
+mod table;
 
 pub use self::opening::UnansweredList;
-use self::search::is_overdue;
+pub use self::table::{DroppedHolder, DroppedHolders, RoundVerdict};
 use crate::ids::{EndpointId, ServiceDigest, ServiceName};
 use crate::relay::admit::{
     AdmissionContext, AdmissionPolicy, Overflow, BUSY_MAX, FAILING_REQUESTS,
@@ -16,7 +17,6 @@
 use crate::relay::credits::CreditTable;
 use crate::relay::flows::FlowTable;
 use crate::relay::hold::HoldReason;
-use crate::relay::identity::HolderState;
 use crate::relay::intake::ReturnReason;
 use crate::relay::packet::{FlowAddresses, PacketHead, PacketKind};
 use crate::relay::pending::PendingTable;
@@ -86,7 +86,8 @@
     pub endpoint: EndpointKey,
     /// Service of the flow; an agent of another service returns the packet.
     pub service: ServiceDigest,
-    /// Whether the endpoint has to take a new flow even if it is busy.
+    /// Whether the endpoint has to take a new flow even if it is busy. With a packet of an open flow, whether its agent has
+    /// to claim the flow if the upstream holds it.
     pub forced: bool,
     /// First packets a second that the endpoint may take while it is cold; only for first packets of services with such a
     /// limit.
@@ -158,20 +159,6 @@
     dropped_holders: DroppedHolders,
 }
 
-/// Endpoint to which the packets of a flow no longer go, because the view has no such incarnation of it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct DroppedHolder {
-    /// Flow that the endpoint held.
-    pub flow: FlowAddresses,
-    /// Holder in the flow table.
-    pub holder: EndpointKey,
-    /// The same endpoint in the view; `None` if it is not in the view.
-    pub current: Option<EndpointKey>,
-}
-
-/// Holders that one decision dropped; a flow has one, or a few during a search.
-pub type DroppedHolders = SmallVec<[DroppedHolder; 2]>;
-
 impl RelayChain {
     /// Makes a chain with an empty flow table that places new flows by load only.
     pub fn new(now: Instant) -> Self {
@@ -283,10 +270,15 @@
             Some(index) => {
                 record.queried.remove(index);
                 record.placed = record.placed.saturating_sub(u8::from(opening));
-                if !record.queried.is_empty() {
+                // Silent endpoints probably do not answer, so that the round is over without them.
+                let mut left = record.queried.iter();
+                if left.any(|key| opening || view.is_awaited(head.flow, *key)) {
                     return RelayVerdict::Drop(RelayDrop::Duplicate);
                 }
                 record.last_in_round = Some(known);
+                if !record.queried.is_empty() {
+                    return self.widen(head, DeliverList::new(), view, now);
+                }
             }
             None if record.last_in_round != Some(known) && !opening => {
                 return RelayVerdict::Drop(RelayDrop::Duplicate);
@@ -330,64 +322,6 @@
         Some(RelayVerdict::Reset(ResetReason::NoRoute))
     }
 
-    /// Delivers to the endpoints that the flow table holds for the flow, as long as they may still hold it.
-    fn check_flow_table(
-        &mut self,
-        head: &PacketHead,
-        view: &RelayView,
-        now: Instant,
-    ) -> Option<RelayVerdict> {
-        if let PacketKind::Opening { copies } = head.kind {
-            return self.begin_opening(head, copies, now);
-        }
-        let record = self.flows.record(head.flow);
-        if std::mem::take(&mut record.opening) {
-            // An endpoint that returned the first packet may have accepted a copy of it through another entry, so it
-            // is queried again.
-            record.tried.clear();
-        }
-        let mut targets = DeliverList::new();
-        let queried = std::mem::take(&mut record.queried);
-        for key in queried {
-            // A holder that is dropped is not ruled out: it has not returned the packet, and may be back later.
-            let current = match view.holder_state(head.flow, key) {
-                HolderState::Current { key, service } => {
-                    targets.push(DeliverTarget {
-                        endpoint: key,
-                        service: service.digest,
-                        forced: false,
-                        cold_limit: None,
-                    });
-                    record.queried.push(key);
-                    continue;
-                }
-                HolderState::Replaced { by } => Some(by),
-                HolderState::Absent => None,
-            };
-            self.dropped_holders.push(DroppedHolder {
-                flow: head.flow,
-                holder: key,
-                current,
-            });
-        }
-        if targets.is_empty() {
-            return None;
-        }
-        if record
-            .round
-            .is_some_and(|round| is_overdue(&round, head, now))
-        {
-            let overdue = record.queried.iter().map(|key| key.id);
-            self.unanswered.extend(overdue);
-            record.round = None;
-            return self.widen(head, targets, view, now);
-        }
-        Some(RelayVerdict::Deliver {
-            targets,
-            reason: DeliverReason::TableHit,
-        })
-    }
-
     /// Chooses the endpoint of a new flow.
     fn place(&mut self, head: &PacketHead, view: &RelayView, now: Instant) -> Option<RelayVerdict> {
         let PacketKind::Opening { copies } = head.kind else {
--- a/crates/core/src/relay/chain/search.rs
+++ b/crates/core/src/relay/chain/search.rs
@@ -1,13 +1,16 @@
 //! Rounds of the search for the holder of a flow that the flow table does not know. See docs/relay.md.
 
-use super::{DeliverList, DeliverReason, DeliverTarget, RelayChain, RelayVerdict, ResetReason};
+use super::{
+    DeliverList, DeliverReason, DeliverTarget, RelayChain, RelayDrop, RelayVerdict, ResetReason,
+};
 use crate::relay::digest::{fingerprint_of, FlowFingerprint};
-use crate::relay::flows::{FlowRecord, RoundRecord};
+use crate::relay::flows::FlowRecord;
 use crate::relay::hold::HoldReason;
 use crate::relay::packet::{PacketHead, PacketKind};
 use crate::relay::place::{rank, IndexList, SearchOrder};
+use crate::relay::rounds::RoundRecord;
 use crate::relay::view::{EndpointStatus, RelayView, ServiceView, ViewEndpoint};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Endpoints queried at the same time once the candidates of new flows have been queried.
 const QUERY_MAX: usize = 16;
@@ -15,10 +18,6 @@
 /// Candidates in the entry's zone below which those of other zones are queried with them.
 const NEAR_MIN: usize = 2;
 
-/// Time after which the search for a flow goes on without the endpoints that have not answered, with the caller's next
-/// packet. It is many round trips, and shorter than the caller's first retransmission after 200 ms.
-const ROUND_TIME: Duration = Duration::from_millis(150);
-
 /// Silent endpoints to which a packet is sent at the same time. A silent endpoint probably does not receive it.
 const SILENT_MAX: usize = 2;
 
@@ -44,27 +43,32 @@
 }
 
 impl RelayChain {
-    /// Queries the next endpoints as well as those that have not answered, which may be lost or only slow.
+    /// Queries the next endpoints as well as `targets`, which have not answered and may be lost or only slow.
+    ///
+    /// A new round begins even if no endpoint is left to query, since one may be listed again later.
     pub(super) fn widen(
         &mut self,
         head: &PacketHead,
         mut targets: DeliverList,
         view: &RelayView,
         now: Instant,
-    ) -> Option<RelayVerdict> {
+    ) -> RelayVerdict {
         let next = self.next_round(head, view, now);
         let record = self.flows.record(head.flow);
         record
             .queried
             .extend(next.targets.iter().map(|target| target.endpoint));
-        if !next.targets.is_empty() {
-            record.round = Some(round_record(head, now));
-        }
+        let begun = RoundRecord::new(head, now);
+        record.round = Some(record.round.map_or(begun, |round| round.next(now)));
+        let reason = match next.targets.is_empty() {
+            true => DeliverReason::TableHit,
+            false => DeliverReason::Queried,
+        };
         targets.extend(next.targets);
-        Some(RelayVerdict::Deliver {
-            targets,
-            reason: DeliverReason::Queried,
-        })
+        if targets.is_empty() {
+            return RelayVerdict::Drop(RelayDrop::Duplicate);
+        }
+        RelayVerdict::Deliver { targets, reason }
     }
 
     /// Chooses the next endpoints to query for a flow whose holder is unknown, or ends the flow if none is left.
@@ -78,7 +82,7 @@
         let record = self.flows.record(head.flow);
         if !round.targets.is_empty() {
             record.queried = round.targets.iter().map(|target| target.endpoint).collect();
-            record.round = Some(round_record(head, now));
+            record.round = Some(RoundRecord::new(head, now));
             return Some(RelayVerdict::Deliver {
                 targets: round.targets,
                 reason: DeliverReason::Queried,
@@ -186,7 +190,7 @@
             list.push(DeliverTarget {
                 endpoint: endpoint.key(),
                 service: service.digest,
-                forced: false,
+                forced: !self.opening,
                 cold_limit: None,
             });
         }
@@ -244,15 +248,3 @@
         }
     }
 }
-
-fn round_record(head: &PacketHead, now: Instant) -> RoundRecord {
-    RoundRecord {
-        ends: now + ROUND_TIME,
-        acknowledged: head.acknowledged,
-    }
-}
-
-/// Returns whether the endpoints of a round should have answered, and the caller still waits for its upstream.
-pub(super) fn is_overdue(round: &RoundRecord, head: &PacketHead, now: Instant) -> bool {
-    round.ends <= now && round.acknowledged == head.acknowledged
-}
--- a/crates/core/src/relay/flows.rs
+++ b/crates/core/src/relay/flows.rs
@@ -5,6 +5,7 @@
 
 use crate::relay::packet::FlowAddresses;
 use crate::relay::place::{EndpointKey, TriedList};
+use crate::relay::rounds::RoundRecord;
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -18,15 +19,6 @@
 /// Endpoints that returned a new flow as busy, with the number of their requests.
 pub type BusyList = SmallVec<[(EndpointKey, u32); 1]>;
 
-/// Start of a round of a search.
-#[derive(Clone, Copy, Debug)]
-pub struct RoundRecord {
-    /// Point in time from which the endpoints of the round should have answered.
-    pub ends: Instant,
-    /// What the caller had acknowledged; it acknowledges more once the holder has answered.
-    pub acknowledged: u32,
-}
-
 /// A first packet that is or was held, or the later copy that took its place.
 #[derive(Clone, Copy, Debug)]
 pub struct HeldOpening {
@@ -41,7 +33,7 @@
 pub struct FlowRecord {
     /// Endpoints that receive the packets of the flow: its holder, or several during a search.
     pub queried: QueriedList,
-    /// Current round of a search; unset once the search has gone on without the endpoints that did not answer.
+    /// Last round of a search; unset if the flow was placed by this entry and never searched for.
     pub round: Option<RoundRecord>,
     /// Endpoint that was the last of its round to return a packet and so started the next round. Only further packets
     /// that this endpoint returns are sent on, since the other endpoints of the round return the same packets.
--- a/crates/core/src/relay/identity.rs
+++ b/crates/core/src/relay/identity.rs
@@ -13,7 +13,7 @@
 use crate::relay::list::ListedEndpoint;
 use crate::relay::packet::FlowAddresses;
 use crate::relay::place::EndpointKey;
-use crate::relay::view::{RelayView, ServiceView, ViewEndpoint};
+use crate::relay::view::{EndpointStatus, RelayView, ServiceView, ViewEndpoint};
 
 /// Incarnation in the account of an agent that has not received an announcement of its upstream.
 pub const UNKNOWN_INCARNATION: IncarnationNumber = 0;
@@ -89,6 +89,14 @@
         }
         HolderState::Absent
     }
+
+    /// Returns whether `queried`, to which packets of `flow` went, probably answers: it is in the view and not silent.
+    pub fn is_awaited(&self, flow: FlowAddresses, queried: EndpointKey) -> bool {
+        let mut endpoints = self.holders(flow).flat_map(|service| &service.endpoints);
+        endpoints
+            .find(|endpoint| endpoint.id == queried.id)
+            .is_some_and(|endpoint| endpoint.status != EndpointStatus::Silent)
+    }
 }
 
 fn compare_holder<'a>(
--- a/crates/core/src/relay/load.rs
+++ b/crates/core/src/relay/load.rs
@@ -83,6 +83,8 @@
     /// Bytes that the caller had received when it sent its last request; a copy of the request has the same number, and
     /// the next request a higher one.
     request_acknowledged: Option<u32>,
+    /// Whether the upstream has sent more than its acceptance. A flow that several upstreams accept opens at one of them.
+    confirmed: bool,
     /// Whether the upstream has sent its last data, which the caller may not have received.
     ended: bool,
     expires: Instant,
@@ -196,9 +198,11 @@
             awaited_until: Some(now + FIRST_REQUEST_WAIT),
             opened: now,
             request_acknowledged: None,
+            confirmed: false,
             ended: false,
             expires: now,
         });
+        activity.confirmed |= head.kind != PacketKind::Accepting;
         if !activity.ended {
             activity.expires = now + IDLE_MAX;
         }
@@ -210,6 +214,12 @@
         Some(RequestOutcome::Answered(waited))
     }
 
+    /// Returns whether the upstream is known to hold the flow.
+    pub fn holds(&self, flow: FlowAddresses) -> bool {
+        let activity = self.flows.get(&flow);
+        activity.is_some_and(|activity| activity.confirmed)
+    }
+
     /// Removes the flows opened before `restarted_at`, when the upstream restarted and lost them.
     pub fn forget_before(&mut self, restarted_at: Instant) {
         self.flows
--- a/crates/core/tests/relay/chain.rs
+++ b/crates/core/tests/relay/chain.rs
@@ -3,7 +3,7 @@
 use crate::support::*;
 use quetzalhill_core::relay::admit::AdmissionPolicy;
 use quetzalhill_core::relay::chain::{
-    ChainPolicy, DeliverReason, RelayChain, RelayDrop, RelayVerdict, ResetReason,
+    ChainPolicy, DeliverList, DeliverReason, RelayChain, RelayDrop, RelayVerdict, ResetReason,
 };
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::packet::{PacketHead, PacketKind};
@@ -322,7 +322,16 @@
         other => panic!("{other:?}"),
     };
     let queried = first_round(&mut chain);
-    assert_eq!(first_round(&mut chain), queried);
+    let next = first_round(&mut chain);
+    // The agents have to claim the flow with the first packet only.
+    assert!(queried.iter().all(|target| target.forced));
+    assert!(next.iter().all(|target| !target.forced));
+    let endpoints = |targets: &DeliverList| -> Vec<_> {
+        let keys = targets.iter();
+        keys.map(|target| (target.endpoint, target.service))
+            .collect()
+    };
+    assert_eq!(endpoints(&next), endpoints(&queried));
     // Every endpoint of the round returns both packets, and each packet goes to the next round once.
     let mut sent_on = 0;
     for target in queried.iter().chain(&queried) {
--- a/crates/core/tests/relay/load.rs
+++ b/crates/core/tests/relay/load.rs
@@ -139,3 +139,22 @@
     assert!(meter.addresses().complete);
     assert!(meter.digest().is_some());
 }
+
+/// Guards against an agent that claims a flow whose first packet its upstream has accepted too, but which opened at another
+/// one: packets would go to the wrong upstream.
+#[test]
+fn accepted_flow_is_held_once_the_upstream_sends_more() {
+    let now = Instant::now();
+    let mut meter = LoadMeter::default();
+    assert!(!meter.holds(flow(1)));
+    meter.record_sent(&packet(1, PacketKind::Accepting), now);
+    meter.record_delivered(&data(1), now);
+    assert!(!meter.holds(flow(1)));
+    meter.record_sent(&established(1), now);
+    assert!(meter.holds(flow(1)));
+    // An agent that started later has seen no acceptance.
+    meter.record_sent(&data(2), now);
+    assert!(meter.holds(flow(2)));
+    meter.record_sent(&packet(2, PacketKind::Reset), now);
+    assert!(!meter.holds(flow(2)));
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -30,6 +30,7 @@
 mod presence;
 mod registration;
 mod restore;
+mod rounds;
 mod routes;
 mod schedule;
 mod search;
--- a/crates/core/tests/relay/search.rs
+++ b/crates/core/tests/relay/search.rs
@@ -2,12 +2,13 @@
 
 use crate::chain::{search, Search};
 use crate::support::*;
-use quetzalhill_core::relay::chain::{RelayChain, RelayVerdict};
+use quetzalhill_core::relay::chain::{RelayChain, RelayVerdict, RoundVerdict};
 use quetzalhill_core::relay::intake::ReturnReason;
 use quetzalhill_core::relay::packet::PacketHead;
 use quetzalhill_core::relay::place::EndpointKey;
 use quetzalhill_core::relay::view::{EndpointStatus, RelayView};
 use std::time::{Duration, Instant};
+use yare::parameterized;
 
 /// Returns a view with 120 endpoints of feed in six zones, of which the entry's has the first 20.
 fn zoned_view() -> RelayView {
@@ -107,7 +108,11 @@
     let RelayVerdict::Deliver { targets, .. } = chain.decide(&head, &view, soon) else {
         panic!("not delivered");
     };
-    assert_eq!(targets[..], first[..1]);
+    assert_eq!(targets.len(), 1);
+    assert_eq!(
+        (targets[0].endpoint, targets[0].service),
+        (lost, first[0].service)
+    );
     let retransmitted = start + Duration::from_millis(200);
     let RelayVerdict::Deliver { targets, .. } = chain.decide(&head, &view, retransmitted) else {
         panic!("not delivered");
@@ -117,24 +122,58 @@
     assert_eq!(chain.take_unanswered().as_slice(), [lost.id]);
 }
 
-/// Guards against copies to ever more endpoints for a flow that is served, because one endpoint of its search is lost.
-#[test]
-fn search_does_not_go_on_for_a_flow_that_is_answered() {
+/// Ways in which an entry learns that a flow is served.
+#[derive(Clone, Copy, Debug)]
+enum Sign {
+    /// The agent of the holder claims the flow.
+    Claim,
+    /// The caller acknowledges more than was under way.
+    Window,
+    /// The caller acknowledges more after it has sent a request.
+    Response,
+}
+
+/// Guards against copies to ever more endpoints for a flow that is served, because one endpoint of its search is lost. An
+/// acknowledgement of a few more bytes alone is no such sign: what the upstream sends again causes it too.
+#[parameterized(
+    claim = { Sign::Claim, 2_000 },
+    window = { Sign::Window, 19_201 },
+    response = { Sign::Response, 2_000 },
+)]
+fn search_does_not_go_on_for_a_flow_that_is_answered(sign: Sign, received: u32) {
     let view = zoned_view();
     let start = Instant::now();
     let mut chain = RelayChain::new(start);
-    let RelayVerdict::Deliver { targets: first, .. } = chain.decide(&established(8), &view, start)
+    let first = PacketHead {
+        data_len: match sign {
+            Sign::Response => 100,
+            Sign::Claim | Sign::Window => 0,
+        },
+        ..established(8)
+    };
+    let RelayVerdict::Deliver {
+        targets: queried, ..
+    } = chain.decide(&first, &view, start)
     else {
         panic!("not queried");
     };
+    let mut expected: Vec<_> = queried.iter().map(|target| target.endpoint).collect();
+    if let Sign::Claim = sign {
+        expected = vec![queried[1].endpoint];
+        chain.record_claim(flow(8), queried[1].endpoint);
+    }
     let answered = PacketHead {
-        acknowledged: 2_077,
+        acknowledged: 77 + received,
         ..established(8)
     };
-    let later = start + Duration::from_millis(300);
-    let RelayVerdict::Deliver { targets, .. } = chain.decide(&answered, &view, later) else {
-        panic!("not delivered");
-    };
-    assert_eq!(targets, first);
+    for millis in [300, 400, 900] {
+        let later = start + Duration::from_millis(millis);
+        let RelayVerdict::Deliver { targets, .. } = chain.decide(&answered, &view, later) else {
+            panic!("not delivered");
+        };
+        let targets: Vec<_> = targets.iter().map(|target| target.endpoint).collect();
+        assert_eq!(targets, expected);
+        assert_eq!(chain.check_round(&first, &view, later), RoundVerdict::Over);
+    }
     assert!(chain.take_unanswered().is_empty());
 }
--- a/crates/entry/src/relay/shared.rs
+++ b/crates/entry/src/relay/shared.rs
@@ -5,6 +5,7 @@
 use quetzalhill_core::relay::chain::{ChainPolicy, RelayChain};
 use quetzalhill_core::relay::hold::HoldQueue;
 use quetzalhill_core::relay::open_flows::OpenFlows;
+use quetzalhill_core::relay::rounds::RoundQueue;
 use quetzalhill_core::relay::view::RelayView;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,6 +18,7 @@
     pub(super) view: ArcSwap<RelayView>,
     chain: Mutex<RelayChain>,
     hold: Mutex<HoldQueue>,
+    rounds: Mutex<RoundQueue>,
     open_flows: Mutex<OpenFlows>,
     /// Whether agents get the terms of routes with each packet.
     pub(super) schedule: bool,
@@ -39,6 +41,7 @@
             view: ArcSwap::default(),
             chain: Mutex::new(RelayChain::with_policy(policy, now)),
             hold: Mutex::default(),
+            rounds: Mutex::default(),
             open_flows: Mutex::default(),
             schedule,
             counters,
@@ -52,6 +55,12 @@
         self.hold.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the queue of packets whose flows are searched for.
+    pub(super) fn rounds(&self) -> MutexGuard<'_, RoundQueue> {
+        // After a panic in another thread the queue is still valid; at most one packet is lost.
+        self.rounds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the open flows whose requests must not be repeated.
     pub(super) fn open_flows(&self) -> MutexGuard<'_, OpenFlows> {
         // A flow that another thread did not record because it panicked is only reset later.
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -4,6 +4,7 @@
 //! with blocking sockets. The relay chain decides on each packet, and the thread that received it executes the verdict.
 
 mod log;
+mod rounds;
 mod sockets;
 mod text;
 
@@ -14,7 +15,7 @@
 use crate::traffic::{expect_v4, is_idle, ERROR_PAUSE};
 use anyhow::Result;
 use quetzalhill_core::ids::{address_of, id_of, EndpointId, RevisionNumber, StoreEra};
-use quetzalhill_core::relay::chain::{DeliverList, DeliverTarget, RelayVerdict};
+use quetzalhill_core::relay::chain::{DeliverList, DeliverReason, DeliverTarget, RelayVerdict};
 use quetzalhill_core::relay::confirm::{ConfirmClient, ConfirmId};
 use quetzalhill_core::relay::era::UNKNOWN_ERA;
 use quetzalhill_core::relay::evacuation::OperatorState;
@@ -159,6 +160,7 @@
                 Ok(received) => received,
                 Err(error) if is_idle(&error) => {
                     self.release_held(&mut buffer);
+                    self.check_rounds(&mut buffer);
                     continue;
                 }
                 // The error may be an ICMP error of an earlier send, which concerns one agent only.
@@ -171,6 +173,7 @@
                 self.handle_datagram(&mut buffer[..RELAY_HEADER_MAX + length], agent);
             }
             self.release_held(&mut buffer);
+            self.check_rounds(&mut buffer);
         }
     }
 
@@ -305,6 +308,13 @@
                 let flows = flows.into_iter().map(OpenFlowNotice::into_open_flow);
                 self.send_event(TrafficEvent::OpenFlows(flows.collect()));
             }
+            Ok(RelayDatagram::Notice(RelayNotice::FlowClaim(claim))) => {
+                let claimant = EndpointKey {
+                    id: id_of(agent),
+                    incarnation: claim.incarnation,
+                };
+                self.state.chain().record_claim(claim.flow(), claimant);
+            }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
             | Ok(RelayDatagram::Notice(RelayNotice::Keepalive(_))) => {
                 self.count_malformed("unexpected")
@@ -351,10 +361,11 @@
         self.state.counters.packets.with_label_values(&[name]).inc();
         self.log_verdict(head, verdict, name);
         match verdict {
-            RelayVerdict::Deliver { targets, .. } => {
+            RelayVerdict::Deliver { targets, reason } => {
                 if self.reset_ended {
-                    self.record_open_flow(head, targets);
+                    self.record_open_flow(head, targets, *reason);
                 }
+                self.record_round(head, verdict, &buffer[RELAY_HEADER_MAX..]);
                 let terms = self.terms_of(head);
                 for target in targets {
                     self.deliver(target, terms, buffer);
@@ -382,15 +393,17 @@
     }
 
     /// Remembers which endpoint holds a flow whose requests must not be repeated.
-    fn record_open_flow(&self, head: &PacketHead, targets: &DeliverList) {
+    fn record_open_flow(&self, head: &PacketHead, targets: &DeliverList, reason: DeliverReason) {
         let view = self.state.view.load();
         if !view.routes.unrepeatable.contains(&head.flow.service) {
             return;
         }
         let mut open_flows = self.state.open_flows();
-        match targets.as_slice() {
-            [target] => open_flows.record_delivered(head, target.endpoint, Instant::now()),
-            _ => open_flows.remove(head.flow),
+        match (targets.as_slice(), reason) {
+            // Further endpoints may have got the packet in an earlier round of the search.
+            (_, DeliverReason::Queried) => open_flows.remove(head.flow),
+            ([target], _) => open_flows.record_delivered(head, target.endpoint, Instant::now()),
+            (_, _) => open_flows.remove(head.flow),
         }
     }
 
--- a/crates/node/src/relay/notices.rs
+++ b/crates/node/src/relay/notices.rs
@@ -24,6 +24,8 @@
     Confirm,
     /// Open flows of an entry, to the entry that reads for its zone.
     OpenFlows,
+    /// Claim of an agent whose upstream holds a flow that an entry searches for.
+    FlowClaim,
 }
 
 impl NoticeKind {
@@ -41,6 +43,7 @@
             NoticeKind::StoreEra => "store-era",
             NoticeKind::Confirm => "confirm",
             NoticeKind::OpenFlows => "open-flows",
+            NoticeKind::FlowClaim => "flow-claim",
         }
     }
 }
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -4,12 +4,14 @@
 //! datagrams carry no authentication tag: the platform gives the processes no shared secret, and the packets
 //! themselves are protected end to end. See docs/relay.md.
 
+mod claim;
 mod header;
 mod open_flows;
 mod pace;
 mod record;
 mod terms;
 
+pub use claim::ClaimNotice;
 pub use header::{RelayHeader, RELAY_HEADER_MAX};
 pub use open_flows::{decode_flow_record, encode_flow_record, OpenFlowNotice, OPEN_FLOWS_MAX};
 pub use pace::PaceNotice;
@@ -97,6 +99,8 @@
     /// A [`RelayNotice::ListChange`] with the era of the store that made the changes, where the store tells it: after a
     /// restore from an older copy the store assigns their revisions again.
     EraListChange(StoreEra, ListNotice),
+    /// From an agent to an entry that searches for a flow: the agent's upstream holds it.
+    FlowClaim(ClaimNotice),
 }
 
 /// Changes of the list of endpoints, in the order of the store.
--- a/crates/wire/src/relay/header.rs
+++ b/crates/wire/src/relay/header.rs
@@ -24,7 +24,9 @@
     Deliver {
         /// Service of the packet, which must match the service of the endpoint.
         service: ServiceDigest,
-        /// Whether the endpoint must accept a new flow even if it is busy, because the other endpoints are busy too.
+        /// Whether the endpoint must accept a new flow even if it is busy, because the other endpoints are busy too. With
+        /// a packet of an open flow, whether the agent must claim the flow if its upstream holds it; agents of earlier
+        /// versions ignore it there.
         forced: bool,
         /// Requirements of the route on the requests of the flow, if the entry passes them on.
         terms: Option<FlowTerms>,
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -9,12 +9,13 @@
 };
 use quetzalhill_core::relay::intake::{ReturnReason, UpstreamState};
 use quetzalhill_core::relay::load::{FlowCoverage, LoadCounts};
+use quetzalhill_core::relay::packet::FlowAddresses;
 use quetzalhill_core::relay::subscribe::{DueReport, ReportRate};
 use quetzalhill_core::relay::terms::FlowTerms;
 use quetzalhill_wire::relay::{
     decode_datagram, decode_endpoint, decode_record, encode_endpoint, endpoint_of_key, record_key,
-    KeepaliveNotice, ListNotice, RelayDatagram, RelayError, RelayHeader, RelayNotice, ReportNotice,
-    LIST_CHANGES_MAX, RELAY_HEADER_MAX,
+    ClaimNotice, KeepaliveNotice, ListNotice, RelayDatagram, RelayError, RelayHeader, RelayNotice,
+    ReportNotice, LIST_CHANGES_MAX, RELAY_HEADER_MAX,
 };
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -336,3 +337,19 @@
         assert_eq!(decoded, Ok(RelayDatagram::Notice(notice)));
     }
 }
+
+/// Guards against a claim of another flow than the one that the upstream holds.
+#[test]
+fn claim_round_trip() {
+    let flow = FlowAddresses {
+        caller: "100.64.0.7:40001".parse().expect("address"),
+        service: "198.18.0.1:443".parse().expect("address"),
+    };
+    let notice = RelayNotice::FlowClaim(ClaimNotice::new(flow, 1_783_371_811_029));
+    let mut datagram = notice.encode().expect("encodes");
+    let Ok(RelayDatagram::Notice(RelayNotice::FlowClaim(claim))) = decode_datagram(&mut datagram)
+    else {
+        panic!("not a claim");
+    };
+    assert_eq!((claim.flow(), claim.incarnation), (flow, 1_783_371_811_029));
+}
