--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -270,7 +270,8 @@
             Some(index) => {
                 record.queried.remove(index);
                 record.placed = record.placed.saturating_sub(u8::from(opening));
-                // Silent endpoints probably do not answer, so that the round is over without them.
+                // Silent endpoints probably do not answer, so that the round is over without them. They could still accept a
+                // first packet.
                 let mut left = record.queried.iter();
                 if left.any(|key| opening || view.is_awaited(head.flow, *key)) {
                     return RelayVerdict::Drop(RelayDrop::Duplicate);
--- a/crates/core/src/relay/chain/table.rs
+++ b/crates/core/src/relay/chain/table.rs
@@ -20,20 +20,20 @@
     pub current: Option<EndpointKey>,
 }
 
-/// What happens to a round of a search when its time is over.
+/// Holders that one decision dropped; a flow has one, or a few during a search.
+pub type DroppedHolders = SmallVec<[DroppedHolder; 2]>;
+
+/// What happens to the packet with which a round of a search began.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RoundVerdict {
-    /// Nothing: the flow was claimed, its caller is served, or the search goes on with the caller's next packet.
+    /// It is dropped: the flow was claimed, its caller is served, or the search goes on with the caller's next packet.
     Over,
-    /// The time of the round was put off, so that it is checked once more.
+    /// It is kept, because the round lasts longer or another one has begun since.
     Open,
-    /// The packet goes to the endpoints of the next round.
+    /// It goes to the endpoints of the next round.
     Next(RelayVerdict),
 }
 
-/// Holders that one decision dropped; a flow has one, or a few during a search.
-pub type DroppedHolders = SmallVec<[DroppedHolder; 2]>;
-
 impl RelayChain {
     /// Delivers to the endpoints that the flow table holds for the flow, as long as they may still hold it. A search that
     /// waits for them in vain goes on.
@@ -46,7 +46,7 @@
         if let PacketKind::Opening { copies } = head.kind {
             return self.begin_opening(head, copies, now);
         }
-        let targets = self.holder_targets(head, view);
+        let mut targets = self.holder_targets(head, view);
         if targets.is_empty() {
             return None;
         }
@@ -61,7 +61,6 @@
                 reason: DeliverReason::TableHit,
             }),
             RoundOutcome::Overdue => {
-                let mut targets = targets;
                 for target in &mut targets {
                     target.forced = true;
                 }
@@ -87,7 +86,7 @@
     }
 
     /// Decides whether the search for a flow goes on without a further packet of the caller. `head` is the packet with which
-    /// the round began. Returns whether the round is still to be checked later if it does not go on.
+    /// a round began.
     pub fn check_round(
         &mut self,
         head: &PacketHead,
@@ -113,7 +112,7 @@
         }
     }
 
-    /// Takes note of the endpoints that should have answered a query.
+    /// Notes the endpoints that should have answered a query, so that they are checked.
     fn doubt_queried(&mut self, flow: FlowAddresses, view: &RelayView) {
         let record = self.flows.record(flow);
         for key in &record.queried {
--- a/crates/core/src/relay/rounds.rs
+++ b/crates/core/src/relay/rounds.rs
@@ -28,19 +28,19 @@
 /// Most bytes that an upstream has under way to a caller: 16 packets of 1,200 bytes.
 const UNDER_WAY_MAX: u32 = 16 * 1_200;
 
-/// What a packet shows of the round of a search in which its flow is.
+/// What is known of a round of a search.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RoundOutcome {
     /// The queried endpoints may still answer, or one of them serves the caller.
     Waiting,
-    /// The caller repeats itself, so that none of the queried endpoints seems to hold the flow.
+    /// None of the queried endpoints seems to hold the flow, so that the search goes on.
     Overdue,
 }
 
 /// Round of a search that waits for the queried endpoints.
 #[derive(Clone, Copy, Debug)]
 pub struct RoundRecord {
-    /// Point in time from which a packet shows that the round is overdue, unless it puts off this time.
+    /// Point in time from which the round is overdue, unless progress of the caller puts it off.
     ends: Instant,
     /// Number of the byte after the last one that the caller has sent.
     sent: u32,
@@ -48,7 +48,7 @@
     received: u32,
     /// The same when the round began.
     received_before: u32,
-    /// Whether the caller has sent data in this round, which only the holder can answer.
+    /// Whether the caller has sent data since the search began, which only the holder can answer.
     asked: bool,
     /// Whether the caller has received data that the upstream cannot have sent before the round began.
     served: bool,
@@ -89,12 +89,12 @@
         }
     }
 
-    /// Returns whether the time of the round was put off beyond `now`, and the caller is not served so far.
+    /// Returns whether the round is not over at `now`, although the caller is not served so far.
     pub fn is_open(&self, now: Instant) -> bool {
         !self.served && now < self.ends
     }
 
-    /// Returns what is known of the round without a further packet of the caller.
+    /// Returns whether the next round begins at `now` without a packet of the caller.
     pub fn check(&self, now: Instant) -> RoundOutcome {
         let may_follow = !self.served && self.timed < TIMED_ROUNDS_MAX;
         match may_follow && self.ends <= now {
