--- a/crates/core/src/relay/subscribe.rs
+++ b/crates/core/src/relay/subscribe.rs
@@ -91,13 +91,10 @@
         keepalive: EntryKeepalive,
         now: Instant,
     ) -> Option<DueReport> {
-        let former = self.subscribers.get(&entry);
-        if former.is_none() && self.subscribers.len() >= SUBSCRIBERS_MAX {
+        let known = self.subscribers.contains_key(&entry);
+        if !known && self.subscribers.len() >= SUBSCRIBERS_MAX {
             return None;
         }
-        // The clock of an entry starts with its process. A process that has just started at the address of a former one has
-        // none of the reports that the former one got.
-        let known = former.is_some_and(|former| former.keepalive.clock_ms <= keepalive.clock_ms);
         let interval = self.interval(keepalive.rate);
         let subscriber = self.subscribers.entry(entry).or_insert(ReportSubscriber {
             keepalive,
