Begin rounds of a search only once the answers are read

Cause: a round of a search ended 150 ms after it began, whether or not the entry had read what the queried endpoints had answered. At an overloaded entry claims and returned packets lay unread in its socket, so that it went on to further endpoints, whose answers kept it overloaded.

Change: the entry sends itself a barrier behind the answers in its socket. A round that no packet of the caller ends is over once a barrier that was sent after its end has been read.

The searches of existing tests now say that the entry has read its answers.

--- a/crates/agent/src/relay/traffic.rs
+++ b/crates/agent/src/relay/traffic.rs
@@ -248,7 +248,8 @@
                 | RelayNotice::StoreEra(_)
                 | RelayNotice::OpenFlows(_)
                 | RelayNotice::EraListChange(..)
-                | RelayNotice::FlowClaim(_),
+                | RelayNotice::FlowClaim(_)
+                | RelayNotice::ReadBarrier(_),
             )) => {
                 self.count_malformed("unexpected");
             }
--- a/crates/core/src/relay/chain.rs
+++ b/crates/core/src/relay/chain.rs
@@ -157,6 +157,8 @@
     unanswered: UnansweredList,
     /// Holders that were dropped from the flow table since they were taken last.
     dropped_holders: DroppedHolders,
+    /// Point in time up to which all answers of endpoints that have arrived are read.
+    answers_read: Instant,
 }
 
 impl RelayChain {
@@ -175,6 +177,7 @@
             suspects: HashMap::new(),
             unanswered: UnansweredList::new(),
             dropped_holders: DroppedHolders::new(),
+            answers_read: now,
         }
     }
 
--- a/crates/core/src/relay/chain/table.rs
+++ b/crates/core/src/relay/chain/table.rs
@@ -70,6 +70,16 @@
         }
     }
 
+    /// Records that all answers are read that had arrived by `until`.
+    pub fn record_answers_read(&mut self, until: Instant) {
+        self.answers_read = self.answers_read.max(until);
+    }
+
+    /// Returns the point in time up to which all answers that have arrived are read.
+    pub fn answers_read(&self) -> Instant {
+        self.answers_read
+    }
+
     /// Ends the search for a flow that the endpoint `claimant` says it holds.
     pub fn record_claim(&mut self, flow: FlowAddresses, claimant: EndpointKey) {
         let is_known = self.flows.get(flow).is_some();
@@ -97,8 +107,8 @@
         let Some(round) = record.round.filter(|_| !record.queried.is_empty()) else {
             return RoundVerdict::Over;
         };
-        match round.check(now) {
-            RoundOutcome::Waiting if round.is_open(now) => return RoundVerdict::Open,
+        match round.check(self.answers_read) {
+            RoundOutcome::Waiting if round.is_open(self.answers_read) => return RoundVerdict::Open,
             RoundOutcome::Waiting => return RoundVerdict::Over,
             RoundOutcome::Overdue => {}
         }
--- a/crates/core/src/relay/rounds.rs
+++ b/crates/core/src/relay/rounds.rs
@@ -4,7 +4,11 @@
 //! The holder's agent claims the flow at the entry if it has seen the flow before. An agent that has just started has not, so
 //! the entry also goes by the caller, who gets on if it is served. It gets on for a while if it is not: with what was under
 //! way when the flow moved to the entry, and with what the upstream sends again. So progress counts only if the holder alone
-//! can have caused it, and every wait for an endpoint ends. See docs/relay.md.
+//! can have caused it, and every wait for an endpoint ends.
+//!
+//! An overloaded entry reads answers late, and further queries would delay them more. So a round that no packet of the
+//! caller ends is over only once all answers are read that had arrived by its end, which a barrier shows: a datagram that
+//! the entry sends to its own socket for answers. See docs/relay.md.
 
 use crate::relay::packet::{bytes_after, PacketHead, PacketKind};
 use std::collections::VecDeque;
@@ -22,6 +26,9 @@
 /// so that each such round may be needless.
 const TIMED_ROUNDS_MAX: u8 = 2;
 
+/// Shortest time between two barriers.
+const BARRIER_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Limit of packets whose round is checked later, at about 1 KB each. Flows beyond it wait for the caller's next packet.
 const PACKETS_MAX: usize = 512;
 
@@ -89,15 +96,16 @@
         }
     }
 
-    /// Returns whether the round is not over at `now`, although the caller is not served so far.
-    pub fn is_open(&self, now: Instant) -> bool {
-        !self.served && now < self.ends
+    /// Returns whether the round is not over, although the caller is not served so far. `answers_read` is the point in time
+    /// up to which all answers that have arrived are read.
+    pub fn is_open(&self, answers_read: Instant) -> bool {
+        !self.served && answers_read < self.ends
     }
 
-    /// Returns whether the next round begins at `now` without a packet of the caller.
-    pub fn check(&self, now: Instant) -> RoundOutcome {
+    /// Returns whether the next round begins without a packet of the caller.
+    pub fn check(&self, answers_read: Instant) -> RoundOutcome {
         let may_follow = !self.served && self.timed < TIMED_ROUNDS_MAX;
-        match may_follow && self.ends <= now {
+        match may_follow && self.ends <= answers_read {
             true => RoundOutcome::Overdue,
             false => RoundOutcome::Waiting,
         }
@@ -137,6 +145,8 @@
 pub struct RoundQueue {
     /// In the order in which the packets are due.
     packets: VecDeque<RoundPacket>,
+    /// Point in time from which another barrier may be sent.
+    next_barrier: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -157,12 +167,27 @@
         });
     }
 
-    /// Removes and returns the next packet whose round should be over.
-    pub fn pop_due(&mut self, now: Instant) -> Option<Vec<u8>> {
+    /// Returns whether the round of a packet should be over at `now`.
+    pub fn is_due(&self, now: Instant) -> bool {
+        let next = self.packets.front();
+        next.is_some_and(|packet| packet.due <= now)
+    }
+
+    /// Removes and returns the next packet whose round should be over, if all answers are read that had arrived by then.
+    pub fn pop_due(&mut self, answers_read: Instant) -> Option<Vec<u8>> {
         self.packets
-            .pop_front_if(|packet| packet.due <= now)
+            .pop_front_if(|packet| packet.due <= answers_read)
             .map(|packet| packet.bytes)
     }
+
+    /// Returns whether a barrier is to be sent at `now`. One that is lost is followed by another.
+    pub fn take_barrier(&mut self, now: Instant) -> bool {
+        if self.next_barrier.is_some_and(|next| now < next) {
+            return false;
+        }
+        self.next_barrier = Some(now + BARRIER_INTERVAL);
+        true
+    }
 }
 
 /// Returns the number of the byte after the packet's last one; the end of the caller's data counts as a byte.
--- a/crates/core/tests/relay/rounds.rs
+++ b/crates/core/tests/relay/rounds.rs
@@ -50,14 +50,16 @@
         }
     }
 
-    /// Sends a packet of the caller through the entry, and returns whether the holder got it.
+    /// Sends a packet of the caller through the entry, which has read all answers, and returns whether the holder got it.
     fn send(&mut self, head: &PacketHead, now: Instant) -> bool {
+        self.chain.record_answers_read(now);
         let verdict = self.chain.decide(head, &self.view, now);
         self.execute(head, verdict, now)
     }
 
     /// Lets the search for a flow go on without a packet of the caller, and returns whether the holder got the packet.
     fn check_round(&mut self, head: &PacketHead, now: Instant) -> bool {
+        self.chain.record_answers_read(now);
         match self.chain.check_round(head, &self.view, now) {
             RoundVerdict::Next(verdict) => self.execute(head, verdict, now),
             RoundVerdict::Open | RoundVerdict::Over => false,
@@ -204,6 +206,7 @@
         let packet = acknowledgement(8, 77 + 2 * PACKET_BYTES * index);
         assert!(!entry.send(&packet, start + ms(1)));
     }
+    entry.chain.record_answers_read(start + ms(140));
     assert_eq!(
         entry.chain.check_round(&head, &entry.view, start + ms(140)),
         RoundVerdict::Open
@@ -269,6 +272,71 @@
     assert!(entry.send(&head, start + ms(10)));
 }
 
+/// Guards against queries of further endpoints, and doubts of those that have answered, while their answers wait unread at
+/// an overloaded entry, which such queries would keep overloaded (rundsponsor-dk-grown, scale-1, seed 395340081050).
+#[test]
+fn search_does_not_go_on_while_answers_may_be_unread() {
+    let start = Instant::now();
+    let mut entry = TestEntry::new(60, start);
+    let head = established(12);
+    let lost = entry.first_queried(&head, start);
+    entry.lost.push(lost);
+    assert!(!entry.send(&head, start));
+    // The answers that had arrived by the end of the round are read only 800 ms later.
+    for pause in [149, 150, 400, 950] {
+        let now = start + ms(pause);
+        entry.chain.record_answers_read(start + ms(149));
+        assert_eq!(
+            entry.chain.check_round(&head, &entry.view, now),
+            RoundVerdict::Open
+        );
+        assert!(entry.chain.take_unanswered().is_empty());
+    }
+    entry.chain.record_answers_read(start + ms(150));
+    let next = entry.chain.check_round(&head, &entry.view, start + ms(950));
+    assert!(matches!(next, RoundVerdict::Next(_)), "{next:?}");
+    assert!(entry.chain.take_unanswered().contains(&lost.id));
+}
+
+/// Guards against a search that waits for the barriers of an overloaded entry, which may be lost as answers are: a caller that
+/// repeats itself is not served, and its packet begins the next round.
+#[test]
+fn search_goes_on_with_the_callers_packets_while_answers_are_unread() {
+    let start = Instant::now();
+    let mut entry = TestEntry::new(3, start);
+    let head = established(13);
+    entry.lost.push(entry.first_queried(&head, start));
+    entry.holder = Some(key(4));
+    assert!(!entry.send(&head, start));
+    assert!(!entry.send(&head, start + ms(100)));
+    assert!(entry.send(&head, start + ms(200)));
+}
+
+/// Guards against a search that a late barrier delays: one that was sent earlier says nothing new.
+#[test]
+fn earlier_barrier_does_not_make_answers_unread() {
+    let start = Instant::now();
+    let mut chain = RelayChain::new(start);
+    chain.record_answers_read(start + ms(20));
+    chain.record_answers_read(start + ms(10));
+    assert_eq!(chain.answers_read(), start + ms(20));
+}
+
+/// Guards against a barrier for each packet of an overloaded entry, and against a search that waits for a lost barrier.
+#[test]
+fn barriers_follow_each_other_at_intervals() {
+    let start = Instant::now();
+    let mut queue = RoundQueue::default();
+    queue.push(&[1], start);
+    assert!(!queue.is_due(start + ms(149)));
+    assert!(queue.is_due(start + ms(150)));
+    let mut sent = 0;
+    for millis in 0..100 {
+        sent += u32::from(queue.take_barrier(start + ms(150 + millis)));
+    }
+    assert_eq!(sent, 20);
+}
+
 /// Guards against packets that are kept for good, or that take the memory of a small instance when all flows move.
 #[test]
 fn round_queue_is_bounded_and_in_order() {
--- a/crates/entry/src/relay/shared.rs
+++ b/crates/entry/src/relay/shared.rs
@@ -20,6 +20,8 @@
     hold: Mutex<HoldQueue>,
     rounds: Mutex<RoundQueue>,
     open_flows: Mutex<OpenFlows>,
+    /// Start of the clock in barriers.
+    pub(super) started: Instant,
     /// Whether agents get the terms of routes with each packet.
     pub(super) schedule: bool,
     /// Metrics, updated by all threads.
@@ -43,6 +45,7 @@
             hold: Mutex::default(),
             rounds: Mutex::default(),
             open_flows: Mutex::default(),
+            started: now,
             schedule,
             counters,
             stop: Arc::default(),
--- a/crates/entry/src/relay/traffic.rs
+++ b/crates/entry/src/relay/traffic.rs
@@ -315,8 +315,13 @@
                 };
                 self.state.chain().record_claim(claim.flow(), claimant);
             }
+            Ok(RelayDatagram::Notice(RelayNotice::ReadBarrier(sent_us)))
+                if self.sockets.is_own(agent) =>
+            {
+                self.record_barrier(sent_us);
+            }
             Ok(RelayDatagram::Flow(RelayHeader::Deliver { .. }, _))
-            | Ok(RelayDatagram::Notice(RelayNotice::Keepalive(_))) => {
+            | Ok(RelayDatagram::Notice(RelayNotice::Keepalive(_) | RelayNotice::ReadBarrier(_))) => {
                 self.count_malformed("unexpected")
             }
             Err(error) => self.count_malformed(&format!("{error:?}")),
--- a/crates/entry/src/relay/traffic/sockets.rs
+++ b/crates/entry/src/relay/traffic/sockets.rs
@@ -49,6 +49,16 @@
         datagram.len()
     }
 
+    /// Sends a barrier to the socket for agents, and returns the size of the datagram in bytes.
+    pub(super) fn send_barrier(&self, barrier: &RelayNotice) -> usize {
+        self.send_notice(barrier, self.agents_address)
+    }
+
+    /// Returns whether a datagram from this address was sent by this entry itself.
+    pub(super) fn is_own(&self, sender: SocketAddrV4) -> bool {
+        sender == self.agents_address
+    }
+
     /// Resets a flow that has ended at its upstream, which the caller does not know yet.
     pub(in crate::relay) fn reset_flow(&self, open: &OpenFlow) {
         let reset = packet::encode_flow_reset(open.flow, open.acknowledged);
--- a/crates/node/src/relay/notices.rs
+++ b/crates/node/src/relay/notices.rs
@@ -26,6 +26,8 @@
     OpenFlows,
     /// Claim of an agent whose upstream holds a flow that an entry searches for.
     FlowClaim,
+    /// Barrier of an entry in its own socket.
+    ReadBarrier,
 }
 
 impl NoticeKind {
@@ -44,6 +46,7 @@
             NoticeKind::Confirm => "confirm",
             NoticeKind::OpenFlows => "open-flows",
             NoticeKind::FlowClaim => "flow-claim",
+            NoticeKind::ReadBarrier => "read-barrier",
         }
     }
 }
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -101,6 +101,9 @@
     EraListChange(StoreEra, ListNotice),
     /// From an agent to an entry that searches for a flow: the agent's upstream holds it.
     FlowClaim(ClaimNotice),
+    /// From an entry to its own socket, behind the answers that have arrived there: the time of sending in microseconds since
+    /// the entry started.
+    ReadBarrier(u64),
 }
 
 /// Changes of the list of endpoints, in the order of the store.
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -353,3 +353,14 @@
     };
     assert_eq!((claim.flow(), claim.incarnation), (flow, 1_783_371_811_029));
 }
+
+/// Guards against a barrier whose time is cut off after some days.
+#[test]
+fn barrier_round_trip() {
+    for sent_us in [0, u64::MAX] {
+        let notice = RelayNotice::ReadBarrier(sent_us);
+        let mut datagram = notice.encode().expect("encodes");
+        let decoded = decode_datagram(&mut datagram);
+        assert_eq!(decoded, Ok(RelayDatagram::Notice(notice)));
+    }
+}
