--- a/crates/core/src/relay/rounds.rs
+++ b/crates/core/src/relay/rounds.rs
@@ -26,7 +26,8 @@
 /// so that each such round may be needless.
 const TIMED_ROUNDS_MAX: u8 = 2;
 
-/// Shortest time between two barriers.
+/// Shortest time between two barriers. Rounds are due all the time at an overloaded entry, whose socket must not fill with
+/// barriers.
 const BARRIER_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Limit of packets whose round is checked later, at about 1 KB each. Flows beyond it wait for the caller's next packet.
