--- a/review/standins3.py
+++ b/review/standins3.py
@@ -61,6 +61,16 @@
     return found
 
 
+class QuietServer(ThreadingHTTPServer):
+    """Says nothing of connections that break off, as those of killed processes do."""
+
+    allow_reuse_address = True
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        pass
+
+
 class Store:
     """The platform's store: one revision counter, leases, watches, transactions.
 
@@ -95,8 +105,7 @@
             def do_DELETE(self):
                 store.handle(self, "DELETE")
 
-        self.server = ThreadingHTTPServer(address, Handler)
-        self.server.daemon_threads = True
+        self.server = QuietServer(address, Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self._expire, daemon=True).start()
 
@@ -404,11 +413,7 @@
             self.send_header("Content-Length", "0")
             self.end_headers()
 
-    class Server(ThreadingHTTPServer):
-        allow_reuse_address = True
-        daemon_threads = True
-
-    server = Server((endpoint.machine, endpoint.ports["app"]), Handler)
+    server = QuietServer((endpoint.machine, endpoint.ports["app"]), Handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
