--- a/review/standins3.py
+++ b/review/standins3.py
@@ -568,6 +568,8 @@
         self.ports = dict(zip(names, free_ports(len(names))))
         self.folder = tempfile.TemporaryDirectory()
         self.processes = {}
+        self.stopped = False
+        self.lock = threading.Lock()
         self.store = Store((self.ip(250), self.ports["store"]), record)
 
     def ip(self, number):
@@ -585,14 +587,13 @@
         path = os.path.join(self.folder.name, f"{number}.toml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(text)
-        log = open(os.path.join(self.folder.name, f"{number}.log"), "ab")
-        process = subprocess.Popen(
-            [program, "relay", path], stdout=log, stderr=subprocess.STDOUT, cwd=ROOT,
-            env={"PATH": os.environ.get("PATH", ""), "HOME": self.folder.name},
-        )
-        log.close()
-        self.processes[number] = process
-        return process
+        with self.lock, open(os.path.join(self.folder.name, f"{number}.log"), "ab") as log:
+            if self.stopped:
+                raise RuntimeError("the deployment has been stopped")
+            self.processes[number] = subprocess.Popen(
+                [program, "relay", path], stdout=log, stderr=subprocess.STDOUT, cwd=ROOT,
+                env={"PATH": os.environ.get("PATH", ""), "HOME": self.folder.name},
+            )
 
     def start_entry(self, number):
         ip, ports = self.ip(number), self.ports
@@ -648,10 +649,12 @@
             return file.read()
 
     def stop(self):
-        for process in self.processes.values():
-            process.send_signal(signal.SIGCONT)
+        with self.lock:
+            self.stopped = True
+            processes = list(self.processes.values())
+        for process in processes:
             process.kill()
-        for process in self.processes.values():
+        for process in processes:
             process.wait()
         self.folder.cleanup()
 
