--- a/review/13/case.py
+++ b/review/13/case.py
@@ -15,7 +15,7 @@
 from standins3 import ACK, Client, Deployment, Endpoint, Packet, is_ready, main, route_of
 
 SERVICE = "feed"
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.99.0.1", 8443)
 # flowMs of the site.
 FLOW_S = 2.0
 # Copies of one packet reach several endpoints within this time.
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -14,7 +14,7 @@
 from standins3 import Client, Deployment, Endpoint, main, route_of
 
 SERVICE = "feed"
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.99.0.1", 8443)
 # contactMs of arcs-sere-grown: a machine is in touch after 5 s without a disruption on it.
 CONTACT_S = 5.0
 # The platform starts a process again after a short delay.
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -41,16 +41,16 @@
             print(f"{time.monotonic() - self.start:8.3f}  {text}", file=self.file, flush=True)
 
 
-def free_ports(count):
-    """Returns ports that are free on all loopback addresses for TCP and UDP."""
+def free_ports(count, address):
+    """Returns ports that are free at a loopback address for TCP and UDP."""
     found = []
     while len(found) < count:
         tcp = socket.socket()
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
-            tcp.bind(("0.0.0.0", 0))
+            tcp.bind((address, 0))
             port = tcp.getsockname()[1]
-            udp.bind(("0.0.0.0", port))
+            udp.bind((address, port))
             if port not in found:
                 found.append(port)
         except OSError:
@@ -565,7 +565,7 @@
     def __init__(self, record, net, zone="zone-a"):
         self.record, self.net, self.zone = record, net, zone
         names = ("packets", "ready", "control", "outbound", "app", "peer", "metrics", "store")
-        self.ports = dict(zip(names, free_ports(len(names))))
+        self.ports = dict(zip(names, free_ports(len(names), self.ip(1))))
         self.folder = tempfile.TemporaryDirectory()
         self.processes = {}
         self.stopped = False
@@ -671,6 +671,9 @@
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {trouble}")
+    # An interrupted run ends its processes too.
+    for interrupt in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(interrupt, lambda *_: sys.exit(2))
     try:
         broken = case(record, trouble)
     except Exception as error:  # The case could not run, whatever the cause.
