--- a/review/13/case.py
+++ b/review/13/case.py
@@ -26,6 +26,10 @@
 OLD = (21, 22, 23, 24)
 NEW = (25, 26, 27, 28)
 RUN_S = 12.0
+# Time limits of the site's clients: of the requests that must not be repeated, and of the downloads.
+SHORT_LIMIT_S, LONG_LIMIT_S = 1.5, 4.0
+# One flow of this many has the short limit.
+SHORT_ONE_IN = 4
 
 
 class Router:
@@ -44,6 +48,9 @@
                 ready = is_ready(self.deployment.ip(number), self.deployment.ports["ready"])
                 self.misses[number] = 0 if ready else self.misses[number] + 1
             rotation = [number for number in ENTRIES if self.misses[number] < 2]
+            # With fewer than half of a zone's nodes in rotation, the platform uses all of them.
+            if 2 * len(rotation) < len(ENTRIES):
+                rotation = list(ENTRIES)
             if rotation != self.rotation:
                 self.rotation = rotation
                 self.record(f"router: in rotation: {rotation}")
@@ -59,7 +66,7 @@
 
     def __init__(self, client, router, record):
         self.client, self.router, self.record = client, router, record
-        self.unserved = []
+        self.unserved = {SHORT_LIMIT_S: [], LONG_LIMIT_S: []}
 
     def run_flow(self, port):
         client = self.client
@@ -70,24 +77,26 @@
             return
         time.sleep(0.1 + (port % 8) * 0.05)
         parts = [f"part-{index}-{port}-".ljust(900, "x").encode() for index in range(3)]
+        limit = SHORT_LIMIT_S if port % SHORT_ONE_IN == 0 else LONG_LIMIT_S
         start, answered, pause = time.monotonic(), 0, 0.2
         ack = flow["ack"]
-        while answered < 3 and time.monotonic() < start + 6.0:
+        while answered < 3 and time.monotonic() < start + limit:
             for index in range(answered, 3):
                 packet = Packet((client.address, port), ROUTE, ACK, flow["seq"] + 900 * index, ack, parts[index])
                 client._send(flow, packet, self.router.entry(port))
-            deadline = time.monotonic() + pause
+            deadline = min(time.monotonic() + pause, start + limit)
             while answered < 3 and time.monotonic() < deadline:
                 reply = client._await(port, lambda p: p.data and p.seq == ack, max(0.001, deadline - time.monotonic()))
                 if reply is not None:
                     ack += len(reply.data)
                     answered += 1
+                    client.acknowledge({"port": port, "seq": flow["seq"] + 900 * answered, "ack": ack}, self.router.entry(port))
             pause = min(2 * pause, 1.6)
         took = time.monotonic() - start
         if took > 1.0:
             self.record(f"client: the request on flow {port} took {took:.2f} s, {answered} of 3 packets answered")
         if answered < 3:
-            self.unserved.append(port)
+            self.unserved[limit].append(port)
 
 
 def case(record, trouble):
@@ -175,17 +184,17 @@
                 continue
             own = [at for at, held, _ in endpoint.seen.get(flow, []) if held]
             # A copy of a packet that reaches its own endpoint too counts as one that did.
-            reached = {seq: at for at, held, seq in reversed(endpoint.seen.get(flow, [])) if held}
+            reached = {packet: at for at, held, packet in reversed(endpoint.seen.get(flow, [])) if held}
             others = []
             for other in endpoints:
                 if other is endpoint:
                     continue
-                for at, held, seq in other.seen.get(flow, []):
-                    if not held and at + COPY_S < reached.get(seq, at + 2 * COPY_S):
-                        others.append((at, seq))
+                for at, held, packet in other.seen.get(flow, []):
+                    if not held and at + COPY_S < reached.get(packet, at + 2 * COPY_S):
+                        others.append((at, packet))
             others.sort()
             for index, (first, _) in enumerate(others):
-                window = {seq for at, seq in others[index:] if at <= first + FLOW_S}
+                window = {packet for at, packet in others[index:] if at <= first + FLOW_S}
                 if len(window) >= 3 and not any(first <= at <= first + FLOW_S for at in own):
                     later = [at for at in own if at > first]
                     gap = f"{min(later) - first:.2f} s" if later else "the end"
@@ -193,7 +202,8 @@
                     broken += 1
                     break
     record(f"flows whose packets reached other endpoints for {FLOW_S} s and more, and none their own: {broken} of {count}")
-    record(f"requests without a whole answer: {len(traffic.unserved)}")
+    for limit, ports in traffic.unserved.items():
+        record(f"requests given up without a whole answer at the client's limit of {limit} s: {len(ports)}")
     return broken > 0
 
 
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -306,7 +306,7 @@
         self.name, self.service, self.machine, self.zone = name, service, machine, zone
         self.ports, self.record = ports, record
         self.flows = {}
-        # Packets that arrived, by flow: when, whether the endpoint holds the flow, sequence number.
+        # Packets that arrived, by flow: when, whether the endpoint holds the flow, sequence number and length.
         self.seen = {}
         self.ran = []
         self.forged = []
@@ -323,6 +323,23 @@
         self.health = _serve_health(self)
         threading.Thread(target=self._receive, daemon=True).start()
         threading.Thread(target=self._ping, daemon=True).start()
+        threading.Thread(target=self._retransmit, daemon=True).start()
+
+    def _retransmit(self):
+        """Sends answers again that are not acknowledged: after 200 ms, doubling up to 1.6 s, eight times at most."""
+        while self.running:
+            time.sleep(0.02)
+            now = time.monotonic()
+            for flow, known in list(self.flows.items()):
+                for waiting in list(known["unacked"]):
+                    if now < waiting["due"]:
+                        continue
+                    if waiting["tries"] >= 8:
+                        known["unacked"].remove(waiting)
+                        continue
+                    waiting["tries"] += 1
+                    waiting["due"] = now + min(0.2 * 2 ** waiting["tries"], 1.6)
+                    self._send(Packet(flow[1], flow[0], ACK, waiting["seq"], known["expected"], waiting["answer"]))
 
     def _send(self, packet):
         try:
@@ -350,13 +367,13 @@
         if packet.flags & SYN:
             if flow not in self.flows:
                 self.next_seq += 1000
-                self.flows[flow] = {"seq": self.next_seq, "expected": packet.seq + 1, "open": False, "answers": {}}
+                self.flows[flow] = {"seq": self.next_seq, "expected": packet.seq + 1, "open": False, "answers": {}, "unacked": []}
             known = self.flows[flow]
             self._send(Packet(packet.dst, packet.src, SYN | ACK, known["seq"], known["expected"]))
             return
         known = self.flows.get(flow)
         held = known is not None and (known["open"] or packet.ack == known["seq"] + 1)
-        self.seen.setdefault(flow, []).append((time.monotonic(), held, packet.seq))
+        self.seen.setdefault(flow, []).append((time.monotonic(), held, (packet.seq, len(packet.data))))
         if not held:
             bounced = Packet.decode(data)
             bounced.flags |= BOUNCED
@@ -370,6 +387,7 @@
         if packet.flags & RST:
             del self.flows[flow]
             return
+        known["unacked"] = [w for w in known["unacked"] if packet.ack < w["seq"] + len(w["answer"])]
         if not packet.data:
             return
         if packet.seq == known["expected"]:
@@ -380,6 +398,8 @@
             self.record(f"{self.name}: runs {label!r}")
             answer = f"{self.name} answers {label}".encode()
             known["answers"][packet.seq] = (known["seq"], answer)
+            waiting = {"seq": known["seq"], "answer": answer, "due": time.monotonic() + 0.2, "tries": 0}
+            known["unacked"] = known["unacked"] + [waiting]
             known["seq"] += len(answer)
         if packet.seq in known["answers"]:
             seq, answer = known["answers"][packet.seq]
@@ -520,6 +540,9 @@
         self.record(f"client: opening {port} through {entry} has no answer")
         return None
 
+    def acknowledge(self, flow, entry):
+        self._send(flow, Packet((self.address, flow["port"]), self.route, ACK, flow["seq"], flow["ack"]), entry)
+
     def request(self, flow, text, entry, limit=5.0):
         """Sends one request on an open flow and returns the answer, 'reset' or None after the client's time limit."""
         data = text.encode()
@@ -541,6 +564,7 @@
                 return f"reset by {by}"
             flow["seq"] += len(data)
             flow["ack"] += len(answer.data)
+            self.acknowledge(flow, entry)
             reply = answer.data.decode()
             self.record(f"client: {text!r} on flow {port} through {entry}: answered {reply!r}")
             return reply
