--- a/review/13/case.py
+++ b/review/13/case.py
@@ -92,7 +92,7 @@
 
 def case(record, trouble):
     # The entries are in a zone without endpoints of the service.
-    deployment = Deployment(record, net=15, zone="zone-a")
+    deployment = Deployment(record, net=13, zone="zone-a")
     endpoints, router, running = [], None, [True]
 
     def add_endpoint(number):
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,10 +1,11 @@
-"""An agent that is restarted in the first heartbeat of its endpoint takes its second ping for the first one.
+"""An agent takes it for the start of its endpoint if the endpoint's time of birth is later than its own start by the clock.
 
-The new agent then reports that it has seen all flows of the endpoint, although the agent before it has delivered some, and
-its digest lacks them. An entry that searches for such a flow resets it, although the endpoint holds it.
+The time of day has jumped back since the endpoint started. An agent that is restarted soon afterwards reports that it has seen all
+flows, although the agent before it has delivered some, and its digest lacks them. An entry that searches for such a flow resets it.
 """
 
 import os
+import signal
 import sys
 import time
 
@@ -16,17 +17,23 @@
 ROUTE = ("198.18.0.1", 8443)
 # contactMs of arcs-sere-grown: a machine is in touch after 5 s without a disruption on it.
 CONTACT_S = 5.0
-# The platform restarts a process that was killed after a short delay.
+# The platform starts a process again after a short delay.
 RESTART_S = 0.2
+# How far the time of day jumps back, in milliseconds; the default of `fleetbench kinds`.
+STEP_MS = 2_000
+# From the start of the endpoint to the planned restart of its agent.
+RESTART_AFTER_S = 1.6
 NEW = 26
 
 
 def case(record, trouble):
-    deployment = Deployment(record, net=12)
+    deployment = Deployment(record, net=14)
     endpoints = []
 
-    def add_endpoint(number):
-        endpoints.append(Endpoint(f"server-{number}", SERVICE, deployment.ip(number), deployment.ports, record))
+    def add_endpoint(number, ahead_ms=0):
+        endpoints.append(
+            Endpoint(f"server-{number}", SERVICE, deployment.ip(number), deployment.ports, record, ahead_ms=ahead_ms)
+        )
 
     try:
         deployment.write_manifest(3, [route_of("feed-pull", SERVICE, ROUTE)])
@@ -42,7 +49,10 @@
         time.sleep(CONTACT_S)
         client = Client(deployment.ip(200), deployment.ports["packets"], ROUTE, record)
         record("planned: an endpoint is added")
-        add_endpoint(NEW)
+        if trouble:
+            # What the endpoint says of its start is by the clock before the jump; the agent reads the clock after it.
+            record(f"the time of day jumps back by {STEP_MS} ms right after the start of the endpoint")
+        add_endpoint(NEW, STEP_MS if trouble else 0)
         started = time.monotonic()
         flows = []
         while time.monotonic() < started + 0.4:
@@ -52,10 +62,11 @@
                 raise RuntimeError("a flow through the first entry is not served")
             flows.append(flow)
             time.sleep(0.001)
-        if trouble:
-            deployment.kill(NEW)
-            time.sleep(RESTART_S)
-            deployment.start_agent(NEW, SERVICE)
+        time.sleep(max(0.0, started + RESTART_AFTER_S - time.monotonic()))
+        record("planned: the agent is stopped and started again")
+        deployment.kill(NEW, signal.SIGTERM)
+        time.sleep(RESTART_S)
+        deployment.start_agent(NEW, SERVICE)
         time.sleep(CONTACT_S + 2.0)
         return use_flows(deployment, client, flows, endpoints, record)
     finally:
